Add the wire format, the admission shell and the stand-in backend server

Cause: the thin whole path needs a transport between nodes and something to call. Change: CBOR frames over WebSocket with attempts, replies, cancels and control messages; dispatch to the backend server that never repeats a request; task group; stand-in and open-loop load generator.

--- /dev/null
+++ b/bulrushnode/announcement.go
@@ -0,0 +1,90 @@
+package bulrushnode
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// BackendState is the state that a backend server announces.
+type BackendState string
+
+// States of a backend server.
+const (
+	BackendServing  BackendState = "serving"
+	BackendDraining BackendState = "draining"
+)
+
+// Announcement is what a backend server tells its node about itself.
+type Announcement struct {
+	Service     bulrushchute.Service `json:"service"`
+	Version     bulrushchute.Version `json:"version"`
+	Address     bulrushchute.Address `json:"address"`
+	Slots       int                  `json:"slots"`
+	Connections int                  `json:"connections"`
+	Cold        bool                 `json:"cold"`
+	State       BackendState         `json:"state"`
+	// StartedAtMs tells one life of the backend server from the next at the
+	// same address.
+	StartedAtMs bulrushchute.Millis `json:"started_at_ms"`
+}
+
+// MaxAnnouncementBytes bounds the JSON of an announcement.
+const MaxAnnouncementBytes = 4 << 10
+
+// ParseAnnouncement reads an announcement from JSON and checks it.
+func ParseAnnouncement(data []byte) (Announcement, error) {
+	var announcement Announcement
+	if len(data) > MaxAnnouncementBytes {
+		return announcement, &bulrushchute.FieldError{Field: "announcement", Value: strconv.Itoa(len(data)) + " bytes", Allowed: "at most 4096 bytes"}
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&announcement); err != nil {
+		return announcement, errors.Wrap(err, "parse announcement")
+	}
+	if announcement.State == "" {
+		announcement.State = BackendServing
+	}
+	return announcement, announcement.check()
+}
+
+func (a Announcement) check() error {
+	if a.Service == "" {
+		return &bulrushchute.FieldError{Field: "service", Allowed: "the name of a service"}
+	}
+	if err := checkAddress("address", a.Address); err != nil {
+		return err
+	}
+	if a.Slots < 0 {
+		return &bulrushchute.FieldError{Field: "slots", Value: strconv.Itoa(a.Slots), Allowed: "0 or more"}
+	}
+	if a.Connections < 0 {
+		return &bulrushchute.FieldError{Field: "connections", Value: strconv.Itoa(a.Connections), Allowed: "0 or more"}
+	}
+	if a.State != BackendServing && a.State != BackendDraining {
+		return &bulrushchute.FieldError{Field: "state", Value: string(a.State), Allowed: "serving or draining"}
+	}
+	return nil
+}
+
+// checkHost refuses a backend server on another instance than the one that
+// the settings name, because the node's knowledge of its load would not be exact.
+func (a Announcement) checkHost(expected bulrushchute.Address) error {
+	host, _, _ := net.SplitHostPort(string(a.Address))
+	wanted, _, _ := net.SplitHostPort(string(expected))
+	if host != wanted {
+		return &bulrushchute.FieldError{Field: "address", Value: string(a.Address), Allowed: "an address on " + wanted}
+	}
+	return nil
+}
+
+func (a Announcement) sameLife(other Announcement) bool {
+	return a.Service == other.Service && a.Version == other.Version &&
+		a.Address == other.Address && a.StartedAtMs == other.StartedAtMs
+}
--- /dev/null
+++ b/bulrushnode/guard.go
@@ -0,0 +1,326 @@
+package bulrushnode
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushadmission"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushtask"
+)
+
+// cancelGrace keeps the slot of a cancelled request for the time in which the
+// backend server may still be working on it.
+const cancelGrace = 50 * time.Millisecond
+
+// guard is the admission side of the node: the only path to its backend server.
+type guard struct {
+	clock     bulrushchute.Clock
+	clockSkew bulrushchute.Millis
+	tasks     *bulrushtask.Group
+	// context ends when the node has stopped, after all requests.
+	context context.Context
+
+	mutex      sync.Mutex
+	controller *bulrushadmission.Controller
+	waiting    map[bulrushchute.AttemptID]chan bulrushadmission.Release
+	backend    Announcement
+	client     *backendClient
+	isolated   bool
+	// observe takes note of each dispatch for the judgement of versions.
+	observe func(attempt bulrushchute.Attempt, version bulrushchute.Version, status int, elapsedMs float64)
+}
+
+func newGuard(ctx context.Context, clock bulrushchute.Clock, clockSkew bulrushchute.Millis) *guard {
+	return &guard{
+		clock:      clock,
+		clockSkew:  clockSkew,
+		context:    ctx,
+		tasks:      bulrushtask.NewGroup(nil),
+		controller: bulrushadmission.New(clock.Now(), bulrushadmission.Settings{}),
+		waiting:    make(map[bulrushchute.AttemptID]chan bulrushadmission.Release),
+		observe:    func(bulrushchute.Attempt, bulrushchute.Version, int, float64) {},
+	}
+}
+
+// announce takes the backend server's announcement. Another address, version
+// or start means another life of the backend server, which starts cold.
+func (g *guard) announce(announcement Announcement) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	limits := bulrushadmission.Announcement{
+		Slots:       announcement.Slots,
+		Connections: announcement.Connections,
+		Cold:        announcement.Cold,
+	}
+	if announcement.sameLife(g.backend) {
+		g.release(g.controller.Announce(now, limits))
+	} else {
+		g.release(g.controller.BackendStarted(now, limits))
+		g.replaceClient()
+	}
+	g.backend = announcement
+	if announcement.State == BackendDraining {
+		g.controller.Drain(now)
+	} else {
+		g.controller.Resume(now)
+	}
+}
+
+func (g *guard) replaceClient() {
+	if g.client != nil {
+		g.client.close()
+	}
+	g.client = newBackendClient(g.controller.ConnectionLimit())
+}
+
+func (g *guard) announced() Announcement {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.backend
+}
+
+func (g *guard) configure(entry bulrushcatalogue.ServiceEntry) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.release(g.controller.SetSettings(g.clock.Now(), bulrushadmission.SettingsOf(entry)))
+}
+
+func (g *guard) withdraw(withdrawn bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.controller.Withdraw(g.clock.Now(), withdrawn)
+}
+
+func (g *guard) setIsolated(isolated bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.isolated = isolated
+}
+
+func (g *guard) drain() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.controller.Drain(g.clock.Now())
+}
+
+func (g *guard) empty() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.controller.Empty()
+}
+
+func (g *guard) load() bulrushchute.Load {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.controller.Load()
+}
+
+// tick ends the waits that are over.
+func (g *guard) tick() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	if g.controller.NextTick() <= now {
+		g.release(g.controller.Tick(now))
+	}
+}
+
+// release tells waiting requests how their wait ended.
+func (g *guard) release(releases []bulrushadmission.Release) {
+	for _, r := range releases {
+		if wait, exists := g.waiting[r.ID]; exists {
+			delete(g.waiting, r.ID)
+			wait <- r
+		}
+	}
+}
+
+// serve runs an attempt on the backend server, or refuses it before it is dispatched.
+func (g *guard) serve(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+	received := g.clock.Now()
+	deadline := min(received+attempt.Remaining, attempt.Deadline+g.clockSkew)
+	reply := g.serveUntil(ctx, attempt, deadline)
+	reply.ID = attempt.ID
+	reply.Load = g.load()
+	return reply
+}
+
+func (g *guard) serveUntil(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+	if refusal := g.admit(ctx, attempt, deadline); refusal != nil {
+		return bulrushchute.Reply{Refusal: refusal}
+	}
+	// The check comes last, because this process may have been paused since
+	// the request was admitted.
+	if g.clock.Now() >= deadline {
+		g.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
+		return refused(bulrushchute.ReasonDeadline, 0)
+	}
+	return g.dispatch(ctx, attempt, deadline)
+}
+
+// admit returns nil when the attempt holds a slot.
+func (g *guard) admit(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) *bulrushchute.Refusal {
+	decision, wait := g.offer(attempt, deadline)
+	switch decision.Verdict {
+	case bulrushadmission.Admitted:
+		return nil
+	case bulrushadmission.Queued:
+		return g.await(ctx, attempt.ID, wait)
+	default:
+		return &decision.Refusal
+	}
+}
+
+func (g *guard) offer(attempt bulrushchute.Attempt, deadline bulrushchute.Millis) (bulrushadmission.Decision, <-chan bulrushadmission.Release) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if refusal := g.unfit(attempt); refusal != nil {
+		return bulrushadmission.Decision{Verdict: bulrushadmission.Refused, Refusal: *refusal}, nil
+	}
+	decision := g.controller.Offer(g.clock.Now(), bulrushadmission.Request{
+		ID:       attempt.ID,
+		Route:    attempt.Route,
+		Tenant:   attempt.Tenant,
+		Class:    attempt.Class,
+		Deadline: deadline,
+	})
+	var wait chan bulrushadmission.Release
+	if decision.Verdict == bulrushadmission.Queued {
+		wait = make(chan bulrushadmission.Release, 1)
+		g.waiting[attempt.ID] = wait
+	}
+	g.release(decision.Releases)
+	return decision, wait
+}
+
+// unfit refuses attempts that this node cannot serve at all.
+func (g *guard) unfit(attempt bulrushchute.Attempt) *bulrushchute.Refusal {
+	switch {
+	case g.isolated:
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonIsolated, RetryAfter: retryAfterDefault}
+	case g.backend.Service == "":
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterDefault}
+	case g.backend.Service != attempt.Service:
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonWrongService, RetryAfter: retryAfterDefault}
+	}
+	return nil
+}
+
+func (g *guard) await(ctx context.Context, id bulrushchute.AttemptID, wait <-chan bulrushadmission.Release) *bulrushchute.Refusal {
+	select {
+	case r := <-wait:
+		return outcomeOf(r)
+	case <-ctx.Done():
+	}
+	g.mutex.Lock()
+	g.release(g.controller.Cancel(g.clock.Now(), id))
+	g.mutex.Unlock()
+	// The release may have come at the same time as the cancellation, so its
+	// verdict counts and not the context's.
+	return outcomeOf(<-wait)
+}
+
+func outcomeOf(release bulrushadmission.Release) *bulrushchute.Refusal {
+	if release.Admitted {
+		return nil
+	}
+	return &release.Refusal
+}
+
+func (g *guard) done(id bulrushchute.AttemptID, result bulrushadmission.Result) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.release(g.controller.Done(g.clock.Now(), id, result))
+}
+
+func (g *guard) target() (Announcement, *backendClient) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.backend, g.client
+}
+
+func (g *guard) dispatch(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+	backend, client := g.target()
+	if !attempt.Idempotent {
+		// Cutting off a non-idempotent request could leave it half done.
+		ctx = context.WithoutCancel(ctx)
+	}
+	remaining := deadline - g.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
+	defer cancel()
+	begin := time.Now()
+	result := client.dispatch(ctx, backend.Address, attempt, deadline)
+	elapsed := time.Since(begin)
+	g.finish(attempt, result, elapsed)
+	g.report(attempt, backend.Version, result, elapsed)
+	return replyOf(result)
+}
+
+// finish frees the slot, later if the backend server may still be at work.
+func (g *guard) finish(attempt bulrushchute.Attempt, result dispatchResult, elapsed time.Duration) {
+	end := admissionResult(result, elapsed)
+	if result.answer != nil || !result.started {
+		g.done(attempt.ID, end)
+		return
+	}
+	g.tasks.Start(g.context, "cancelled slot", func(ctx context.Context) error {
+		select {
+		case <-time.After(cancelGrace):
+		case <-ctx.Done():
+		}
+		g.done(attempt.ID, end)
+		return nil
+	})
+}
+
+func (g *guard) report(attempt bulrushchute.Attempt, version bulrushchute.Version, result dispatchResult, elapsed time.Duration) {
+	if result.reason == bulrushchute.ReasonCancelled {
+		return
+	}
+	status := 0
+	if result.answer != nil {
+		status = result.answer.Status
+	}
+	g.observe(attempt, version, status, milliseconds(elapsed))
+}
+
+func admissionResult(result dispatchResult, elapsed time.Duration) bulrushadmission.Result {
+	end := bulrushadmission.Result{Kind: bulrushchute.ResultAnswered, ElapsedMs: milliseconds(elapsed)}
+	switch {
+	case result.answer != nil:
+		end.Overloaded = result.answer.Status == http.StatusServiceUnavailable || result.answer.Status == http.StatusTooManyRequests
+		if result.answer.Status >= http.StatusInternalServerError {
+			end.Kind = bulrushchute.ResultServerError
+		}
+	case !result.started:
+		end.Kind = bulrushchute.ResultNotSent
+	case result.reason == bulrushchute.ReasonCancelled:
+		end.Kind = bulrushchute.ResultCancelled
+	default:
+		end.Kind = bulrushchute.ResultUnknown
+	}
+	return end
+}
+
+func replyOf(result dispatchResult) bulrushchute.Reply {
+	if result.answer != nil {
+		return bulrushchute.Reply{Answer: result.answer}
+	}
+	if !result.started {
+		return refused(bulrushchute.ReasonUnreachable, retryAfterDefault)
+	}
+	return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: result.reason}}
+}
+
+func refused(reason bulrushchute.Reason, retryAfter bulrushchute.Millis) bulrushchute.Reply {
+	return bulrushchute.Reply{Refusal: &bulrushchute.Refusal{Reason: reason, RetryAfter: retryAfter}}
+}
+
+func milliseconds(span time.Duration) float64 {
+	return float64(span) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/bulrushnode/header.go
@@ -0,0 +1,104 @@
+package bulrushnode
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// Header names of the caller's and the backend server's protocol.
+const (
+	headerService        = "Bulrush-Service"
+	headerTenant         = "Bulrush-Tenant"
+	headerClass          = "Bulrush-Class"
+	headerTimeout        = "Bulrush-Timeout-Ms"
+	headerDeadline       = "Bulrush-Deadline-Ms"
+	headerDepth          = "Bulrush-Depth"
+	headerRetry          = "Bulrush-Retry"
+	headerOutcome        = "Bulrush-Outcome"
+	headerReason         = "Bulrush-Reason"
+	headerIdempotencyKey = "Idempotency-Key"
+
+	headerPrefix = "Bulrush-"
+	// hostSuffix ends the host names that carry the service's name.
+	hostSuffix = ".bulrush"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+}
+
+// passedFields returns the header lines that are passed on. Lines of our own
+// protocol are removed, so that neither a caller nor a backend server can
+// forge an outcome, and so are lines that the Connection header names.
+func passedFields(header http.Header) []bulrushchute.HeaderField {
+	named := connectionNames(header)
+	fields := make([]bulrushchute.HeaderField, 0, len(header))
+	for name, values := range header {
+		if hopHeaders[name] || named[name] || strings.HasPrefix(name, headerPrefix) {
+			continue
+		}
+		for _, value := range values {
+			fields = append(fields, bulrushchute.HeaderField{Name: name, Value: value})
+		}
+	}
+	return fields
+}
+
+func connectionNames(header http.Header) map[string]bool {
+	if len(header["Connection"]) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+func addFields(header http.Header, fields []bulrushchute.HeaderField) {
+	for _, f := range fields {
+		header[f.Name] = append(header[f.Name], f.Value)
+	}
+}
+
+// parseCount reads a header that holds a number in a range. An absent header is 0.
+func parseCount(header http.Header, name string, most int64) (int64, error) {
+	text := header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 || number > most {
+		return 0, &bulrushchute.FieldError{Field: name, Value: text, Allowed: "0 to " + strconv.FormatInt(most, 10)}
+	}
+	return number, nil
+}
+
+// serviceOf returns the service that a request names.
+func serviceOf(request *http.Request) bulrushchute.Service {
+	if service := request.Header.Get(headerService); service != "" {
+		return bulrushchute.Service(service)
+	}
+	host, _, _ := strings.Cut(request.Host, ":")
+	service, found := strings.CutSuffix(host, hostSuffix)
+	if !found {
+		return ""
+	}
+	return bulrushchute.Service(service)
+}
--- /dev/null
+++ b/bulrushnode/settings.go
@@ -0,0 +1,106 @@
+package bulrushnode
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// Settings is what a node is told at its start: addresses and its data
+// centre. Everything else comes from the catalogue and the other nodes.
+type Settings struct {
+	DataCentre bulrushchute.DataCentre `json:"data_centre"`
+	// CallerAddress accepts HTTP requests from callers.
+	CallerAddress bulrushchute.Address `json:"caller_address"`
+	// PeerAddress accepts connections from other nodes.
+	PeerAddress bulrushchute.Address `json:"peer_address"`
+	// OperatorAddress serves status and metrics, and the announcements of the
+	// backend server.
+	OperatorAddress bulrushchute.Address `json:"operator_address"`
+	// BackendAddress is the only address from which an announcement is accepted,
+	// by IP number.
+	BackendAddress bulrushchute.Address `json:"backend_address"`
+	// StoreURL is the base URL of the object store.
+	StoreURL string `json:"store_url"`
+	// SeedAddresses are peer addresses that a node tries before the store's list.
+	SeedAddresses []bulrushchute.Address `json:"seed_addresses,omitempty"`
+	// ClockSkewMs bounds the difference between the clocks of any two nodes.
+	ClockSkewMs bulrushchute.Millis `json:"clock_skew_ms,omitempty"`
+	// TrustTenantHeader takes a caller's tenant from the Bulrush-Tenant header.
+	// Without it the tenant comes from the caller's TLS certificate.
+	TrustTenantHeader bool `json:"trust_tenant_header,omitempty"`
+}
+
+// DefaultClockSkewMs is used when the settings leave clock_skew_ms out.
+const DefaultClockSkewMs = bulrushchute.Second
+
+// maxClockSkewMs keeps the wait of a key takeover, which is twice the skew, short.
+const maxClockSkewMs = 10 * bulrushchute.Second
+
+// ParseSettings reads settings from JSON and checks them.
+func ParseSettings(data []byte) (Settings, error) {
+	var settings Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return Settings{}, errors.Wrap(err, "parse settings")
+	}
+	if settings.ClockSkewMs == 0 {
+		settings.ClockSkewMs = DefaultClockSkewMs
+	}
+	return settings, settings.check()
+}
+
+func (s Settings) check() error {
+	if s.DataCentre == "" {
+		return &bulrushchute.FieldError{Field: "data_centre", Allowed: "the name of the node's data centre"}
+	}
+	if s.StoreURL == "" {
+		return &bulrushchute.FieldError{Field: "store_url", Allowed: "the base URL of the object store"}
+	}
+	if s.ClockSkewMs < 0 || s.ClockSkewMs > maxClockSkewMs {
+		return &bulrushchute.FieldError{Field: "clock_skew_ms", Value: strconv.Itoa(int(s.ClockSkewMs)), Allowed: "1 to 10000"}
+	}
+	return s.checkAddresses()
+}
+
+func (s Settings) checkAddresses() error {
+	fields := []struct {
+		name    string
+		address bulrushchute.Address
+	}{
+		{"caller_address", s.CallerAddress},
+		{"peer_address", s.PeerAddress},
+		{"operator_address", s.OperatorAddress},
+		{"backend_address", s.BackendAddress},
+	}
+	for _, f := range fields {
+		if err := checkAddress(f.name, f.address); err != nil {
+			return err
+		}
+	}
+	for i, seed := range s.SeedAddresses {
+		if err := checkAddress("seed_addresses["+strconv.Itoa(i)+"]", seed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkAddress allows IP numbers only: nodes have no name service.
+func checkAddress(field string, address bulrushchute.Address) error {
+	problem := &bulrushchute.FieldError{Field: field, Value: string(address), Allowed: "an IP number and a port, as in 10.0.0.1:7000"}
+	host, port, err := net.SplitHostPort(string(address))
+	if err != nil || net.ParseIP(host) == nil {
+		return problem
+	}
+	if number, err := strconv.Atoi(port); err != nil || number < 1 || number > 65535 {
+		return problem
+	}
+	return nil
+}
--- /dev/null
+++ b/bulrushtask/group_test.go
@@ -0,0 +1,32 @@
+package bulrushtask_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute/bulrushtask"
+)
+
+func ExampleGroup() {
+	group := bulrushtask.NewGroup(func(end bulrushtask.End) { fmt.Println(end.Name, end.Err) })
+	group.Start(context.Background(), "reader", func(context.Context) error { return errors.New("connection lost") })
+	group.Wait()
+	// Output: reader connection lost
+}
+
+// Guards against a report that is lost or blocks for ever when more goroutines
+// end than the buffer holds.
+func TestWaitReadsEveryEnd(t *testing.T) {
+	seen := 0
+	group := bulrushtask.NewGroup(func(bulrushtask.End) { seen++ })
+	for i := 0; i < 1000; i++ {
+		group.Start(context.Background(), "worker", func(context.Context) error { return nil })
+	}
+	group.Wait()
+	assert.Equal(t, seen, 1000)
+	assert.Equal(t, group.Running(), 0)
+}
--- /dev/null
+++ b/bulrushwire/server.go
@@ -0,0 +1,129 @@
+package bulrushwire
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/coder/websocket"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushtask"
+)
+
+// PeerPath is the HTTP path on which nodes accept connections from each other.
+const PeerPath = "/v1/peer"
+
+// headerPeerAddress tells the address on which the connecting node accepts
+// connections itself.
+const headerPeerAddress = "Bulrush-Peer-Address"
+
+// Handler receives the messages of other nodes.
+type Handler interface {
+	// HandleAttempt serves an attempt. The context ends when the sender cancels
+	// the attempt or its connection is lost.
+	HandleAttempt(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply
+	// HandleControl serves a control message from the node at an address. It
+	// must not block.
+	HandleControl(from bulrushchute.Address, message bulrushchute.Control)
+}
+
+// Server accepts connections from other nodes.
+type Server struct {
+	handler Handler
+	// context ends when the node stops; connections then end too.
+	context context.Context
+	tasks   *bulrushtask.Group
+}
+
+// NewServer returns a server whose connections last until the context ends.
+func NewServer(ctx context.Context, handler Handler) *Server {
+	return &Server{handler: handler, context: ctx, tasks: bulrushtask.NewGroup(nil)}
+}
+
+// ServeHTTP upgrades the request to a WebSocket and serves it until it ends.
+func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	peer := request.Header.Get(headerPeerAddress)
+	if _, err := netip.ParseAddrPort(peer); err != nil {
+		http.Error(writer, headerPeerAddress+" must hold an IP number and a port", http.StatusBadRequest)
+		return
+	}
+	socket, err := websocket.Accept(writer, request, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.context)
+	defer cancel()
+	session := &session{
+		server:     s,
+		peer:       bulrushchute.Address(peer),
+		connection: newConnection(socket),
+		running:    make(map[bulrushchute.AttemptID]context.CancelFunc),
+	}
+	_ = session.connection.read(ctx, func(frame Frame) { session.handle(ctx, frame) })
+}
+
+// Wait blocks until every attempt that is being served has ended.
+func (s *Server) Wait() {
+	s.tasks.Wait()
+}
+
+// session is the server's side of one connection.
+type session struct {
+	server     *Server
+	peer       bulrushchute.Address
+	connection *connection
+	mutex      sync.Mutex
+	running    map[bulrushchute.AttemptID]context.CancelFunc
+}
+
+func (s *session) handle(ctx context.Context, frame Frame) {
+	switch {
+	case frame.Attempt != nil:
+		s.start(ctx, *frame.Attempt)
+	case frame.Cancel != nil:
+		s.cancel(*frame.Cancel)
+	case frame.Control != nil:
+		s.server.handler.HandleControl(s.peer, *frame.Control)
+	}
+}
+
+// start serves an attempt. A second attempt with an id that is still running is
+// a protocol fault and dropped, since both answers would carry the same id.
+func (s *session) start(ctx context.Context, attempt bulrushchute.Attempt) {
+	ctx, cancel := context.WithCancel(ctx)
+	if !s.register(attempt.ID, cancel) {
+		cancel()
+		return
+	}
+	s.server.tasks.Start(ctx, "attempt", func(ctx context.Context) error {
+		return s.serve(ctx, attempt)
+	})
+}
+
+func (s *session) serve(ctx context.Context, attempt bulrushchute.Attempt) error {
+	defer s.cancel(attempt.ID)
+	reply := s.server.handler.HandleAttempt(ctx, attempt)
+	reply.ID = attempt.ID
+	return s.connection.write(s.server.context, Frame{Reply: &reply})
+}
+
+func (s *session) register(id bulrushchute.AttemptID, cancel context.CancelFunc) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, exists := s.running[id]; exists {
+		return false
+	}
+	s.running[id] = cancel
+	return true
+}
+
+func (s *session) cancel(id bulrushchute.AttemptID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if cancel, exists := s.running[id]; exists {
+		delete(s.running, id)
+		cancel()
+	}
+}
