--- /dev/null
+++ b/bulrushadmission/message.go
@@ -0,0 +1,113 @@
+package bulrushadmission
+
+import (
+	"bulrushchute.example/bulrushchute"
+)
+
+// Request is what the controller needs to know of an attempt.
+type Request struct {
+	// ID must differ from that of every request that has not ended.
+	ID       bulrushchute.AttemptID
+	Route    string
+	Tenant   bulrushchute.Tenant
+	Class    bulrushchute.Class
+	Deadline bulrushchute.Millis
+}
+
+// Verdict is the controller's answer to an offer.
+type Verdict uint8
+
+// Verdicts. The zero value refuses.
+const (
+	// Refused means that the request was not run and will not be.
+	Refused Verdict = iota
+	// Admitted means that the request holds a slot until Done is called for it.
+	Admitted
+	// Queued means that a Release for the request will follow.
+	Queued
+)
+
+var verdictNames = [...]string{"refused", "admitted", "queued"}
+
+// String returns the verdict's name as used in metrics and logs.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return "invalid"
+}
+
+// Decision answers an offer.
+type Decision struct {
+	Verdict Verdict
+	// Refusal is set when the verdict is Refused. Its RetryAfter is at least 1 ms.
+	Refusal bulrushchute.Refusal
+	// Releases are queued requests that ended because of this offer, such as
+	// less important work that made room.
+	Releases []Release
+}
+
+// Release ends the wait of a queued request.
+type Release struct {
+	ID bulrushchute.AttemptID
+	// Admitted means that the request now holds a slot until Done is called
+	// for it. Otherwise it was refused without being run.
+	Admitted bool
+	// Refusal is set when the request was not admitted.
+	Refusal bulrushchute.Refusal
+	// Waited is the time that the request spent in the queue.
+	Waited bulrushchute.Millis
+}
+
+// Result tells how an admitted request ended.
+type Result struct {
+	// Kind is ResultAnswered, ResultServerError, ResultNotSent, ResultUnknown
+	// or ResultCancelled.
+	Kind bulrushchute.ResultKind
+	// ElapsedMs is the time from dispatch to the end of the answer.
+	ElapsedMs float64
+	// Overloaded is set when the backend server itself shed the request (429 or 503).
+	Overloaded bool
+	// Cold is set when the answer reports that the backend server is cold.
+	Cold bool
+}
+
+// Announcement is what a backend server says of itself. Limits that are zero
+// leave those of the catalogue in force.
+type Announcement struct {
+	Slots       int
+	Connections int
+	Cold        bool
+}
+
+// ProbeKind is a way of measuring a backend server. All kinds share one budget.
+type ProbeKind uint8
+
+// Kinds of probes.
+const (
+	ProbeHealth ProbeKind = iota
+	ProbeLoad
+	ProbeConnection
+)
+
+// ProbeKindCount is the number of probe kinds.
+const ProbeKindCount = 3
+
+var probeKindNames = [ProbeKindCount]string{"health", "load", "connection"}
+
+// String returns the kind's name as used in metrics and logs.
+func (pk ProbeKind) String() string {
+	if int(pk) < len(probeKindNames) {
+		return probeKindNames[pk]
+	}
+	return "invalid"
+}
+
+// ProbeReport is the result of one probe.
+type ProbeReport struct {
+	Kind ProbeKind
+	// Failed is set when the probe got no answer or one that reports bad health.
+	Failed bool
+	// Cold is set when the backend server reports that it is cold.
+	Cold bool
+}
