--- /dev/null
+++ b/bulrushrouting/candidate.go
@@ -0,0 +1,89 @@
+package bulrushrouting
+
+import (
+	"math"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const (
+	// startLatencyMs is assumed for a service without answers.
+	startLatencyMs = 1.0
+	// smallestLatencyMs keeps a score above zero, so that load always counts.
+	smallestLatencyMs = 0.05
+
+	// A sample moves the estimate of its instance by latencyStep and that of
+	// the service by serviceStep.
+	latencyStep = 0.3
+	serviceStep = 0.02
+
+	// What is known of an instance fades towards the service's average in
+	// these spans (e-folding).
+	latencyFadeMs = 1000.0
+	loadFadeMs    = 100.0
+)
+
+// average is what is known of the service as a whole.
+type average struct {
+	latencyMs float64
+	// others is the mean number of requests from other entry nodes.
+	others float64
+	known  bool
+}
+
+// candidate is what the node knows of one instance.
+type candidate struct {
+	instance bulrushchute.Instance
+	member   bool
+	leaving  bool
+	own      outstanding
+	ejection ejection
+
+	latencyMs float64
+	// others is the reported number of requests from other entry nodes.
+	others  float64
+	limit   float64
+	heardAt bulrushchute.Millis
+	heard   bool
+}
+
+func newCandidate(instance bulrushchute.Instance) *candidate {
+	c := &candidate{instance: instance, limit: float64(max(instance.Slots, 1))}
+	if instance.State == bulrushchute.StateCold {
+		c.limit = 1
+	}
+	return c
+}
+
+// scoreMs is the time in which the instance is expected to answer one more attempt.
+func (c *candidate) scoreMs(now bulrushchute.Millis, average average, distanceMs float64) float64 {
+	latencyMs, others := average.latencyMs, average.others
+	if c.heard {
+		ageMs := float64(max(now-c.heardAt, 0))
+		latencyMs += (c.latencyMs - latencyMs) * math.Exp(-ageMs/latencyFadeMs)
+		others += (c.others - others) * math.Exp(-ageMs/loadFadeMs)
+	}
+	// An attempt that is already older than the estimate shows that the
+	// instance has become slow before any answer does.
+	latencyMs = max(latencyMs, c.own.oldestAge(now)-distanceMs, smallestLatencyMs)
+	busy := (others + float64(c.own.count())) / c.limit
+	return latencyMs*(1+busy) + distanceMs
+}
+
+// observeLatency takes in how long the instance needed for an attempt.
+func (c *candidate) observeLatency(now bulrushchute.Millis, ms float64) {
+	if !c.heard {
+		c.latencyMs = ms
+	}
+	c.latencyMs += latencyStep * (ms - c.latencyMs)
+	c.heard = true
+	c.heardAt = now
+}
+
+// observeLoad takes in a report. The node's own attempts are known exactly, so
+// only those of others are kept.
+func (c *candidate) observeLoad(load bulrushchute.Load) {
+	c.leaving = load.Leaving
+	c.limit = float64(max(load.Limit, 1))
+	c.others = float64(max(load.InFlight+load.Queued-c.own.count(), 0))
+}
