--- /dev/null
+++ b/bulrushkey/map.go
@@ -0,0 +1,189 @@
+package bulrushkey
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// MaxMonitors is the largest number of lease monitors of one home.
+const MaxMonitors = 5
+
+// LeaseMonitor is a node whose acknowledgements make up a home's lease. The
+// data centre is kept with it because a successor may need it when the
+// monitor itself is gone.
+type LeaseMonitor struct {
+	ID         bulrushchute.InstanceID `json:"id" cbor:"1,keyasint"`
+	DataCentre bulrushchute.DataCentre `json:"data_centre" cbor:"2,keyasint"`
+}
+
+// Home is a node that is assigned partitions.
+type Home struct {
+	ID         bulrushchute.InstanceID `json:"id" cbor:"1,keyasint"`
+	DataCentre bulrushchute.DataCentre `json:"data_centre" cbor:"2,keyasint"`
+	Monitors   []LeaseMonitor          `json:"monitors" cbor:"3,keyasint"`
+}
+
+// Assignment gives one partition to a home.
+type Assignment struct {
+	// Home is an index into KeyMap.Homes.
+	Home int `json:"home" cbor:"1,keyasint"`
+	// Epoch grows by one with each new home of the partition.
+	Epoch uint64 `json:"epoch" cbor:"2,keyasint"`
+	// Since is the earliest mint time of keys that the home may run.
+	Since bulrushchute.Millis `json:"since" cbor:"3,keyasint"`
+}
+
+// KeyMap assigns the partitions of one service to homes. It is immutable:
+// the With methods return changed copies.
+type KeyMap struct {
+	Service bulrushchute.Service `json:"service" cbor:"1,keyasint"`
+	// Writer identifies the write that stored this value, so that a writer
+	// whose answer was lost can recognise its own write.
+	Writer     string       `json:"writer" cbor:"2,keyasint"`
+	Homes      []Home       `json:"homes" cbor:"3,keyasint"`
+	Partitions []Assignment `json:"partitions" cbor:"4,keyasint"`
+	// Version is the store's revision of the object.
+	Version uint64 `json:"-" cbor:"5,keyasint"`
+}
+
+// ParseMap reads a key map from its object in the store.
+func ParseMap(object bulrushchute.Object) (KeyMap, error) {
+	var m KeyMap
+	decoder := json.NewDecoder(bytes.NewReader(object.Value))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&m); err != nil {
+		return KeyMap{}, errors.Wrapf(err, "key map %s", object.Name)
+	}
+	m.Version = object.Version
+	if err := m.validate(object.Name); err != nil {
+		return KeyMap{}, errors.Wrapf(err, "key map %s", object.Name)
+	}
+	return m, nil
+}
+
+// Object returns the key map as an object of the store, at its version.
+func (m KeyMap) Object() (bulrushchute.Object, error) {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return bulrushchute.Object{}, errors.Wrap(err, "encode key map")
+	}
+	return bulrushchute.Object{
+		Kind:    bulrushchute.KindKeyMaps,
+		Name:    string(m.Service),
+		Version: m.Version,
+		Value:   value,
+	}, nil
+}
+
+// HomeOf returns the home of a partition and its assignment.
+func (m KeyMap) HomeOf(partition int) (Home, Assignment, bool) {
+	if partition < 0 || partition >= len(m.Partitions) {
+		return Home{}, Assignment{}, false
+	}
+	assignment := m.Partitions[partition]
+	return m.Homes[assignment.Home], assignment, true
+}
+
+// Find returns the home with the given identity.
+func (m KeyMap) Find(id bulrushchute.InstanceID) (Home, bool) {
+	for _, home := range m.Homes {
+		if home.ID == id {
+			return home, true
+		}
+	}
+	return Home{}, false
+}
+
+// PartitionsOf returns the partitions that are assigned to a home, in order.
+func (m KeyMap) PartitionsOf(id bulrushchute.InstanceID) []int {
+	var partitions []int
+	for p, assignment := range m.Partitions {
+		if m.Homes[assignment.Home].ID == id {
+			partitions = append(partitions, p)
+		}
+	}
+	return partitions
+}
+
+// EpochOf returns the highest epoch among the partitions of a home.
+func (m KeyMap) EpochOf(id bulrushchute.InstanceID) uint64 {
+	var epoch uint64
+	for _, p := range m.PartitionsOf(id) {
+		epoch = max(epoch, m.Partitions[p].Epoch)
+	}
+	return epoch
+}
+
+// WithWriter returns a copy that names the write that stores it.
+func (m KeyMap) WithWriter(writer string) KeyMap {
+	m.Writer = writer
+	return m
+}
+
+// WithVersion returns a copy at another revision of the store.
+func (m KeyMap) WithVersion(version uint64) KeyMap {
+	m.Version = version
+	return m
+}
+
+// WithMonitors returns a copy in which a home has other lease monitors.
+func (m KeyMap) WithMonitors(id bulrushchute.InstanceID, monitors []LeaseMonitor) KeyMap {
+	m.Homes = slices.Clone(m.Homes)
+	for i := range m.Homes {
+		if m.Homes[i].ID == id {
+			m.Homes[i].Monitors = slices.Clone(monitors)
+		}
+	}
+	return m
+}
+
+func (m KeyMap) validate(name string) error {
+	if string(m.Service) != name {
+		return &bulrushchute.FieldError{Field: "service", Value: string(m.Service), Allowed: name}
+	}
+	if len(m.Partitions) != Partitions {
+		return &bulrushchute.FieldError{
+			Field:   "partitions",
+			Value:   fmt.Sprintf("%d entries", len(m.Partitions)),
+			Allowed: fmt.Sprintf("%d entries", Partitions),
+		}
+	}
+	for p, assignment := range m.Partitions {
+		if assignment.Home < 0 || assignment.Home >= len(m.Homes) {
+			return &bulrushchute.FieldError{
+				Field:   fmt.Sprintf("partitions[%d].home", p),
+				Value:   fmt.Sprint(assignment.Home),
+				Allowed: fmt.Sprintf("0 to %d", len(m.Homes)-1),
+			}
+		}
+	}
+	return m.validateHomes()
+}
+
+func (m KeyMap) validateHomes() error {
+	seen := make(map[bulrushchute.InstanceID]bool)
+	for i, home := range m.Homes {
+		if home.ID == "" || seen[home.ID] {
+			return &bulrushchute.FieldError{
+				Field:   fmt.Sprintf("homes[%d].id", i),
+				Value:   string(home.ID),
+				Allowed: "a name that no other home has",
+			}
+		}
+		seen[home.ID] = true
+		if len(home.Monitors) > MaxMonitors {
+			return &bulrushchute.FieldError{
+				Field:   fmt.Sprintf("homes[%d].monitors", i),
+				Value:   fmt.Sprintf("%d entries", len(home.Monitors)),
+				Allowed: fmt.Sprintf("at most %d entries", MaxMonitors),
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bulrushkey/monitor.go
@@ -0,0 +1,65 @@
+package bulrushkey
+
+import (
+	"bulrushchute.example/bulrushchute"
+)
+
+// Monitor is a node's part as lease monitor of other homes. A promise lasts
+// as long as the monitor: a restarted node has a new identity, which no key
+// map names as a monitor.
+type Monitor struct {
+	settings Settings
+	heard    map[bulrushchute.InstanceID]bulrushchute.Millis
+	promised map[bulrushchute.InstanceID]uint64
+}
+
+// NewMonitor returns a monitor that has promised nothing.
+func NewMonitor(settings Settings) *Monitor {
+	return &Monitor{
+		settings: settings,
+		heard:    make(map[bulrushchute.InstanceID]bulrushchute.Millis),
+		promised: make(map[bulrushchute.InstanceID]uint64),
+	}
+}
+
+// Heartbeat answers a heartbeat. The lease is extended when the heartbeat asks
+// for it, unless an earlier promise forbids it.
+func (m *Monitor) Heartbeat(now bulrushchute.Millis, from bulrushchute.InstanceID, heartbeat bulrushchute.Heartbeat) bulrushchute.HeartbeatAck {
+	ack := bulrushchute.HeartbeatAck{Sequence: heartbeat.Sequence, SentAt: heartbeat.SentAt}
+	if !heartbeat.KeyLease {
+		return ack
+	}
+	if _, promised := m.promised[from]; promised {
+		return ack
+	}
+	m.heard[from] = now
+	ack.KeyLease = true
+	return ack
+}
+
+// Ask answers a promise request. The promise is refused while the home still
+// renews its lease with this monitor, unless this node's membership holds the
+// home for dead. That keeps a node with a wrong view from ending a lease that
+// works. A promise once given is repeated to every successor that asks.
+func (m *Monitor) Ask(now bulrushchute.Millis, ask bulrushchute.PromiseAsk, dead bool) bulrushchute.Promise {
+	promise := bulrushchute.Promise{Home: ask.Home, Epoch: ask.Epoch}
+	epoch, promised := m.promised[ask.Home]
+	if !promised && !dead && m.hears(now, ask.Home) {
+		return promise
+	}
+	m.promised[ask.Home] = max(epoch, ask.Epoch)
+	delete(m.heard, ask.Home)
+	promise.Granted = true
+	return promise
+}
+
+// Promised reports whether the monitor has stopped extending the home's lease.
+func (m *Monitor) Promised(home bulrushchute.InstanceID) bool {
+	_, promised := m.promised[home]
+	return promised
+}
+
+func (m *Monitor) hears(now bulrushchute.Millis, home bulrushchute.InstanceID) bool {
+	at, heard := m.heard[home]
+	return heard && now-at < m.settings.Lease
+}
--- /dev/null
+++ b/bulrushstore/errors.go
@@ -0,0 +1,48 @@
+package bulrushstore
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// GoneError reports a watch from a revision that the store no longer holds.
+// The caller lists the kind again and watches from the list's revision.
+type GoneError struct {
+	Kind     bulrushchute.Kind
+	Revision uint64
+}
+
+// Error implements error.
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("revision %d of %s is too old to watch from", e.Revision, e.Kind)
+}
+
+// StatusError reports an HTTP status with which the store refused a call.
+type StatusError struct {
+	Code    int
+	Reason  string
+	Message string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("store answered %d %s: %s", e.Code, e.Reason, e.Message)
+}
+
+// Causes of errors that Memory reports.
+var (
+	errDown       = errors.New("store is down")
+	errAnswerLost = errors.New("answer lost")
+	errWatchEnded = errors.New("watch ended")
+)
+
+func tooLargeError(size int) error {
+	return &bulrushchute.FieldError{
+		Field:   "value",
+		Value:   fmt.Sprintf("%d bytes", size),
+		Allowed: fmt.Sprintf("at most %d bytes", bulrushchute.MaxObjectBytes),
+	}
+}
