--- /dev/null
+++ b/bulrushboard/board.go
@@ -0,0 +1,145 @@
+// Package bulrushboard is the blackboard of a node: one immutable view of
+// everything that the node's controllers know.
+//
+// Each controller owns one part of the view and replaces it with Update. The
+// data path reads the view once for each request and takes no lock.
+package bulrushboard
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushkey"
+	"bulrushchute.example/bulrushchute/bulrushrouting"
+)
+
+// NodeState is what the node itself is able to do.
+type NodeState uint8
+
+// States of the node.
+const (
+	// NodeStarting has no catalogue or has not joined yet.
+	NodeStarting NodeState = iota
+	NodeReady
+	// NodeIsolated reaches no peer and may miss a catalogue change.
+	NodeIsolated
+	NodeDraining
+)
+
+var nodeStateNames = [...]string{"starting", "ready", "isolated", "draining"}
+
+// String returns the state's name as used in status output and logs.
+func (ns NodeState) String() string {
+	if int(ns) < len(nodeStateNames) {
+		return nodeStateNames[ns]
+	}
+	return "invalid"
+}
+
+// ServiceMembers are the instances of one service.
+type ServiceMembers struct {
+	// Revision grows with each change, so that readers notice it cheaply.
+	Revision  uint64
+	Instances []bulrushchute.Instance
+}
+
+// DataCentreWeights say how much work each data centre may receive.
+type DataCentreWeights struct {
+	Revision uint64
+	Weights  bulrushrouting.Weights
+}
+
+// View is what the controllers know at one instant. It must not be changed;
+// the With methods return changed copies.
+type View struct {
+	State       NodeState
+	Catalogue   bulrushcatalogue.Set
+	DataCentres DataCentreWeights
+	members     map[bulrushchute.Service]ServiceMembers
+	keyMaps     map[bulrushchute.Service]bulrushkey.KeyMap
+}
+
+// Members returns the instances of a service.
+func (v View) Members(service bulrushchute.Service) ServiceMembers {
+	return v.members[service]
+}
+
+// KeyMap returns the key map of a service, false when there is none.
+func (v View) KeyMap(service bulrushchute.Service) (bulrushkey.KeyMap, bool) {
+	keyMap, exists := v.keyMaps[service]
+	return keyMap, exists
+}
+
+// Services returns how many services have members.
+func (v View) Services() int {
+	return len(v.members)
+}
+
+// WithState returns a copy with another node state.
+func (v View) WithState(state NodeState) View {
+	v.State = state
+	return v
+}
+
+// WithCatalogue returns a copy with another catalogue.
+func (v View) WithCatalogue(catalogue bulrushcatalogue.Set) View {
+	v.Catalogue = catalogue
+	return v
+}
+
+// WithWeights returns a copy with other data-centre weights.
+func (v View) WithWeights(weights bulrushrouting.Weights) View {
+	v.DataCentres = DataCentreWeights{Revision: v.DataCentres.Revision + 1, Weights: weights}
+	return v
+}
+
+// WithMembers returns a copy in which some services have other members. A
+// service whose instances are gone keeps its revision.
+func (v View) WithMembers(changed map[bulrushchute.Service][]bulrushchute.Instance) View {
+	members := maps.Clone(v.members)
+	if members == nil {
+		members = make(map[bulrushchute.Service]ServiceMembers)
+	}
+	for service, instances := range changed {
+		members[service] = ServiceMembers{Revision: members[service].Revision + 1, Instances: instances}
+	}
+	v.members = members
+	return v
+}
+
+// WithKeyMap returns a copy with a service's key map.
+func (v View) WithKeyMap(keyMap bulrushkey.KeyMap) View {
+	keyMaps := maps.Clone(v.keyMaps)
+	if keyMaps == nil {
+		keyMaps = make(map[bulrushchute.Service]bulrushkey.KeyMap)
+	}
+	keyMaps[keyMap.Service] = keyMap
+	v.keyMaps = keyMaps
+	return v
+}
+
+// Board holds the current view. The zero value holds an empty view.
+type Board struct {
+	// mutex orders updates; readers do not take it.
+	mutex   sync.Mutex
+	current atomic.Pointer[View]
+}
+
+// Read returns the current view.
+func (b *Board) Read() View {
+	if view := b.current.Load(); view != nil {
+		return *view
+	}
+	return View{}
+}
+
+// Update replaces the view by what change makes of it.
+func (b *Board) Update(change func(View) View) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	view := change(b.Read())
+	b.current.Store(&view)
+}
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -30,6 +30,7 @@
 	backend    Announcement
 	client     *backendClient
 	isolated   bool
+	healthy    bool
 	// observe takes note of each dispatch for the judgement of versions.
 	observe func(attempt bulrushchute.Attempt, version bulrushchute.Version, status int, elapsedMs float64)
 }
@@ -64,6 +65,7 @@
 		g.replaceClient()
 	}
 	g.backend = announcement
+	g.healthy = true
 	if announcement.State == BackendDraining {
 		g.controller.Drain(now)
 	} else {
@@ -130,6 +132,47 @@
 	}
 }
 
+func (g *guard) takeProbe(kind bulrushadmission.ProbeKind) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.controller.TakeProbe(g.clock.Now(), kind)
+}
+
+// observeProbe takes a probe's result. A backend server that reports that it
+// is draining leaves, even if it did not announce it.
+func (g *guard) observeProbe(report bulrushadmission.ProbeReport, draining bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.clock.Now()
+	g.release(g.controller.ObserveProbe(now, report))
+	if draining && g.backend.State == BackendServing {
+		g.backend.State = BackendDraining
+		g.controller.Drain(now)
+	}
+}
+
+func (g *guard) setHealthy(healthy bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.healthy = healthy
+}
+
+// state is what the node announces of its backend server.
+func (g *guard) state() (Announcement, bulrushchute.InstanceState) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	switch {
+	case g.backend.Service == "" || !g.healthy:
+		return g.backend, bulrushchute.StateStarting
+	case g.backend.State == BackendDraining:
+		return g.backend, bulrushchute.StateLeaving
+	case g.controller.Load().Cold:
+		return g.backend, bulrushchute.StateCold
+	default:
+		return g.backend, bulrushchute.StateReady
+	}
+}
+
 // release tells waiting requests how their wait ended.
 func (g *guard) release(releases []bulrushadmission.Release) {
 	for _, r := range releases {
--- /dev/null
+++ b/bulrushnode/lane.go
@@ -0,0 +1,88 @@
+package bulrushnode
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushattempt"
+	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushrouting"
+)
+
+// lane is what the entry side keeps for one service.
+type lane struct {
+	mutex   sync.Mutex
+	router  bulrushrouting.Candidates
+	budgets *bulrushattempt.Budgets
+	// The revisions of the view that the router knows.
+	members uint64
+	weights uint64
+}
+
+// lanes holds a lane for each service that was called.
+type lanes struct {
+	settings bulrushrouting.Settings
+	clock    bulrushchute.Clock
+	mutex    sync.RWMutex
+	byName   map[bulrushchute.Service]*lane
+}
+
+func newLanes(self bulrushchute.Instance, clock bulrushchute.Clock) *lanes {
+	return &lanes{
+		settings: bulrushrouting.Settings{Self: self.ID, DataCentre: self.DataCentre},
+		clock:    clock,
+		byName:   make(map[bulrushchute.Service]*lane),
+	}
+}
+
+// get returns the lane of a service that the catalogue holds.
+func (l *lanes) get(service bulrushchute.Service, subset int) *lane {
+	l.mutex.RLock()
+	found := l.byName[service]
+	l.mutex.RUnlock()
+	if found != nil {
+		return found
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if found = l.byName[service]; found != nil {
+		return found
+	}
+	settings := l.settings
+	settings.Subset = subset
+	found = &lane{
+		router:  bulrushrouting.NewRouter(settings, newRandom(string(settings.Self), string(service))),
+		budgets: bulrushattempt.NewBudgets(l.clock.Now()),
+	}
+	l.byName[service] = found
+	return found
+}
+
+// newRandom returns a source that differs between nodes and purposes.
+func newRandom(seeds ...string) *rand.Rand {
+	hash := fnv.New64a()
+	for _, seed := range seeds {
+		_, _ = hash.Write([]byte(seed))
+	}
+	return rand.New(rand.NewPCG(hash.Sum64(), 0))
+}
+
+// refresh passes members and weights to the router if they have changed. The
+// caller holds the mutex.
+func (l *lane) refresh(now bulrushchute.Millis, view bulrushboard.View, service bulrushchute.Service) {
+	members := view.Members(service)
+	if members.Revision == l.members && view.DataCentres.Revision == l.weights {
+		return
+	}
+	l.members = members.Revision
+	l.weights = view.DataCentres.Revision
+	l.router.Update(now, members.Instances, view.DataCentres.Weights)
+}
+
+func (l *lane) observe(now bulrushchute.Millis, observation bulrushchute.Observation) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.router.Observe(now, observation)
+}
