--- a/bulrushcatalogue/entry.go
+++ b/bulrushcatalogue/entry.go
@@ -7,70 +7,70 @@
 // ServiceEntry is the catalogue's entry for one service of backend servers.
 // Fields that are zero take the defaults below.
 type ServiceEntry struct {
-	Service bulrushchute.Service `json:"service"`
-	Owner   string               `json:"owner"`
+	Service bulrushchute.Service `json:"service" validate:"label"`
+	Owner   string               `json:"owner" validate:"required,max=200"`
 	// Class is the class of requests whose route names none.
-	Class string `json:"class,omitempty"`
+	Class string `json:"class,omitempty" validate:"omitempty,oneof=critical standard bulk"`
 	// TimeoutMs bounds a request that brings no shorter timeout of its own.
-	TimeoutMs bulrushchute.Millis `json:"timeout_ms,omitempty"`
+	TimeoutMs bulrushchute.Millis `json:"timeout_ms,omitempty" validate:"min=0,max=3600000"`
 	// StableVersion gets all requests while no move is under way. Empty means
 	// that the version does not matter.
-	StableVersion bulrushchute.Version `json:"stable_version,omitempty"`
+	StableVersion bulrushchute.Version `json:"stable_version,omitempty" validate:"omitempty,version"`
 	Limits        Limits               `json:"limits,omitzero"`
 	Probe         Probe                `json:"probe,omitzero"`
 	// Subset is the number of backend servers that one entry node uses.
-	Subset  int           `json:"subset,omitempty"`
-	Routes  []Route       `json:"routes,omitempty"`
-	Tenants []TenantShare `json:"tenants,omitempty"`
-	Move    *Move         `json:"move,omitempty"`
+	Subset  int           `json:"subset,omitempty" validate:"min=1,max=1000"`
+	Routes  []Route       `json:"routes,omitempty" validate:"max=256,dive"`
+	Tenants []TenantShare `json:"tenants,omitempty" validate:"max=1000,dive"`
+	Move    *Move         `json:"move,omitempty" validate:"omitempty"`
 }
 
 // Limits bound what one backend server of the service receives.
 type Limits struct {
 	// Slots is the number of requests in flight.
-	Slots       int `json:"slots,omitempty"`
-	Connections int `json:"connections,omitempty"`
+	Slots       int `json:"slots,omitempty" validate:"min=1,max=100000"`
+	Connections int `json:"connections,omitempty" validate:"min=1,max=100000"`
 	// Queue is the number of requests that may wait in each class.
-	Queue     int                 `json:"queue,omitempty"`
-	QueueMs   bulrushchute.Millis `json:"queue_ms,omitempty"`
-	ColdSlots int                 `json:"cold_slots,omitempty"`
+	Queue     int                 `json:"queue,omitempty" validate:"min=1,max=100000"`
+	QueueMs   bulrushchute.Millis `json:"queue_ms,omitempty" validate:"min=1,max=3600000"`
+	ColdSlots int                 `json:"cold_slots,omitempty" validate:"min=1,max=100000"`
 	// WarmMs is the shortest time in which a cold backend server may reach Slots.
-	WarmMs bulrushchute.Millis `json:"warm_ms,omitempty"`
+	WarmMs bulrushchute.Millis `json:"warm_ms,omitempty" validate:"min=1,max=3600000"`
 }
 
 // Probe bounds and directs the measuring of one backend server.
 type Probe struct {
 	// BudgetPerS covers health, load and connection probes together.
-	BudgetPerS float64 `json:"budget_per_s,omitempty"`
-	HealthPath string  `json:"health_path,omitempty"`
-	LoadPath   string  `json:"load_path,omitempty"`
+	BudgetPerS float64 `json:"budget_per_s,omitempty" validate:"gt=0,max=100"`
+	HealthPath string  `json:"health_path,omitempty" validate:"path"`
+	LoadPath   string  `json:"load_path,omitempty" validate:"path"`
 }
 
 // Route gives requests with a path prefix and method their properties. The
 // longest matching prefix wins.
 type Route struct {
-	Name    string   `json:"name"`
-	Prefix  string   `json:"prefix"`
-	Methods []string `json:"methods,omitempty"`
+	Name    string   `json:"name" validate:"label"`
+	Prefix  string   `json:"prefix" validate:"path"`
+	Methods []string `json:"methods,omitempty" validate:"max=20,unique,dive,method"`
 	// Idempotent is nil when the method decides, as RFC 9110 defines it.
 	Idempotent *bool               `json:"idempotent,omitempty"`
-	Class      string              `json:"class,omitempty"`
-	TimeoutMs  bulrushchute.Millis `json:"timeout_ms,omitempty"`
+	Class      string              `json:"class,omitempty" validate:"omitempty,oneof=critical standard bulk"`
+	TimeoutMs  bulrushchute.Millis `json:"timeout_ms,omitempty" validate:"min=0,max=3600000"`
 }
 
 // TenantShare gives a tenant its share of the service when others compete.
 type TenantShare struct {
-	Tenant bulrushchute.Tenant `json:"tenant"`
-	Weight int                 `json:"weight"`
+	Tenant bulrushchute.Tenant `json:"tenant" validate:"required,max=200"`
+	Weight int                 `json:"weight" validate:"min=1,max=10000"`
 }
 
 // Move asks for a staged rollout from one version to another.
 type Move struct {
 	// Generation tells one move of the service from the next.
-	Generation   uint64               `json:"generation"`
-	FromVersion  bulrushchute.Version `json:"from_version"`
-	ToVersion    bulrushchute.Version `json:"to_version"`
-	CompleteByMs bulrushchute.Millis  `json:"complete_by_ms"`
+	Generation   uint64               `json:"generation" validate:"min=1"`
+	FromVersion  bulrushchute.Version `json:"from_version" validate:"version"`
+	ToVersion    bulrushchute.Version `json:"to_version" validate:"version"`
+	CompleteByMs bulrushchute.Millis  `json:"complete_by_ms" validate:"min=1"`
 }
 
 // DataCentreState is what operators want of a data centre.
@@ -89,11 +89,11 @@
 
 // DataCentreEntry is the catalogue's entry for one data centre.
 type DataCentreEntry struct {
-	DataCentre bulrushchute.DataCentre `json:"data_centre"`
-	Region     bulrushchute.Region     `json:"region"`
-	State      DataCentreState         `json:"state"`
+	DataCentre bulrushchute.DataCentre `json:"data_centre" validate:"label"`
+	Region     bulrushchute.Region     `json:"region" validate:"label"`
+	State      DataCentreState         `json:"state" validate:"oneof=serving withdrawn lost"`
 	// ReturnRampMs is the time in which a returning data centre reaches its full share.
-	ReturnRampMs bulrushchute.Millis `json:"return_ramp_ms,omitempty"`
+	ReturnRampMs bulrushchute.Millis `json:"return_ramp_ms,omitempty" validate:"min=1,max=3600000"`
 }
 
 // Defaults for fields that an entry leaves out.
