Add the admission state machine

Cause: one backend server needs hard and adaptive limits, a cold ramp, fair bounded queues, drain and a probe budget, decided without I/O or a clock.

--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -4,111 +4,209 @@
 	"bulrushchute.example/bulrushchute"
 )
 
+// Never is returned by NextTick when nothing is due.
+const Never = bulrushchute.Millis(1<<63 - 1)
+
+// leavingQueue bounds the wait of queued work once new work is refused, so
+// that the server receives nothing long after it started leaving.
+const leavingQueue = bulrushchute.Second
+
 // Controller is the admission state machine of one backend server.
 type Controller struct {
-	settings Settings
+	settings  Settings
+	weights   map[bulrushchute.Tenant]int
+	announced Announcement
+
+	// now never goes back, even if the caller's clock does.
+	now         bulrushchute.Millis
+	nextExpiry  bulrushchute.Millis
+	nextOverdue bulrushchute.Millis
+
+	tickets map[bulrushchute.AttemptID]*ticket
+	running []*ticket
+	queue   waitQueue
+	spare   []*ticket
+
+	accounts     map[bulrushchute.Tenant]*account
+	activeWeight int
+
+	routes       routeTable
+	adaptive     adaptiveLimit
+	ramp         coldRamp
+	epoch        uint64
+	coldEvidence float64
+	reportedCold [coldSources]bool
+	failedProbes int
+	// limitCut is set when this event cut a limit.
+	limitCut bool
+	usedAt   bulrushchute.Millis
+
+	drain     drainMeter
+	serviceMs float64
+	probes    probeBudget
+
+	draining  bool
+	withdrawn bool
 }
 
 // New returns a controller for a backend server that has not started yet as
 // far as it knows, so its first requests go through the cold ramp.
 func New(now bulrushchute.Millis, settings Settings) *Controller {
-	return &Controller{settings: settings.withDefaults()}
-}
-
-// Offer asks for a slot. A request with the id of one that has not ended is refused.
-func (c *Controller) Offer(now bulrushchute.Millis, request Request) Decision {
-	return Decision{}
+	c := &Controller{
+		now:         now,
+		nextExpiry:  Never,
+		nextOverdue: Never,
+		usedAt:      now,
+		tickets:     make(map[bulrushchute.AttemptID]*ticket),
+		accounts:    make(map[bulrushchute.Tenant]*account),
+		routes:      newRouteTable(),
+		probes:      newProbeBudget(settings.withDefaults().ProbesPerS),
+	}
+	c.use(settings)
+	c.adaptive.limit = float64(c.slots())
+	c.ramp.enter(now, c.coldSlots())
+	return c
+}
+
+func (c *Controller) use(settings Settings) {
+	c.settings = settings.withDefaults()
+	c.weights = make(map[bulrushchute.Tenant]int, len(settings.Tenants))
+	for _, share := range settings.Tenants {
+		c.weights[share.Tenant] = share.Weight
+	}
+}
+
+// advance moves the controller's time.
+func (c *Controller) advance(now bulrushchute.Millis) {
+	c.now = max(c.now, now)
+}
+
+// begin starts every event: waits that are over end first.
+func (c *Controller) begin(now bulrushchute.Millis) []Release {
+	c.advance(now)
+	c.limitCut = false
+	c.noteOverdue()
+	return c.expire(nil)
+}
+
+// finish ends every event: work moves into free slots, and what a cut leaves
+// no time for is refused.
+func (c *Controller) finish(releases []Release) []Release {
+	releases = c.fill(releases)
+	if c.limitCut {
+		releases = c.shedExcess(releases)
+	}
+	c.drain.setBusy(c.now, len(c.running) >= c.limit())
+	return releases
+}
+
+// expire refuses the queued requests whose wait is over.
+func (c *Controller) expire(releases []Release) []Release {
+	if c.now < c.nextExpiry {
+		return releases
+	}
+	c.nextExpiry = Never
+	var over []*ticket
+	c.queue.each(func(t *ticket) {
+		if t.expiresAt <= c.now {
+			over = append(over, t)
+			return
+		}
+		c.nextExpiry = min(c.nextExpiry, t.expiresAt)
+	})
+	for _, t := range over {
+		releases = c.refuseQueued(t, t.expiry, releases)
+	}
+	return releases
+}
+
+// fill moves queued work into free slots. Expired work is gone by then, so the
+// deadline of each request has just been checked.
+func (c *Controller) fill(releases []Release) []Release {
+	for c.queue.waiting > 0 && len(c.running) < c.limit() {
+		t := c.queue.next(c.limit(), c.activeWeight)
+		releases = c.admitQueued(t, releases)
+	}
+	return releases
+}
+
+func (c *Controller) inFlight() int {
+	return len(c.running)
 }
 
 // Done ends an admitted request and frees its slot. Unknown ids are ignored,
 // so a second report of the same end has no effect.
 func (c *Controller) Done(now bulrushchute.Millis, id bulrushchute.AttemptID, result Result) []Release {
-	return nil
+	releases := c.begin(now)
+	t, known := c.tickets[id]
+	if known && t.running {
+		c.drain.ended(c.now, len(c.running))
+		c.learn(t, result)
+		c.undispatch(t)
+		c.forget(t)
+		c.usedAt = c.now
+	}
+	return c.finish(releases)
 }
 
 // Cancel ends a queued request with a release of its own. A request that
 // already holds a slot keeps it until Done, since the backend server may still
 // be working on it.
 func (c *Controller) Cancel(now bulrushchute.Millis, id bulrushchute.AttemptID) []Release {
-	return nil
+	releases := c.begin(now)
+	t, known := c.tickets[id]
+	switch {
+	case !known:
+	case t.running:
+		t.cancelled = true
+	default:
+		releases = c.refuseQueued(t, bulrushchute.ReasonCancelled, releases)
+	}
+	return c.finish(releases)
 }
 
 // Tick ends the waits that are over and takes note of overdue answers.
 func (c *Controller) Tick(now bulrushchute.Millis) []Release {
-	return nil
+	return c.finish(c.begin(now))
 }
 
-// NextTick returns the time of the next Tick that has anything to do, or Never.
+// NextTick returns the time of the next Tick that may have anything to do, or
+// Never. It may be early, but not late.
 func (c *Controller) NextTick() bulrushchute.Millis {
-	return Never
+	return min(c.nextExpiry, c.nextOverdue)
 }
 
-// Never is returned by NextTick when nothing is due.
-const Never = bulrushchute.Millis(1<<63 - 1)
+// noteIdle starts the cold ramp when the server had no work for a long time.
+func (c *Controller) noteIdle() {
+	idle := len(c.running) == 0 && c.queue.waiting == 0
+	if idle && c.now-c.usedAt >= c.settings.IdleCold {
+		c.enterRamp()
+		c.usedAt = c.now
+	}
+}
 
 // Load returns the backend server's load as sent with every answer.
 func (c *Controller) Load() bulrushchute.Load {
-	return bulrushchute.Load{}
+	return bulrushchute.Load{
+		InFlight:  len(c.running),
+		Limit:     c.limit(),
+		Queued:    c.queue.waiting,
+		ServiceMs: c.serviceMs,
+		Cold:      c.ramp.warming,
+		Leaving:   c.draining,
+	}
 }
 
 // Waiting returns the number of queued requests in each class.
 func (c *Controller) Waiting() [bulrushchute.ClassCount]int {
-	return [bulrushchute.ClassCount]int{}
-}
-
-// Drain refuses new work from now on. Queued and admitted work finishes.
-func (c *Controller) Drain(now bulrushchute.Millis) {
-}
-
-// Resume takes new work again after Drain.
-func (c *Controller) Resume(now bulrushchute.Millis) {
+	var waiting [bulrushchute.ClassCount]int
+	for i := range c.queue.classes {
+		waiting[i] = c.queue.classes[i].waiting
+	}
+	return waiting
 }
 
 // Empty reports whether no request is admitted or queued.
 func (c *Controller) Empty() bool {
-	return true
-}
-
-// Withdraw refuses new work while the data centre is withdrawn. Queued and
-// admitted work finishes.
-func (c *Controller) Withdraw(now bulrushchute.Millis, withdrawn bool) {
-}
-
-// SetSettings puts another version of the catalogue entry in force. Queued
-// requests for which there is no room any more are refused.
-func (c *Controller) SetSettings(now bulrushchute.Millis, settings Settings) []Release {
-	return nil
-}
-
-// BackendStarted begins a new life of the backend server: the cold ramp starts
-// again and what was learned of the former life is dropped.
-func (c *Controller) BackendStarted(now bulrushchute.Millis, announcement Announcement) []Release {
-	return nil
-}
-
-// Announce takes note of a running backend server's changed announcement.
-func (c *Controller) Announce(now bulrushchute.Millis, announcement Announcement) []Release {
-	return nil
-}
-
-// TakeProbe reports whether a probe of any kind may be sent now, and takes its
-// token from the budget if so.
-func (c *Controller) TakeProbe(now bulrushchute.Millis, kind ProbeKind) bool {
-	return false
-}
-
-// ProbeCounts returns the number of probes sent of each kind.
-func (c *Controller) ProbeCounts() [ProbeKindCount]uint64 {
-	return [ProbeKindCount]uint64{}
-}
-
-// ObserveProbe takes note of the result of a probe.
-func (c *Controller) ObserveProbe(now bulrushchute.Millis, report ProbeReport) []Release {
-	return nil
-}
-
-// ConnectionLimit returns the number of connections that may be open to the
-// backend server, for work and probes together.
-func (c *Controller) ConnectionLimit() int {
-	return 0
+	return len(c.tickets) == 0
 }
--- /dev/null
+++ b/bulrushadmission/probe.go
@@ -0,0 +1,37 @@
+package bulrushadmission
+
+import (
+	"golang.org/x/time/rate"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// probeBurst is the number of probes that may be sent at once after a pause.
+const probeBurst = 2
+
+// probeBudget is the token bucket that all probes of the backend server share.
+type probeBudget struct {
+	bucket *rate.Limiter
+	counts [ProbeKindCount]uint64
+}
+
+func newProbeBudget(perS float64) probeBudget {
+	return probeBudget{bucket: rate.NewLimiter(rate.Limit(perS), probeBurst)}
+}
+
+// TakeProbe reports whether a probe of any kind may be sent now, and takes its
+// token from the budget if so. Opening a connection only to measure the server
+// is a probe too.
+func (c *Controller) TakeProbe(now bulrushchute.Millis, kind ProbeKind) bool {
+	c.advance(now)
+	if int(kind) >= ProbeKindCount || !c.probes.bucket.AllowN(c.now.Time(), 1) {
+		return false
+	}
+	c.probes.counts[kind]++
+	return true
+}
+
+// ProbeCounts returns the number of probes sent of each kind.
+func (c *Controller) ProbeCounts() [ProbeKindCount]uint64 {
+	return c.probes.counts
+}
