Add the daemon with its operator endpoints and the graceful drain

Cause: the node has to run as a process, be watched and stop without cutting requests. Change: bulrushd with checked settings; iris endpoints for announcements, status, members, catalogue and expvar; drain in the order peers, work, keys, connections.

--- /dev/null
+++ b/bulrushnode/bootstrap.go
@@ -0,0 +1,119 @@
+package bulrushnode
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// bootstrapEvery is how often a node without peers looks for some in the store.
+const bootstrapEvery = 2 * time.Second
+
+// bootstrap finds peers through the store while the node knows none.
+func (n *Node) bootstrap(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if n.alone(ctx) {
+			n.joinStrangers(ctx)
+		}
+		pause(ctx, bootstrapEvery)
+	}
+	return nil
+}
+
+func (n *Node) alone(ctx context.Context) bool {
+	count := 0
+	n.control.do(ctx, func(bulrushchute.Millis) {
+		n.control.membership.Range(func(bulrushchute.Instance) bool {
+			count++
+			return count < 2
+		})
+	})
+	return count < 2
+}
+
+// joinStrangers contacts the nodes that the store lists for data centres of
+// which this node knows no member. Parts of the fleet that started without
+// knowing of each other are joined in this way.
+func (n *Node) joinStrangers(ctx context.Context) {
+	objects, _, err := n.store.List(ctx, bulrushchute.KindSeeds)
+	if err != nil {
+		if ctx.Err() == nil {
+			klog.V(1).InfoS("seeds not read", "error", err)
+		}
+		return
+	}
+	listed := make(map[bulrushchute.DataCentre][]bulrushchute.Address, len(objects))
+	for _, object := range objects {
+		addresses, err := parseSeeds(object)
+		if err != nil {
+			klog.ErrorS(err, "seeds not taken", "data_centre", object.Name)
+			continue
+		}
+		listed[bulrushchute.DataCentre(object.Name)] = addresses
+	}
+	n.control.do(ctx, func(bulrushchute.Millis) {
+		if strangers := n.control.strangers(listed); len(strangers) > 0 {
+			n.control.membership.SetSeeds(strangers)
+		}
+	})
+}
+
+func parseSeeds(object bulrushchute.Object) ([]bulrushchute.Address, error) {
+	var value seeds
+	if err := json.Unmarshal(object.Value, &value); err != nil {
+		return nil, errors.Wrap(err, "parse seeds")
+	}
+	for _, address := range value.Addresses {
+		if err := checkAddress("addresses", address); err != nil {
+			return nil, err
+		}
+	}
+	return value.Addresses, nil
+}
+
+// strangers returns the listed addresses of data centres of which no other
+// member is known.
+func (c *control) strangers(listed map[bulrushchute.DataCentre][]bulrushchute.Address) []bulrushchute.Address {
+	known := make(map[bulrushchute.DataCentre]bool)
+	self := c.membership.Self()
+	c.membership.Range(func(member bulrushchute.Instance) bool {
+		if member.ID != self.ID {
+			known[member.DataCentre] = true
+		}
+		return true
+	})
+	var strangers []bulrushchute.Address
+	for dataCentre, addresses := range listed {
+		if known[dataCentre] {
+			continue
+		}
+		for _, address := range addresses {
+			if address != self.Address {
+				strangers = append(strangers, address)
+			}
+		}
+	}
+	return strangers
+}
+
+// knownObjects returns the names of the objects of a kind that are not deleted.
+func (c *control) knownObjects(kind bulrushchute.Kind) []string {
+	key, spread := recordKeyOf(bulrushchute.Object{Kind: kind})
+	if !spread {
+		return nil
+	}
+	prefix := key.Name
+	var names []string
+	c.membership.Table().Range(key.Topic, func(record bulrushchute.Record) bool {
+		if !record.Deleted && len(record.Key.Name) > len(prefix) && record.Key.Name[:len(prefix)] == prefix {
+			names = append(names, record.Key.Name[len(prefix):])
+		}
+		return true
+	})
+	return names
+}
--- /dev/null
+++ b/bulrushnode/drain.go
@@ -0,0 +1,79 @@
+package bulrushnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const (
+	// drainNotice is the time in which callers and peers learn that the node
+	// leaves. Requests that arrive within it are still served.
+	drainNotice = 2 * time.Second
+	// drainLimit bounds the whole drain. It is above the longest timeout that
+	// the catalogue gives by default.
+	drainLimit = 60 * time.Second
+	// keyHandover bounds the wait for another home to take over this node's keys.
+	keyHandover = 5 * time.Second
+	// leaveNotice is the time in which the last member record is spread.
+	leaveNotice = time.Second
+	drainPoll   = 20 * time.Millisecond
+)
+
+// drain ends the node without cutting a request: peers are told first, then
+// everything that is in flight ends, then connections are closed.
+func (n *Node) drain(callers, peers *http.Server) error {
+	klog.InfoS("node draining", "instance", n.id)
+	ctx, cancel := context.WithTimeout(n.context, drainLimit)
+	defer cancel()
+	n.control.do(ctx, func(now bulrushchute.Millis) {
+		n.control.draining = true
+		n.control.updateState(n.control.membership.Status())
+		n.control.announce(now, n.guard, true)
+		n.keys.leave(now)
+	})
+	pause(ctx, drainNotice)
+	n.guard.drain()
+	err := errors.Wrap(callers.Shutdown(ctx), "callers still connected")
+	n.waitUntil(ctx, n.guard.empty)
+	handover, cancelHandover := context.WithTimeout(ctx, keyHandover)
+	n.waitUntil(handover, func() bool { return !n.keys.isHome() })
+	cancelHandover()
+	n.control.do(ctx, n.control.membership.Leave)
+	pause(ctx, leaveNotice)
+	return firstError(err, n.stop(peers))
+}
+
+// stop ends all goroutines and waits for them.
+func (n *Node) stop(peers *http.Server) error {
+	n.caller.tasks.Wait()
+	n.server.Wait()
+	n.cancel()
+	err := errors.Wrap(peers.Close(), "close peer connections")
+	n.tasks.Wait()
+	n.keys.tasks.Wait()
+	n.guard.tasks.Wait()
+	n.client.Wait()
+	klog.InfoS("node stopped", "instance", n.id)
+	return err
+}
+
+func (n *Node) waitUntil(ctx context.Context, reached func() bool) {
+	for ctx.Err() == nil && !reached() {
+		pause(ctx, drainPoll)
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bulrushnode/node.go
@@ -0,0 +1,256 @@
+package bulrushnode
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushmetric"
+	"bulrushchute.example/bulrushchute/bulrushtask"
+	"bulrushchute.example/bulrushchute/bulrushwire"
+)
+
+const (
+	// readHeaderTimeout ends connections that never send a request.
+	readHeaderTimeout = 10 * time.Second
+	// announceEvery is how often the node compares its own record with the
+	// state of its backend server.
+	announceEvery = 100 * time.Millisecond
+	// coldChangeEvery bounds how often a mere change between cold and ready is
+	// spread, because entry nodes learn it from answers anyway.
+	coldChangeEvery = 2 * bulrushchute.Second
+	// maxTenants bounds the histograms of a service.
+	maxTenants = 64
+)
+
+// Node is one process of the load balancer.
+type Node struct {
+	settings Settings
+	clock    bulrushchute.Clock
+	id       bulrushchute.InstanceID
+	self     bulrushchute.Instance
+	store    bulrushchute.Store
+	board    *bulrushboard.Board
+	client   *bulrushwire.Client
+	server   *bulrushwire.Server
+	guard    *guard
+	caller   *caller
+	keys     *keys
+	control  *control
+	entry    *entry
+	recorder *bulrushmetric.Recorder
+	tasks    *bulrushtask.Group
+	// context ends when everything has stopped, after the drain.
+	context context.Context
+	cancel  context.CancelFunc
+}
+
+// New returns a node that uses the given store and clock. Run starts it.
+func New(settings Settings, store bulrushchute.Store, clock bulrushchute.Clock) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		settings: settings,
+		clock:    clock,
+		id:       newInstanceID(settings.PeerAddress),
+		store:    store,
+		board:    &bulrushboard.Board{},
+		recorder: bulrushmetric.NewRecorder(maxTenants),
+		tasks:    bulrushtask.NewGroup(logEnd),
+		context:  ctx,
+		cancel:   cancel,
+	}
+	n.self = bulrushchute.Instance{
+		ID:         n.id,
+		Address:    settings.PeerAddress,
+		DataCentre: settings.DataCentre,
+		StartedAt:  clock.Now(),
+	}
+	n.client = bulrushwire.NewClient(ctx, settings.PeerAddress, nil)
+	n.server = bulrushwire.NewServer(ctx, n)
+	n.guard = newGuard(ctx, clock, settings.ClockSkewMs)
+	n.caller = &caller{
+		clock:    clock,
+		board:    n.board,
+		lanes:    newLanes(n.self, clock),
+		exchange: n.exchange,
+		tasks:    bulrushtask.NewGroup(nil),
+	}
+	n.keys = newKeys(n, n.id)
+	n.control = newControl(n, n.self)
+	n.keys.control = n.control
+	n.entry = &entry{
+		clock:             clock,
+		board:             n.board,
+		caller:            n.caller,
+		keys:              n.keys,
+		recorder:          n.recorder,
+		trustTenantHeader: settings.TrustTenantHeader,
+	}
+	return n
+}
+
+func logEnd(end bulrushtask.End) {
+	if end.Err != nil && !errors.Is(end.Err, context.Canceled) {
+		klog.ErrorS(end.Err, "task ended", "task", end.Name)
+	}
+}
+
+// newInstanceID returns an identity that is never used again: the address
+// makes it readable, the random part unique.
+func newInstanceID(address bulrushchute.Address) bulrushchute.InstanceID {
+	var random [6]byte
+	_, _ = rand.Read(random[:])
+	return bulrushchute.InstanceID(string(address) + "/" + hex.EncodeToString(random[:]))
+}
+
+// HandleAttempt implements bulrushwire.Handler.
+func (n *Node) HandleAttempt(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+	if attempt.Target != n.id {
+		// The address was taken over by this process after the sender learned it.
+		reply := refused(bulrushchute.ReasonWrongService, retryAfterDefault)
+		reply.Load = n.guard.load()
+		return reply
+	}
+	if attempt.Key != "" {
+		reply := n.keys.serve(ctx, attempt)
+		reply.Load = n.guard.load()
+		return reply
+	}
+	return n.guard.serve(ctx, attempt)
+}
+
+// HandleControl implements bulrushwire.Handler.
+func (n *Node) HandleControl(from bulrushchute.Address, message bulrushchute.Control) {
+	n.control.receive(from, message)
+}
+
+// exchange sends an attempt to an instance, without the network if it is this one.
+func (n *Node) exchange(ctx context.Context, instance bulrushchute.Instance, attempt bulrushchute.Attempt) (bulrushchute.Reply, error) {
+	if instance.ID == n.id {
+		return n.HandleAttempt(ctx, attempt), nil
+	}
+	return n.client.Exchange(ctx, instance.Address, attempt)
+}
+
+// Run serves until the context ends, then drains and returns.
+func (n *Node) Run(ctx context.Context) error {
+	callers, peers, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	klog.InfoS("node started", "instance", n.id, "data_centre", n.settings.DataCentre,
+		"caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress)
+	callerServer := &http.Server{Handler: n.entry, ReadHeaderTimeout: readHeaderTimeout}
+	peerMux := http.NewServeMux()
+	peerMux.Handle(bulrushwire.PeerPath, n.server)
+	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}
+	n.start("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callers)) })
+	n.start("peers", func(context.Context) error { return ignoreClosed(peerServer.Serve(peers)) })
+	n.start("control", n.control.run)
+	n.start("announcer", n.announceSelf)
+	n.start("prober", newProber(n.guard, n.probeSettings).run)
+	n.start("bootstrap", n.bootstrap)
+	readers, stopReaders := context.WithCancel(n.context)
+	for slot := range readersPerDataCentre {
+		n.tasks.Start(readers, "reader", func(ctx context.Context) error { return n.runReader(ctx, slot) })
+	}
+	<-ctx.Done()
+	stopReaders()
+	return n.drain(callerServer, peerServer)
+}
+
+func (n *Node) start(name string, run func(context.Context) error) {
+	n.tasks.Start(n.context, name, run)
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) listen(ctx context.Context) (net.Listener, net.Listener, error) {
+	var listening net.ListenConfig
+	callers, err := listening.Listen(ctx, "tcp", string(n.settings.CallerAddress))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen for callers")
+	}
+	peers, err := listening.Listen(ctx, "tcp", string(n.settings.PeerAddress))
+	if err != nil {
+		_ = callers.Close()
+		return nil, nil, errors.Wrap(err, "listen for peers")
+	}
+	return callers, peers, nil
+}
+
+// Announce takes the announcement of the backend server beside this node.
+func (n *Node) Announce(announcement Announcement) error {
+	if err := announcement.checkHost(n.settings.BackendAddress); err != nil {
+		return err
+	}
+	n.guard.announce(announcement)
+	if entry, exists := n.board.Read().Catalogue.Service(announcement.Service); exists {
+		n.guard.configure(entry)
+	}
+	klog.InfoS("backend server announced", "service", announcement.Service, "version", announcement.Version,
+		"address", announcement.Address, "state", announcement.State)
+	return nil
+}
+
+// announceSelf keeps the node's own member record equal to the state of its
+// backend server.
+func (n *Node) announceSelf(ctx context.Context) error {
+	ticker := time.NewTicker(announceEvery)
+	defer ticker.Stop()
+	var coldChangedAt bulrushchute.Millis
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.control.do(ctx, func(now bulrushchute.Millis) {
+			if n.control.announce(now, n.guard, now-coldChangedAt >= coldChangeEvery) {
+				coldChangedAt = now
+			}
+		})
+	}
+}
+
+// announce publishes the node's own record if it has changed. It returns true
+// if only the state between cold and ready did.
+func (c *control) announce(now bulrushchute.Millis, guard *guard, coldChanges bool) bool {
+	backend, state := guard.state()
+	if c.draining {
+		state = bulrushchute.StateLeaving
+	}
+	current := c.membership.Self()
+	wanted := current.WithBackendServer(backend.Service, backend.Version, backend.Slots).WithState(state)
+	if wanted == current {
+		return false
+	}
+	onlyCold := current.WithState(state) == wanted && current.State.TakesWork() && state.TakesWork()
+	if onlyCold && !coldChanges {
+		return false
+	}
+	c.membership.Update(now, wanted)
+	if backend.Service != "" {
+		c.keys.join(now, backend.Service)
+	}
+	return onlyCold
+}
+
+func (n *Node) probeSettings(service bulrushchute.Service) bulrushcatalogue.Probe {
+	entry, _ := n.board.Read().Catalogue.Service(service)
+	return entry.WithDefaults().Probe
+}
--- /dev/null
+++ b/bulrushnode/status.go
@@ -0,0 +1,140 @@
+package bulrushnode
+
+import (
+	"context"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushadmission"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushspread"
+)
+
+// Status is what the node reports of itself.
+type Status struct {
+	Instance    bulrushchute.Instance `json:"instance"`
+	State       string                `json:"state"`
+	Backend     Announcement          `json:"backend_server"`
+	Load        bulrushchute.Load     `json:"load"`
+	Members     int                   `json:"members"`
+	Services    int                   `json:"services"`
+	Spread      bulrushspread.Stats   `json:"spread"`
+	Probes      map[string]uint64     `json:"probes"`
+	LateReplies int64                 `json:"late_replies"`
+	DataCentres []DataCentreStatus    `json:"data_centres"`
+	KeyHome     bool                  `json:"key_home"`
+}
+
+// DataCentreStatus is a data centre as this node sees it.
+type DataCentreStatus struct {
+	DataCentre bulrushchute.DataCentre          `json:"data_centre"`
+	State      bulrushcatalogue.DataCentreState `json:"state"`
+	Reachable  bool                             `json:"reachable"`
+	// Weight is the share of its normal work that it may receive, 0 to 1.
+	Weight  float64 `json:"weight"`
+	Members int     `json:"members"`
+}
+
+// Status returns the node's state.
+func (n *Node) Status(ctx context.Context) Status {
+	view := n.board.Read()
+	status := Status{
+		State:       view.State.String(),
+		Backend:     n.guard.announced(),
+		Load:        n.guard.load(),
+		Probes:      n.guard.probeCounts(),
+		LateReplies: n.client.LateReplies(),
+		KeyHome:     n.keys.isHome(),
+	}
+	counts := make(map[bulrushchute.DataCentre]int)
+	services := make(map[bulrushchute.Service]bool)
+	n.control.do(ctx, func(bulrushchute.Millis) {
+		status.Instance = n.control.membership.Self()
+		status.Spread = n.control.membership.Table().Stats()
+		n.control.membership.Range(func(member bulrushchute.Instance) bool {
+			counts[member.DataCentre]++
+			services[member.Service] = true
+			status.Members++
+			return true
+		})
+	})
+	status.Services = len(services)
+	now := n.clock.Now()
+	for _, name := range view.Catalogue.DataCentres() {
+		entry, _ := view.Catalogue.DataCentre(name)
+		weight := view.DataCentres.Weights[name]
+		status.DataCentres = append(status.DataCentres, DataCentreStatus{
+			DataCentre: name,
+			State:      entry.WithDefaults().State,
+			Reachable:  !weight.Unreachable,
+			Weight:     weight.At(now),
+			Members:    counts[name],
+		})
+	}
+	return status
+}
+
+// MemberList is the members that a node knows.
+type MemberList struct {
+	Members []bulrushchute.Instance `json:"members"`
+}
+
+// Members returns all members that the node knows.
+func (n *Node) Members(ctx context.Context) MemberList {
+	var members []bulrushchute.Instance
+	n.control.do(ctx, func(bulrushchute.Millis) {
+		n.control.membership.Range(func(member bulrushchute.Instance) bool {
+			members = append(members, member)
+			return true
+		})
+	})
+	return MemberList{Members: members}
+}
+
+// CatalogueEntries is the catalogue that is in force on a node.
+type CatalogueEntries struct {
+	Services    []ServiceInForce    `json:"services"`
+	DataCentres []DataCentreInForce `json:"data_centres"`
+}
+
+// ServiceInForce is a service's entry with its store version.
+type ServiceInForce struct {
+	Version uint64                        `json:"version"`
+	Entry   bulrushcatalogue.ServiceEntry `json:"entry"`
+}
+
+// DataCentreInForce is a data centre's entry with its store version.
+type DataCentreInForce struct {
+	Version uint64                           `json:"version"`
+	Entry   bulrushcatalogue.DataCentreEntry `json:"entry"`
+}
+
+// Catalogue returns the entries that are in force on this node.
+func (n *Node) Catalogue() CatalogueEntries {
+	set := n.board.Read().Catalogue
+	var entries CatalogueEntries
+	for _, name := range set.Services() {
+		entry, _ := set.Service(name)
+		entries.Services = append(entries.Services, ServiceInForce{Version: set.ServiceVersion(name), Entry: entry})
+	}
+	for _, name := range set.DataCentres() {
+		entry, _ := set.DataCentre(name)
+		entries.DataCentres = append(entries.DataCentres, DataCentreInForce{Version: set.DataCentreVersion(name), Entry: entry})
+	}
+	return entries
+}
+
+// PublishMetrics makes the node's measurements expvar variables. It is to be
+// called once in a process.
+func (n *Node) PublishMetrics() {
+	n.recorder.Publish("bulrush_requests")
+}
+
+func (g *guard) probeCounts() map[string]uint64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	counts := make(map[string]uint64)
+	for kind, count := range g.controller.ProbeCounts() {
+		counts[bulrushadmission.ProbeKind(kind).String()] = count
+	}
+	return counts
+}
--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -1,4 +1,69 @@
 // Command bulrushd runs one node of the load balancer.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushnode"
+	"bulrushchute.example/bulrushchute/bulrushstore"
+	"bulrushchute.example/bulrushchute/cmd/bulrushd/bulrushoperator"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		klog.ErrorS(err, "node failed")
+		klog.Flush()
+		os.Exit(1)
+	}
+	klog.Flush()
+}
+
+func newCommand() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:           "bulrushd --settings FILE",
+		Short:         "Run the node beside one backend server",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return run(command.Context(), path)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "", "JSON file with the node's settings")
+	_ = command.MarkFlagRequired("settings")
+	logging := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(logging)
+	command.Flags().AddGoFlagSet(logging)
+	return command
+}
+
+func run(ctx context.Context, path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	settings, err := bulrushnode.ParseSettings(data)
+	if err != nil {
+		return err
+	}
+	store := bulrushstore.NewClient(bulrushstore.ClientSettings{BaseURL: settings.StoreURL})
+	node := bulrushnode.New(settings, store, bulrushchute.WallClock{})
+	node.PublishMetrics()
+	handler, err := bulrushoperator.NewHandler(node)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, node, string(settings.OperatorAddress), handler)
+}
