--- a/bulrushstore/errors.go
+++ b/bulrushstore/errors.go
@@ -32,11 +32,12 @@
 	return fmt.Sprintf("store answered %d %s: %s", e.Code, e.Reason, e.Message)
 }
 
-// Causes of errors that Memory reports.
+// Causes of errors.
 var (
 	errDown       = errors.New("store is down")
 	errAnswerLost = errors.New("answer lost")
 	errWatchEnded = errors.New("watch ended")
+	errWatchIdle  = errors.New("nothing came on the watch, not even a bookmark")
 )
 
 func tooLargeError(size int) error {
--- a/bulrushstore/memory.go
+++ b/bulrushstore/memory.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"bulrushchute.example/bulrushchute"
 )
 
@@ -321,13 +319,20 @@
 	}
 }
 
+// CheckWatch reports a *GoneError or *bulrushchute.UnavailableError if a watch
+// from the revision would end at once.
+func (m *Memory) CheckWatch(kind bulrushchute.Kind, revision uint64) error {
+	_, _, err := m.after(kind, revision)
+	return err
+}
+
 // after returns the changes of a kind after a revision and a channel that is
 // closed at the next change.
 func (m *Memory) after(kind bulrushchute.Kind, revision uint64) ([]bulrushchute.StoreEvent, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return nil, nil, &bulrushchute.UnavailableError{Operation: string(VerbWatch), Cause: errors.Wrap(errDown, errWatchEnded.Error())}
+		return nil, nil, &bulrushchute.UnavailableError{Operation: string(VerbWatch), Cause: errDown}
 	}
 	c := m.collection(kind)
 	if revision < c.dropped {
--- a/bulrushstore/once.go
+++ b/bulrushstore/once.go
@@ -1,7 +1,11 @@
 package bulrushstore
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
 )
@@ -9,14 +13,153 @@
 // WriterField is the top-level field of a value that identifies its write.
 const WriterField = "writer"
 
+// maxAttempts bounds how often CreateOnce and UpdateObject start again. More
+// conflicts in a row mean that many writers compete, and the caller should wait.
+const maxAttempts = 5
+
+// WithWriter returns a JSON object with its WriterField set.
+func WithWriter(value []byte, writer string) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(value, &fields); err != nil || fields == nil {
+		return nil, &bulrushchute.FieldError{Field: "value", Value: shorten(value), Allowed: "a JSON object"}
+	}
+	text, err := json.Marshal(writer)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode writer")
+	}
+	fields[WriterField] = text
+	data, err := encode(fields)
+	return bytes.TrimSpace(data), err
+}
+
+// WriterOf returns the WriterField of a JSON object, or "" if it has none.
+func WriterOf(value []byte) string {
+	var fields struct {
+		Writer string `json:"writer"`
+	}
+	if json.Unmarshal(value, &fields) != nil {
+		return ""
+	}
+	return fields.Writer
+}
+
+func shorten(value []byte) string {
+	const most = 40
+	return string(value[:min(len(value), most)])
+}
+
 // CreateOnce stores an object unless its name is in use, and reports whether
-// this call created it. The writer is put into the value's WriterField.
-func CreateOnce(_ context.Context, _ bulrushchute.Store, _ bulrushchute.Object, _ string) (bulrushchute.Object, bool, error) {
-	return bulrushchute.Object{}, false, nil
+// it was this writer that created it. The writer, an id that is used for this
+// object only, is put into the value's WriterField. When an answer is lost,
+// the object is read back; only if it is still absent is it created again,
+// which has no effect if the first try arrives meanwhile.
+func CreateOnce(ctx context.Context, store bulrushchute.Store, object bulrushchute.Object, writer string) (bulrushchute.Object, bool, error) {
+	value, err := WithWriter(object.Value, writer)
+	if err != nil {
+		return bulrushchute.Object{}, false, err
+	}
+	object = object.WithValue(value)
+	for range maxAttempts {
+		var stored bulrushchute.Object
+		stored, err = store.Create(ctx, object)
+		if err == nil {
+			return stored, true, nil
+		}
+		if !mayExist(err) {
+			return bulrushchute.Object{}, false, err
+		}
+		lost := err
+		stored, err = store.Get(ctx, object.Kind, object.Name)
+		if err == nil {
+			return stored, WriterOf(stored.Value) == writer, nil
+		}
+		var notFound *bulrushchute.NotFoundError
+		if !errors.As(err, &notFound) {
+			return bulrushchute.Object{}, false, unsettled(lost, err)
+		}
+		err = lost
+	}
+	return bulrushchute.Object{}, false, err
+}
+
+func mayExist(err error) bool {
+	var (
+		exists    *bulrushchute.ExistsError
+		ambiguous *bulrushchute.AmbiguousError
+	)
+	return errors.As(err, &exists) || errors.As(err, &ambiguous)
+}
+
+// unsettled keeps a lost answer ambiguous when reading back fails too.
+func unsettled(lost, readBack error) error {
+	var ambiguous *bulrushchute.AmbiguousError
+	if errors.As(lost, &ambiguous) {
+		return lost
+	}
+	return readBack
+}
+
+// UpdateObject reads an object, changes its value with mutate and stores it,
+// from the start again after a conflict. The writer, an id that is used for
+// this change only, is put into the value's WriterField. When an answer is
+// lost, the object is read back. The result is an *AmbiguousError if another
+// writer has changed the object since, because the change may then have been
+// in effect before; it is not applied a second time.
+func UpdateObject(ctx context.Context, store bulrushchute.Store, kind bulrushchute.Kind, name, writer string, mutate func(bulrushchute.Object) ([]byte, error)) (bulrushchute.Object, error) {
+	current, err := store.Get(ctx, kind, name)
+	for range maxAttempts {
+		if err != nil {
+			return bulrushchute.Object{}, err
+		}
+		var value []byte
+		if value, err = mutate(current); err != nil {
+			return bulrushchute.Object{}, err
+		}
+		if value, err = WithWriter(value, writer); err != nil {
+			return bulrushchute.Object{}, err
+		}
+		var stored bulrushchute.Object
+		stored, err = update(ctx, store, current.WithValue(value), writer)
+		var conflict *bulrushchute.ConflictError
+		if !errors.As(err, &conflict) {
+			return stored, err
+		}
+		current, err = store.Get(ctx, kind, name)
+	}
+	return bulrushchute.Object{}, &bulrushchute.ConflictError{Kind: kind, Name: name, Version: current.Version}
+}
+
+// update makes one conditional update and settles a lost answer. It repeats
+// the update only when the object was read back at the version that it
+// replaces, so that at most one of the tries can take effect.
+func update(ctx context.Context, store bulrushchute.Store, object bulrushchute.Object, writer string) (bulrushchute.Object, error) {
+	var lost error
+	for range maxAttempts {
+		stored, err := store.Update(ctx, object)
+		if err == nil {
+			return stored, nil
+		}
+		if lost == nil && !isAmbiguous(err) {
+			return bulrushchute.Object{}, err
+		}
+		if lost == nil {
+			lost = err
+		}
+		current, err := store.Get(ctx, object.Kind, object.Name)
+		if err != nil {
+			return bulrushchute.Object{}, lost
+		}
+		if WriterOf(current.Value) == writer && current.Version > object.Version {
+			return current, nil
+		}
+		if current.Version != object.Version {
+			return bulrushchute.Object{}, lost
+		}
+	}
+	return bulrushchute.Object{}, lost
 }
 
-// UpdateObject reads an object, changes its value and stores it, again from
-// the start after a conflict. The writer is put into the value's WriterField.
-func UpdateObject(_ context.Context, _ bulrushchute.Store, _ bulrushchute.Kind, _ string, _ string, _ func(bulrushchute.Object) ([]byte, error)) (bulrushchute.Object, error) {
-	return bulrushchute.Object{}, nil
+func isAmbiguous(err error) bool {
+	var ambiguous *bulrushchute.AmbiguousError
+	return errors.As(err, &ambiguous)
 }
