Add the demo: real node processes, stand-ins, faults and a checked report

Cause: the whole path has to be shown in separate processes. Nodes that started apart compare records with the addresses that the store lists. Result: the first run found the fleet split, because a joined node ignored new seeds.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,9 @@
 	@mkdir -p $(BIN)
 	go build -o $(BIN)/ ./cmd/bulrushd ./cmd/bulrushctl ./cmd/bulrushbench
 
+demo: build
+	$(BIN)/bulrushbench demo --node $(BIN)/bulrushd
+
 test: known-red
 	@set -e; for module in $(MODULES); do \
 		echo "module=$$module"; \
--- /dev/null
+++ b/bulrushmembership/neighbours.go
@@ -0,0 +1,19 @@
+package bulrushmembership
+
+import (
+	"bulrushchute.example/bulrushchute"
+)
+
+// NeighboursOf returns the overlay neighbours of a member inside its data
+// centre, as this node computes them.
+func (m *Membership) NeighboursOf(id bulrushchute.InstanceID) []bulrushchute.InstanceID {
+	found, known := m.members.byID[id]
+	if !known {
+		return nil
+	}
+	var neighbours []bulrushchute.InstanceID
+	for _, n := range ringNeighbours(found) {
+		neighbours = append(neighbours, n.instance.ID)
+	}
+	return neighbours
+}
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -56,13 +56,26 @@
 		}
 		listed[bulrushchute.DataCentre(object.Name)] = addresses
 	}
-	n.control.do(ctx, func(bulrushchute.Millis) {
-		if strangers := n.control.strangers(listed); len(strangers) > 0 {
-			n.control.membership.SetSeeds(strangers)
-		}
+	n.control.do(ctx, func(now bulrushchute.Millis) {
+		n.control.contact(now, n.control.strangers(listed))
 	})
 }
 
+// contact joins through the addresses, or compares records with them if this
+// node has joined already.
+func (c *control) contact(now bulrushchute.Millis, addresses []bulrushchute.Address) {
+	if len(addresses) == 0 {
+		return
+	}
+	if !c.membership.Status().Joined {
+		c.membership.SetSeeds(addresses)
+		return
+	}
+	for _, address := range addresses {
+		c.send(c.membership.Table().Compare(now, address))
+	}
+}
+
 func parseSeeds(object bulrushchute.Object) ([]bulrushchute.Address, error) {
 	var value seeds
 	if err := json.Unmarshal(object.Value, &value); err != nil {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -198,6 +198,9 @@
 	if err := announcement.checkHost(n.settings.BackendAddress); err != nil {
 		return err
 	}
+	if announcement == n.guard.announced() {
+		return nil
+	}
 	n.guard.announce(announcement)
 	if entry, exists := n.board.Read().Catalogue.Service(announcement.Service); exists {
 		n.guard.configure(entry)
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -28,6 +28,9 @@
 	readerRenewEvery = 3 * bulrushchute.Second
 	readerMargin     = bulrushchute.Second
 
+	// candidacyEvery is how often a contender checks that it still is a candidate.
+	candidacyEvery = 30 * time.Second
+
 	// watchRetry is the pause after a watch or list failed.
 	watchRetry = time.Second
 	// seedsEvery is how often a reader refreshes the list of addresses through
@@ -114,9 +117,23 @@
 		r.startWatches(watching, watches)
 	}
 	defer func() { cancelWatches() }()
-	if err := lease.Run(ctx, changed); err != nil && ctx.Err() == nil {
-		klog.V(1).InfoS("reader lease", "slot", r.slot, "error", err)
-		pause(ctx, readerRenewEvery.Duration())
+	watches.Start(ctx, "candidacy", func(ctx context.Context) error {
+		r.resign(ctx, lease, stop)
+		return nil
+	})
+	lease.Run(ctx, changed, func(err error) {
+		klog.V(1).InfoS("reader lease not renewed", "slot", r.slot, "error", err)
+	})
+}
+
+// resign stops the contention of a node that does not hold the lease and is no
+// longer among the candidates.
+func (r *reader) resign(ctx context.Context, lease *bulrushstore.Lease, stop func()) {
+	for ctx.Err() == nil {
+		pause(ctx, candidacyEvery)
+		if _, held := lease.Held(); !held && !r.candidate(ctx) {
+			stop()
+		}
 	}
 }
 
--- a/cmd/bulrushbench/main.go
+++ b/cmd/bulrushbench/main.go
@@ -1,4 +1,35 @@
-// Command bulrushbench loads a set of nodes and holds the stand-ins.
+// Command bulrushbench loads a set of nodes and holds the stand-ins for the
+// store and the backend servers.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		klog.ErrorS(err, "command failed")
+		klog.Flush()
+		os.Exit(1)
+	}
+	klog.Flush()
+}
+
+func newCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:           "bulrushbench",
+		Short:         "Run load and experiments against nodes on loopback",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	command.AddCommand(newDemoCommand(), newStoreCommand(), newBackendCommand())
+	return command
+}
