Implement the record table and the failure detector

Change: bulrushspread keeps and spreads records with have, want and records messages, digests, retries and a byte budget; bulrushmembership adds the overlay, heartbeats, suspicion, bridges and the join.

--- a/bulrushmembership/api.go
+++ b/bulrushmembership/api.go
@@ -24,6 +24,8 @@
 	OnDataCentre func(now bulrushchute.Millis, dataCentre bulrushchute.DataCentre, reachable bool)
 	// OnStatus sees each change of this node's own status.
 	OnStatus func(now bulrushchute.Millis, status Status)
+	// Accept may refuse a received record of another topic than member and data_centre.
+	Accept func(now bulrushchute.Millis, record bulrushchute.Record) bool
 	// OnRecord sees each change of a record of other topics than member and data_centre.
 	OnRecord func(now bulrushchute.Millis, record bulrushchute.Record)
 
--- /dev/null
+++ b/bulrushmembership/detector_test.go
@@ -0,0 +1,63 @@
+package bulrushmembership
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// Guards against suspicion without cause and against a crash that stays unnoticed.
+func TestCrashIsConfirmed(t *testing.T) {
+	f := newFleet(1)
+	f.fill(2, 30)
+	f.run(10 * bulrushchute.Second)
+	assert.Equal(t, f.suspicions(), 0)
+	f.nodes[3].stopped = true
+	f.run(8 * bulrushchute.Second)
+	assertKnown(t, f, 59)
+}
+
+// Guards against a mass eviction when a platform fault freezes many nodes for a while.
+func TestFrozenShareIsNotEvicted(t *testing.T) {
+	f := newFleet(2)
+	f.fill(1, 200)
+	f.run(5 * bulrushchute.Second)
+	for i := range 80 {
+		f.nodes[i].frozen = true
+	}
+	f.run(20 * bulrushchute.Second)
+	assert.Equal(t, f.deaths(), 0)
+	for i := range 80 {
+		f.resume(f.nodes[i])
+	}
+	f.run(30 * bulrushchute.Second)
+	assert.Equal(t, f.deaths(), 0)
+	assert.Equal(t, f.suspicions(), 0)
+	assertKnown(t, f, 200)
+}
+
+// Guards against deaths across a cut between data centres, and against a cut that heals unnoticed.
+func TestCutBetweenDataCentres(t *testing.T) {
+	f := newFleet(3)
+	f.fill(3, 20)
+	f.run(5 * bulrushchute.Second)
+	f.cut = func(from, to *testNode) bool {
+		return from.self.DataCentre != to.self.DataCentre && min(from.self.DataCentre, to.self.DataCentre) == "kgl-00"
+	}
+	f.run(5 * bulrushchute.Second)
+	for _, n := range f.nodes {
+		near := n.self.DataCentre
+		assert.Equal(t, n.Reachable("kgl-00"), near == "kgl-00", "from %s", n.self.ID)
+		assert.Equal(t, n.Reachable("kgl-02"), near != "kgl-00", "from %s", n.self.ID)
+	}
+	f.run(3 * bulrushchute.Minute)
+	assert.Equal(t, f.deaths(), 0)
+	f.cut = nil
+	f.run(5 * bulrushchute.Second)
+	for _, n := range f.nodes {
+		assert.Assert(t, n.Reachable("kgl-00") && n.Reachable("kgl-02"))
+	}
+	assertKnown(t, f, 60)
+}
--- /dev/null
+++ b/bulrushmembership/join.go
@@ -0,0 +1,164 @@
+package bulrushmembership
+
+import (
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushspread"
+)
+
+const (
+	// joinTimeout is the time without progress after which another peer is tried.
+	joinTimeout = 5 * bulrushchute.Second
+	// joinRounds is the number of comparisons after which remaining
+	// differences are taken for changes under way.
+	joinRounds = 5
+	// joinPause is the time between two comparisons with the same peer.
+	joinPause = 300 * bulrushchute.Millisecond
+)
+
+// Stages of a join.
+const (
+	stageCopy = iota
+	stageCompare
+)
+
+// join is the state of a node that is not yet ready.
+type join struct {
+	stage  int
+	target bulrushchute.Address
+	// copied is the peer that the records came from.
+	copied bulrushchute.Address
+	rounds int
+	// answered is set when the target has answered the last digest.
+	answered  bool
+	differing int
+	progress  int
+	deadline  bulrushchute.Millis
+	next      bulrushchute.Millis
+}
+
+// advanceJoin takes the next step of the join, if one is due.
+func (m *Membership) advanceJoin(now bulrushchute.Millis, actions []Action) []Action {
+	if m.status.Joined {
+		return actions
+	}
+	if len(m.otherSeeds()) == 0 {
+		m.finishJoin(now)
+		return actions
+	}
+	j := &m.join
+	if records := m.table.Stats().Records; records != j.progress {
+		j.progress = records
+		j.deadline = now + joinTimeout
+	}
+	switch {
+	case j.target == "" || now >= j.deadline:
+		return m.startStage(now, actions)
+	case !j.answered || now < j.next || m.table.Outstanding() > 0:
+		return actions
+	case j.differing > 0 && j.rounds < joinRounds:
+		return m.compareJoin(now, actions)
+	}
+	return m.endStage(now, actions)
+}
+
+// startStage begins the stage with another peer.
+func (m *Membership) startStage(now bulrushchute.Millis, actions []Action) []Action {
+	m.join.target = m.joinPeer()
+	m.join.rounds = 0
+	return m.compareJoin(now, actions)
+}
+
+func (m *Membership) compareJoin(now bulrushchute.Millis, actions []Action) []Action {
+	m.join.answered = false
+	m.join.rounds++
+	m.join.deadline = now + joinTimeout
+	return append(actions, m.table.Compare(now, m.join.target)...)
+}
+
+func (m *Membership) endStage(now bulrushchute.Millis, actions []Action) []Action {
+	if m.join.stage == stageCompare {
+		m.finishJoin(now)
+		return actions
+	}
+	m.join.stage = stageCompare
+	m.join.copied = m.join.target
+	if len(m.joinCandidates()) == 0 {
+		m.finishJoin(now) // there is no second peer
+		return actions
+	}
+	return m.startStage(now, actions)
+}
+
+// compared follows the answer to a digest.
+func (m *Membership) compared(now bulrushchute.Millis, comparison bulrushspread.Comparison) {
+	if m.status.Joined || comparison.With != m.join.target {
+		return
+	}
+	m.join.answered = true
+	m.join.differing = comparison.Differing
+	m.join.next = now + joinPause
+}
+
+// finishJoin makes the node a part of the overlay. Its record is published
+// again because nobody heard of the first one.
+func (m *Membership) finishJoin(now bulrushchute.Millis) {
+	m.status.Joined = true
+	m.contact = now
+	m.resumed = now
+	m.overlayChanged = true
+	m.updateOverlay(now)
+	m.updateNeighbours(now)
+	m.publishSelf(now)
+}
+
+func (m *Membership) otherSeeds() []bulrushchute.Address {
+	var others []bulrushchute.Address
+	for _, seed := range m.seeds {
+		if seed != m.self.Address {
+			others = append(others, seed)
+		}
+	}
+	return others
+}
+
+// joinPeer chooses a peer at random.
+func (m *Membership) joinPeer() bulrushchute.Address {
+	candidates := m.joinCandidates()
+	if len(candidates) == 0 {
+		return ""
+	}
+	return candidates[m.config.Random.IntN(len(candidates))]
+}
+
+// joinCandidates returns the seeds for the copy. For the comparison it
+// returns members of this data centre, or else any peer but the first.
+func (m *Membership) joinCandidates() []bulrushchute.Address {
+	seeds := m.otherSeeds()
+	if m.join.stage == stageCopy {
+		return seeds
+	}
+	candidates := m.candidatesIn(m.members.centre(m.self.DataCentre))
+	if len(candidates) > 0 {
+		return candidates
+	}
+	for _, seed := range seeds {
+		if seed != m.join.copied {
+			candidates = append(candidates, seed)
+		}
+	}
+	for _, dc := range m.members.centreOrder {
+		candidates = append(candidates, m.candidatesIn(dc)...)
+	}
+	return candidates
+}
+
+func (m *Membership) candidatesIn(dc *dataCentre) []bulrushchute.Address {
+	var candidates []bulrushchute.Address
+	for _, other := range dc.members {
+		address := other.instance.Address
+		if address != m.self.Address && address != m.join.copied {
+			candidates = append(candidates, address)
+		}
+	}
+	return candidates
+}
--- /dev/null
+++ b/bulrushmembership/link.go
@@ -0,0 +1,228 @@
+package bulrushmembership
+
+import (
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushspread"
+)
+
+const (
+	heartbeatInterval = bulrushchute.Second
+	// sentCount is how many sent heartbeats are remembered to check acknowledgements.
+	sentCount = 512
+	// roundTripGain is the weight of a new round-trip time, the usual one eighth.
+	roundTripGain = 0.125
+	// maxInbound and inboundIdle bound the nodes of other data centres that
+	// are neighbours only because they send heartbeats to this node.
+	maxInbound  = 8
+	inboundIdle = 5 * bulrushchute.Second
+)
+
+type linkKind uint8
+
+// Kinds of links. Only members on ring links are monitored.
+const (
+	linkRing linkKind = iota
+	linkBridge
+	linkExtra
+)
+
+// link is a node that this one sends heartbeats to.
+type link struct {
+	id      bulrushchute.InstanceID
+	address bulrushchute.Address
+	home    *dataCentre
+	kind    linkKind
+	since   bulrushchute.Millis
+	heard   bulrushchute.Millis
+	next    bulrushchute.Millis
+	// jitter delays this node's confirmation, so that not all monitors confirm at once.
+	jitter   bulrushchute.Millis
+	rttMs    float64
+	measured bool
+	kept     bool
+}
+
+// links holds the links in a fixed order.
+type links struct {
+	byID  map[bulrushchute.InstanceID]*link
+	order []*link
+}
+
+func (ls *links) has(id bulrushchute.InstanceID) bool {
+	_, ok := ls.byID[id]
+	return ok
+}
+
+// begin starts a replacement of the set of links.
+func (ls *links) begin() {
+	for _, l := range ls.order {
+		l.kept = false
+	}
+}
+
+// keep adds a link or carries it over. A link named twice keeps its first kind.
+func (ls *links) keep(now bulrushchute.Millis, m *Membership, to *member, kind linkKind) {
+	if to == nil {
+		return
+	}
+	l, ok := ls.byID[to.instance.ID]
+	if !ok {
+		l = &link{id: to.instance.ID, since: now}
+		l.next = now + bulrushchute.Millis(m.config.Random.Int64N(int64(heartbeatInterval)))
+		l.jitter = bulrushchute.Millis(m.config.Random.Int64N(int64(confirmJitter)))
+		ls.byID[l.id] = l
+		ls.order = append(ls.order, l)
+	}
+	if !l.kept {
+		if ok && l.kind == linkExtra && kind != linkExtra {
+			l.since = now
+		}
+		l.kind = kind
+	}
+	l.kept = true
+	l.address = to.instance.Address
+	l.home = to.home
+}
+
+// end drops the links that were not kept.
+func (ls *links) end() {
+	kept := ls.order[:0]
+	for _, l := range ls.order {
+		if !l.kept {
+			delete(ls.byID, l.id)
+			continue
+		}
+		kept = append(kept, l)
+	}
+	clear(ls.order[len(kept):])
+	ls.order = kept
+}
+
+// sentBeat remembers a heartbeat until its acknowledgement.
+type sentBeat struct {
+	sequence uint64
+	to       bulrushchute.InstanceID
+	at       bulrushchute.Millis
+}
+
+func (m *Membership) sendHeartbeats(now bulrushchute.Millis, actions []Action) []Action {
+	for _, l := range m.links.order {
+		if now < l.next {
+			continue
+		}
+		l.next += heartbeatInterval
+		if l.next <= now {
+			l.next = now + heartbeatInterval
+		}
+		actions = m.sendHeartbeat(now, actions, l.id, l.address)
+	}
+	return actions
+}
+
+func (m *Membership) sendHeartbeat(now bulrushchute.Millis, actions []Action, to bulrushchute.InstanceID, address bulrushchute.Address) []Action {
+	m.sequence++
+	m.sent[m.sequence%sentCount] = sentBeat{sequence: m.sequence, to: to, at: now}
+	beat := &bulrushchute.Heartbeat{Sequence: m.sequence, Incarnation: m.self.Incarnation, SentAt: now}
+	beat.KeyLease = m.config.AskKeyLease != nil && m.config.AskKeyLease(now, to)
+	return m.send(actions, address, bulrushchute.Control{Heartbeat: beat})
+}
+
+// send charges a message to the budget that the record table keeps.
+// Heartbeats are never held back, because a late one looks like a failure.
+func (m *Membership) send(actions []Action, to bulrushchute.Address, message bulrushchute.Control) []Action {
+	message.From = m.self.ID
+	m.table.Charge(bulrushspread.Size(message))
+	return append(actions, Action{To: to, Message: message})
+}
+
+func (m *Membership) receiveHeartbeat(now bulrushchute.Millis, from bulrushchute.Address, message bulrushchute.Control) []Action {
+	beat := message.Heartbeat
+	ack := &bulrushchute.HeartbeatAck{Sequence: beat.Sequence, SentAt: beat.SentAt}
+	if beat.KeyLease && m.config.GrantKeyLease != nil {
+		ack.KeyLease = m.config.GrantKeyLease(now, message.From)
+	}
+	if l, ok := m.links.byID[message.From]; ok {
+		l.heard = now
+	}
+	m.tellSuspected(now, from, message.From, beat.Incarnation)
+	m.addInbound(now, from, message.From)
+	return m.send(nil, from, bulrushchute.Control{HeartbeatAck: ack})
+}
+
+// tellSuspected sends a suspicion to the member that it is about. A member
+// marked dead has no overlay neighbours that would tell it.
+func (m *Membership) tellSuspected(now bulrushchute.Millis, from bulrushchute.Address, id bulrushchute.InstanceID, incarnation uint64) {
+	if _, ok := m.members.suspicionOf(id, incarnation); ok {
+		m.table.Offer(now, from, suspicionKey(id))
+	}
+}
+
+func (m *Membership) receiveAck(now bulrushchute.Millis, from bulrushchute.Address, message bulrushchute.Control) {
+	ack := message.HeartbeatAck
+	sent := &m.sent[ack.Sequence%sentCount]
+	if sent.sequence != ack.Sequence || sent.to != message.From || sent.at != ack.SentAt {
+		return // doubled, too late, or not an answer to this node
+	}
+	*sent = sentBeat{}
+	m.contact = max(m.contact, ack.SentAt)
+	if l, ok := m.links.byID[message.From]; ok {
+		l.heard = now
+		l.measure(float64(now - ack.SentAt))
+	}
+	if known, ok := m.members.byID[message.From]; ok {
+		known.home.heard = max(known.home.heard, ack.SentAt)
+	}
+	m.addInbound(now, from, message.From)
+	if m.config.OnAck != nil {
+		m.config.OnAck(now, message.From, *ack)
+	}
+}
+
+func (l *link) measure(elapsedMs float64) {
+	if !l.measured {
+		l.rttMs = elapsedMs
+		l.measured = true
+		return
+	}
+	l.rttMs += roundTripGain * (elapsedMs - l.rttMs)
+}
+
+// inboundPeer is a node of another data centre that exchanged a heartbeat
+// with this node and is not a link. After a long cut the two sides may choose
+// different bridges; then each side follows the other's choice too.
+type inboundPeer struct {
+	id      bulrushchute.InstanceID
+	address bulrushchute.Address
+	until   bulrushchute.Millis
+}
+
+func (m *Membership) addInbound(now bulrushchute.Millis, from bulrushchute.Address, id bulrushchute.InstanceID) {
+	if m.links.has(id) || id == m.self.ID {
+		return
+	}
+	if known, ok := m.members.byID[id]; ok && known.home.name == m.self.DataCentre {
+		return
+	}
+	for i := range m.inbound {
+		if m.inbound[i].id == id {
+			m.inbound[i].until = now + inboundIdle
+			return
+		}
+	}
+	if len(m.inbound) < maxInbound {
+		m.inbound = append(m.inbound, inboundPeer{id: id, address: from, until: now + inboundIdle})
+		m.neighboursChanged = true
+	}
+}
+
+func (m *Membership) dropInbound(now bulrushchute.Millis) bool {
+	kept := m.inbound[:0]
+	for _, in := range m.inbound {
+		if now < in.until && !m.links.has(in.id) {
+			kept = append(kept, in)
+		}
+	}
+	dropped := len(kept) < len(m.inbound)
+	m.inbound = kept
+	return dropped
+}
--- /dev/null
+++ b/bulrushspread/digest.go
@@ -0,0 +1,240 @@
+package bulrushspread
+
+import (
+	"bulrushchute.example/bulrushchute"
+)
+
+const (
+	// compareInterval is the time between two comparisons with neighbours.
+	compareInterval = 10 * bulrushchute.Second
+	compareJitter   = 2 * bulrushchute.Second
+	// busyChanges is the number of recent changes above which most differences
+	// are changes under way, which a comparison would only send again.
+	busyChanges = 64
+	// repairBytes bounds what one comparison with a neighbour makes a node announce.
+	repairBytes = 64 << 10
+)
+
+// transfer sends the content of the buckets in which a peer differs. Buckets
+// that the peer has no record in are sent whole, the others as versions.
+type transfer struct {
+	buckets []uint8
+	whole   [BucketCount]bool
+	at      int
+	// limit is the number of bytes left to send, negative for no limit.
+	limit int
+	// digest, if set, is sent at the end to answer the peer's own digest.
+	digest bool
+}
+
+// Compare sends a digest to a node, which answers with what this table lacks.
+// OnCompare reports the result.
+func (t *Table) Compare(now bulrushchute.Millis, with bulrushchute.Address) []Action {
+	p := t.peerAt(now, with)
+	if p == nil {
+		return nil
+	}
+	t.comparing[with] = true
+	digest := bulrushchute.Digest{Buckets: t.digestFor(p), Reply: true}
+	return t.send(nil, p, bulrushchute.Control{Digest: &digest})
+}
+
+func (t *Table) digestFor(p *peer) []uint64 {
+	buckets := t.hashesFor(p)
+	return append([]uint64(nil), buckets[:]...)
+}
+
+func (t *Table) hashesFor(p *peer) *[BucketCount]uint64 {
+	if p.guest || p.neighbour.Bridge {
+		return &t.shared
+	}
+	return &t.all
+}
+
+func (t *Table) scheduleCompare(now bulrushchute.Millis) {
+	t.nextCompare = now + compareInterval - compareJitter/2
+	if t.config.Random != nil {
+		t.nextCompare += bulrushchute.Millis(t.config.Random.Int64N(int64(compareJitter)))
+	}
+}
+
+// startPeriodicCompare queues a digest for one neighbour.
+func (t *Table) startPeriodicCompare(now bulrushchute.Millis) {
+	if now < t.nextCompare {
+		return
+	}
+	t.scheduleCompare(now)
+	if t.recent.count(now) > busyChanges {
+		return
+	}
+	if p := t.randomNeighbour(); p != nil {
+		p.digests = append(p.digests[:0], bulrushchute.Digest{Buckets: t.digestFor(p), Reply: true})
+	}
+}
+
+func (t *Table) randomNeighbour() *peer {
+	var neighbours []*peer
+	for _, p := range t.order {
+		if !p.guest {
+			neighbours = append(neighbours, p)
+		}
+	}
+	if len(neighbours) == 0 {
+		return nil
+	}
+	if t.config.Random == nil {
+		return neighbours[0]
+	}
+	return neighbours[t.config.Random.IntN(len(neighbours))]
+}
+
+func (t *Table) receiveDigest(now bulrushchute.Millis, p *peer, digest *bulrushchute.Digest) {
+	differing := t.difference(p, digest.Buckets)
+	if digest.Reply {
+		t.answerDigest(p, digest, differing)
+		return
+	}
+	if t.comparing[p.neighbour.Address] {
+		delete(t.comparing, p.neighbour.Address)
+		if t.config.OnCompare != nil {
+			t.config.OnCompare(now, Comparison{With: p.neighbour.Address, Differing: len(differing)})
+		}
+	}
+	if len(differing) > 0 && p.transfer == nil {
+		p.transfer = &transfer{buckets: differing, limit: repairBytes}
+	}
+}
+
+// difference lists the buckets that differ, from a random one on, so that
+// repeated comparisons under a limit reach all of them. A digest without
+// buckets says that there is no difference.
+func (t *Table) difference(p *peer, buckets []uint64) []uint8 {
+	if len(buckets) == 0 {
+		return nil
+	}
+	start := 0
+	if t.config.Random != nil {
+		start = t.config.Random.IntN(BucketCount)
+	}
+	own := t.hashesFor(p)
+	var differing []uint8
+	for i := range buckets {
+		b := (start + i) % BucketCount
+		if own[b] != buckets[b] {
+			differing = append(differing, uint8(b))
+		}
+	}
+	return differing
+}
+
+func (t *Table) answerDigest(p *peer, digest *bulrushchute.Digest, differing []uint8) {
+	if len(differing) == 0 {
+		p.digests = append(p.digests[:0], bulrushchute.Digest{})
+		return
+	}
+	if p.transfer != nil && p.transfer.at > 0 {
+		return // the peer repeats itself; the transfer under way answers it
+	}
+	tr := &transfer{buckets: differing, limit: repairBytes, digest: true}
+	if p.guest {
+		tr.limit = -1
+	}
+	for _, b := range differing {
+		tr.whole[b] = digest.Buckets[b] == 0
+	}
+	p.transfer = tr
+}
+
+// flushTransfers sends parts of the transfers under way, a bounded number of bytes a tick.
+func (t *Table) flushTransfers(actions []Action) []Action {
+	left := bulkTickBytes
+	for i := range t.order {
+		p := t.order[(i+t.rotation)%len(t.order)]
+		for p.transfer != nil && left > 0 && t.bulkAllowed() {
+			before := t.stats.BulkBytes + t.stats.SentBytes
+			actions = t.transferStep(actions, p)
+			left -= int(t.stats.BulkBytes + t.stats.SentBytes - before)
+		}
+	}
+	return actions
+}
+
+func (t *Table) bulkAllowed() bool {
+	return t.budget.bulk > 0 || t.budget.allows(classMember)
+}
+
+// transferStep sends one bucket, or the end of a transfer.
+func (t *Table) transferStep(actions []Action, p *peer) []Action {
+	tr := p.transfer
+	if tr.at >= len(tr.buckets) || tr.limit == 0 {
+		p.transfer = nil
+		if !tr.digest {
+			return actions
+		}
+		digest := bulrushchute.Digest{Buckets: t.digestFor(p)}
+		return t.sendBulk(actions, p, bulrushchute.Control{Digest: &digest})
+	}
+	b := tr.buckets[tr.at]
+	tr.at++
+	before := t.stats.BulkBytes + t.stats.SentBytes
+	if tr.whole[b] {
+		actions = t.sendBucketRecords(actions, p, b)
+	} else {
+		actions = t.sendBucketVersions(actions, p, b)
+	}
+	if tr.limit > 0 {
+		tr.limit = max(0, tr.limit-int(t.stats.BulkBytes+t.stats.SentBytes-before))
+	}
+	return actions
+}
+
+func (t *Table) sendBucketRecords(actions []Action, p *peer, b uint8) []Action {
+	var records []bulrushchute.Record
+	size := 0
+	flush := func() {
+		if len(records) > 0 {
+			actions = t.sendBulk(actions, p, bulrushchute.Control{Records: &bulrushchute.Records{Records: records}})
+		}
+		records, size = nil, 0
+	}
+	for _, e := range t.buckets[b] {
+		if !t.inDigest(p, e) {
+			continue
+		}
+		records = append(records, e.record)
+		size += sizeRecord(&e.record)
+		if size >= bulkBatchBytes {
+			flush()
+		}
+	}
+	flush()
+	return actions
+}
+
+func (t *Table) sendBucketVersions(actions []Action, p *peer, b uint8) []Action {
+	var versions []bulrushchute.RecordVersionOf
+	for _, e := range t.buckets[b] {
+		if t.inDigest(p, e) {
+			versions = append(versions, bulrushchute.RecordVersionOf{Key: e.record.Key, Version: e.record.Version})
+		}
+		if len(versions) == maxListed/16 {
+			actions = t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
+			versions = nil
+		}
+	}
+	if len(versions) == 0 {
+		return actions
+	}
+	return t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
+}
+
+// inDigest tells whether a record belongs to the digest used with a peer.
+func (t *Table) inDigest(p *peer, e *entry) bool {
+	switch e.record.Key.Topic {
+	case bulrushchute.TopicBeat:
+		return false
+	case bulrushchute.TopicDataCentre:
+		return !p.guest && !p.neighbour.Bridge
+	}
+	return true
+}
