Make the adaptive limit exact enough for widely spread latencies

Cause: against a fake server with exponential service times, a single slow answer halved the cold ramp, so a healthy server never left it; the baseline followed a lasting overload; and the queue dispatched most work at its last moment, so that half of it was late. Change: only three slow answers halve the ramp; a smoothed strain shows smaller slowdowns; the baseline stands nearly still while load may explain the latency; a queued request must have the time of nearly all answers left.

--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -63,7 +63,7 @@
 		probes:      newProbeBudget(settings.withDefaults().ProbesPerS),
 	}
 	c.use(settings)
-	c.adaptive.limit = float64(c.slots())
+	c.adaptive = newAdaptiveLimit(c.slots())
 	c.ramp.enter(now, c.coldSlots())
 	return c
 }
--- a/bulrushadmission/evidence.go
+++ b/bulrushadmission/evidence.go
@@ -27,17 +27,20 @@
 // learn draws the conclusions from the end of a request.
 func (c *Controller) learn(t *ticket, result Result) {
 	elapsedMs := c.elapsedMs(t, result)
+	t.lowLoad = t.lowLoad && len(c.running) <= c.lowLoad()
 	f := c.judge(t, result, elapsedMs)
+	strain := t.route.strain(elapsedMs)
 	if result.Kind == bulrushchute.ResultAnswered && !result.Overloaded {
 		c.learnLatency(t, elapsedMs)
 	}
 	if t.epoch != c.epoch {
 		return
 	}
+	c.apply(t, f)
 	if result.Kind == bulrushchute.ResultAnswered {
+		c.noteStrain(strain)
 		c.reportCold(fromAnswer, result.Cold)
 	}
-	c.apply(t, f)
 }
 
 // elapsedMs returns the reported latency, or the one by the controller's own
@@ -96,25 +99,21 @@
 
 // learnLatency updates the route's baseline and the reported service time.
 func (c *Controller) learnLatency(t *ticket, elapsedMs float64) {
-	step := learnStep
-	if t.route.slow(elapsedMs) {
-		step = c.slowStep(t)
-	}
-	t.route.observe(elapsedMs, step)
+	t.route.observe(elapsedMs, c.learnStep(t))
 	c.serviceMs = average(c.serviceMs, elapsedMs, serviceStep)
 }
 
-// slowStep lets the baseline follow a slow answer only as far as the load
-// cannot have caused it. Otherwise the limit would never recover from a
-// slowdown that lasts.
-func (c *Controller) slowStep(t *ticket) float64 {
+// learnStep lets the baseline follow latencies only as far as the load cannot
+// have caused them. A slow server whose limit is down to low load is measured
+// anew, so the limit recovers from a slowdown that lasts.
+func (c *Controller) learnStep(t *ticket) float64 {
 	switch {
 	case c.ramp.warming:
 		return coldStep
-	case t.lowLoad:
+	case t.lowLoad || c.adaptive.limit+1 > float64(c.slots()):
 		return learnStep
 	default:
-		return slowStep
+		return strainedStep
 	}
 }
 
@@ -134,22 +133,29 @@
 }
 
 // noteTrouble adds evidence against the present limits. A cut starts a new
-// epoch, so that requests already in flight do not cause a second one.
+// epoch, so that requests already in flight do not cause a second one. A single
+// slow answer is ordinary where latencies spread widely and cuts nothing.
 func (c *Controller) noteTrouble(weight float64) {
 	if weight <= 0 {
 		return
 	}
-	if weight >= halfWeight {
-		c.ramp.bad(c.now, c.coldSlots())
-	}
 	if c.adaptive.bad(weight) {
-		c.epoch++
-		c.limitCut = true
+		c.noteCut()
+	}
+}
+
+// noteStrain takes note of the latency of an answer.
+func (c *Controller) noteStrain(strain float64) {
+	if c.adaptive.observe(strain) {
+		c.noteCut()
 	}
 }
 
-// halfWeight separates failures that are unusual for their route from usual ones.
-const halfWeight = 0.5
+func (c *Controller) noteCut() {
+	c.ramp.bad(c.now, c.coldSlots())
+	c.epoch++
+	c.limitCut = true
+}
 
 // noteCold adds evidence that the server has become cold without saying so.
 func (c *Controller) noteCold(weight float64) {
--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -74,7 +74,7 @@
 	c.drain = drainMeter{}
 	c.serviceMs = 0
 	c.failedProbes = 0
-	c.adaptive = adaptiveLimit{limit: float64(c.slots())}
+	c.adaptive = newAdaptiveLimit(c.slots())
 	c.enterRamp()
 	c.usedAt = c.now
 	return c.finish(releases)
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -12,6 +12,14 @@
 	evidenceRelief = 0.5
 	// cutFactor is what remains of the limit after a cut.
 	cutFactor = 0.5
+	// strainStep is the weight of one answer in the strain.
+	strainStep = 0.1
+	// A strain above strainToCut cuts the limit by strainFactor, and one above
+	// strainToHold keeps it from rising. For latencies that spread as widely as
+	// an exponential distribution, chance alone moves the strain by 0.23.
+	strainToCut  = 1.8
+	strainToHold = 1.3
+	strainFactor = 0.7
 	// minLimit keeps one request in flight, without which no answer could show
 	// that the server has recovered.
 	minLimit = 1.0
@@ -21,14 +29,35 @@
 
 // adaptiveLimit is the limit below the slots that follows the server's health.
 type adaptiveLimit struct {
-	limit    float64
+	limit float64
+	// evidence shows a sudden and large slowdown, or failures, in a few answers.
 	evidence float64
+	// strain is the recent latency in multiples of the baseline. It shows
+	// smaller slowdowns after some more answers.
+	strain float64
+}
+
+func newAdaptiveLimit(slots int) adaptiveLimit {
+	return adaptiveLimit{limit: float64(slots), strain: 1}
 }
 
 // good takes note of a good answer: about one more slot for each limit's worth.
 func (al *adaptiveLimit) good(slots int) {
 	al.evidence = max(0, al.evidence-evidenceRelief)
-	al.limit = min(al.limit+1/al.limit, float64(slots))
+	if al.strain < strainToHold {
+		al.limit = min(al.limit+1/al.limit, float64(slots))
+	}
+}
+
+// observe takes note of an answer's latency in multiples of the baseline and
+// reports whether the limit was cut.
+func (al *adaptiveLimit) observe(strain float64) bool {
+	al.strain += strainStep * (strain - al.strain)
+	if al.strain < strainToCut {
+		return false
+	}
+	al.cut(strainFactor)
+	return true
 }
 
 // bad takes note of a slow or failed answer and reports whether the limit was cut.
@@ -37,11 +66,18 @@
 	if al.evidence+rounding < evidenceToCut {
 		return false
 	}
-	al.evidence = 0
-	al.limit = max(minLimit, al.limit*cutFactor)
+	al.cut(cutFactor)
 	return true
 }
 
+// cut lowers the limit and forgets what led to it, so that only answers under
+// the new limit can lower it further. The limit holds until these are good.
+func (al *adaptiveLimit) cut(factor float64) {
+	al.evidence = 0
+	al.strain = strainToHold
+	al.limit = max(minLimit, al.limit*factor)
+}
+
 // coldRamp limits a cold server. Each good answer earns the growth of the time
 // since the one before, at most one slot, so the ramp takes at least warm_ms
 // and stands still without good answers.
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -9,6 +9,13 @@
 // place of less important work.
 const totalQueueFactor = 2
 
+// Parts of a route's typical time, and of a request's time left when offered,
+// see workMs.
+const (
+	leastWork = 0.5
+	mostWork  = 0.5
+)
+
 // Offer asks for a slot. A request with the id of one that has not ended is refused.
 func (c *Controller) Offer(now bulrushchute.Millis, request Request) Decision {
 	releases := c.begin(now)
@@ -74,7 +81,7 @@
 // hopeless sets the end of the ticket's wait and reports whether the expected
 // wait is longer than that.
 func (c *Controller) hopeless(t *ticket) (bulrushchute.Reason, bool) {
-	latest := t.request.Deadline - bulrushchute.Millis(t.route.typicalMs)
+	latest := t.request.Deadline - t.workMs()
 	t.expiresAt, t.expiry = latest, bulrushchute.ReasonDeadline
 	if timeout := c.now + c.settings.Limits.QueueMs; timeout < latest {
 		t.expiresAt, t.expiry = timeout, bulrushchute.ReasonQueueTimeout
@@ -89,6 +96,16 @@
 	return bulrushchute.ReasonDeadline, true
 }
 
+// workMs returns the time that must be left before the deadline at dispatch.
+// Under lasting overload a queue dispatches most work at the last moment, so
+// this is the time in which nearly all answers come, but no more than half of
+// what the caller allows.
+func (t *ticket) workMs() bulrushchute.Millis {
+	left := float64(t.request.Deadline - t.offeredAt)
+	work := max(leastWork*t.route.typicalMs, min(t.route.upperMs, mostWork*left))
+	return bulrushchute.Millis(work)
+}
+
 // ahead estimates how many waiting requests get a slot before the ticket. Other
 // tenants and classes get their shares while the ticket's own predecessors are served.
 func (c *Controller) ahead(t *ticket) float64 {
--- a/bulrushadmission/route.go
+++ b/bulrushadmission/route.go
@@ -11,15 +11,23 @@
 	// route is forgotten first.
 	maxRoutes = 64
 	// learnSamples is the number of answers before a route's baseline is used.
-	learnSamples = 8
-	// learnStep is the relative change of a baseline for one ordinary answer.
+	learnSamples = 16
+	// matureSamples is the number of answers whose plain mean starts a baseline.
+	// The first answers of a new route are its fastest, so the baseline must move
+	// on whatever the load.
+	matureSamples = 100
+	// learnStep is the weight of one answer in a baseline.
 	learnStep = 0.03
-	// slowStep is used for a slow answer under load. A sudden slowdown must not
-	// become the baseline before the limit has reacted.
-	slowStep = 0.003
-	// coldStep is used for a slow answer of a cold server. It lets a server that
-	// stays slow leave the ramp in the end.
+	// strainedStep is used under load while the limit is down, when the load may
+	// have caused the latency. At a larger step the baseline follows the slowdown
+	// and the limit rises too early; at none a limit held by a lasting change of
+	// the server's own speed would never rise.
+	strainedStep = 0.001
+	// coldStep is used while the server is cold. It lets a server that stays slow
+	// leave the ramp in the end.
 	coldStep = 0.01
+	// outlierFactor bounds the effect of one answer, such as one that hung.
+	outlierFactor = 4.0
 	// upperQuantile is the quantile that route.upperMs follows.
 	upperQuantile = 0.9
 	// An answer is slow above both of these multiples. The upper quantile keeps
@@ -36,7 +44,8 @@
 
 // route is the baseline of one route: what its answers take when the server is well.
 type route struct {
-	samples     int
+	samples int
+	// typicalMs is the mean, without the excess of outliers.
 	typicalMs   float64
 	upperMs     float64
 	failureRate float64
@@ -69,20 +78,32 @@
 		r.typicalMs = elapsedMs
 		r.upperMs = elapsedMs
 	}
-	if !r.learned() {
+	sample := elapsedMs
+	if r.learned() {
+		sample = min(elapsedMs, outlierFactor*r.typicalMs)
+	}
+	if r.samples < matureSamples {
 		r.samples++
-		step = 1 / float64(r.samples+1)
+		step = max(step, 1/float64(r.samples))
 	}
-	r.typicalMs = follow(r.typicalMs, elapsedMs, 0.5, step)
+	r.typicalMs += step * (sample - r.typicalMs)
 	r.upperMs = max(follow(r.upperMs, elapsedMs, upperQuantile, step), r.typicalMs)
 }
 
+// strain returns a latency in multiples of the baseline.
+func (r *route) strain(elapsedMs float64) float64 {
+	if !r.learned() {
+		return 1
+	}
+	return min(outlierFactor, elapsedMs/(r.typicalMs+jitterMs))
+}
+
 // follow moves an estimate of a quantile by one relative step towards a sample.
 func follow(estimate, sample, quantile, step float64) float64 {
 	if sample > estimate {
-		return min(estimate*math.Exp(2*step*quantile), sample)
+		return estimate * math.Exp(2*step*quantile)
 	}
-	return max(estimate*math.Exp(-2*step*(1-quantile)), sample)
+	return estimate * math.Exp(-2*step*(1-quantile))
 }
 
 // observeFailure updates the route's failure rate.
--- a/bulrushadmission/ticket.go
+++ b/bulrushadmission/ticket.go
@@ -25,7 +25,7 @@
 	overdueAt bulrushchute.Millis
 	overdue   bool
 	cancelled bool
-	// lowLoad is set when few others were in flight at dispatch.
+	// lowLoad is set when few others were in flight at dispatch and at the end.
 	lowLoad bool
 	// epoch tells answers to requests from before the last cut or cold start,
 	// which say nothing about the present limit.
