Test each admission rule by name

Cause: the property tests check promises, not which rule answers when. Change: tables for offers under load, limits and ramp, shares, waits and bounded memory, an Example, benchmarks of Offer and Done. Three failures in a row now cut the limit; each lowers the weight of the next, so four were needed.

--- a/bulrushadmission/evidence.go
+++ b/bulrushadmission/evidence.go
@@ -15,7 +15,7 @@
 
 const (
 	// evidenceOfCold is the evidence that starts the cold ramp again.
-	evidenceOfCold = 3.0
+	evidenceOfCold = evidenceToCut
 	// Latencies outside these bounds are not plausible.
 	minElapsedMs = 0.001
 	maxElapsedMs = float64(bulrushchute.Hour)
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -6,7 +6,9 @@
 
 const (
 	// evidenceToCut is the evidence, in slow or failed answers, that cuts the limit.
-	evidenceToCut = 3.0
+	// It is met by three in a row. Each failure raises its route's failure rate,
+	// so that three of them weigh 2.85.
+	evidenceToCut = 2.8
 	// evidenceRelief is the evidence that one good answer takes back. At half an
 	// answer, occasional slow answers add up to nothing.
 	evidenceRelief = 0.5
--- /dev/null
+++ b/bulrushadmission/rules_test.go
@@ -0,0 +1,308 @@
+package bulrushadmission
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+)
+
+func Example() {
+	entry := bulrushcatalogue.ServiceEntry{Service: "ledger", Limits: bulrushcatalogue.Limits{Slots: 1}}
+	controller := New(1000, SettingsOf(entry))
+
+	first := Request{ID: bulrushchute.AttemptID{1}, Route: "filings", Deadline: 2000}
+	second := Request{ID: bulrushchute.AttemptID{2}, Route: "filings", Deadline: 2000}
+	fmt.Println(controller.Offer(1000, first).Verdict)
+	fmt.Println(controller.Offer(1001, second).Verdict)
+
+	answered := Result{Kind: bulrushchute.ResultAnswered, ElapsedMs: 8.5}
+	for _, release := range controller.Done(1009, first.ID, answered) {
+		fmt.Println(release.ID[0], release.Admitted, release.Waited)
+	}
+
+	controller.Drain(1010)
+	third := Request{ID: bulrushchute.AttemptID{3}, Route: "filings", Deadline: 2000}
+	decision := controller.Offer(1010, third)
+	fmt.Println(decision.Verdict, decision.Refusal.Reason)
+	// Output:
+	// admitted
+	// queued
+	// 2 true 8
+	// refused leaving
+}
+
+// rig is a warm controller with all slots taken by requests 1 to slots.
+func rig(limits bulrushcatalogue.Limits, tenants ...bulrushcatalogue.TenantShare) *Controller {
+	c := New(0, Settings{Limits: limits, Tenants: tenants})
+	c.ramp.warming = false
+	for n := range c.slots() {
+		c.Offer(0, Request{ID: attemptID(uint64(n + 1)), Tenant: "holder", Deadline: bulrushchute.Hour})
+	}
+	return c
+}
+
+var answered = Result{Kind: bulrushchute.ResultAnswered, ElapsedMs: 10}
+
+// fillQueue queues n requests with ids from first on.
+func fillQueue(c *Controller, first, n uint64, tenant bulrushchute.Tenant, class bulrushchute.Class) {
+	for id := first; id < first+n; id++ {
+		c.Offer(0, Request{ID: attemptID(id), Tenant: tenant, Class: class, Deadline: bulrushchute.Hour})
+	}
+}
+
+// Guards against wrong reasons and victims when a request cannot be admitted at once.
+func TestOfferUnderLoad(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(*Controller)
+		request Request
+		verdict Verdict
+		reason  bulrushchute.Reason
+		// released is the reason for which another request must leave, if any.
+		released bulrushchute.Reason
+	}{
+		"room in the queue": {verdict: Queued},
+		"deadline passed":   {request: Request{Deadline: -1}, reason: bulrushchute.ReasonDeadline},
+		"deadline before the expected slot": {
+			prepare: func(c *Controller) { c.drain.slotMs = 200 },
+			request: Request{Deadline: 90}, reason: bulrushchute.ReasonDeadline,
+		},
+		"expected slot after the queue's time": {
+			prepare: func(c *Controller) { c.drain.slotMs = 500 }, reason: bulrushchute.ReasonBusy,
+		},
+		"id in use": {request: Request{ID: attemptID(1)}, reason: bulrushchute.ReasonMalformed},
+		"draining":  {prepare: func(c *Controller) { c.Drain(0) }, reason: bulrushchute.ReasonLeaving},
+		"withdrawn": {prepare: func(c *Controller) { c.Withdraw(0, true) }, reason: bulrushchute.ReasonWithdrawn},
+		"back from withdrawal": {
+			prepare: func(c *Controller) { c.Withdraw(0, true); c.Withdraw(0, false) }, verdict: Queued,
+		},
+		"class full of its own tenant": {
+			prepare: func(c *Controller) { fillQueue(c, 10, 4, "a", bulrushchute.ClassStandard) },
+			request: Request{Tenant: "a"}, reason: bulrushchute.ReasonBusy,
+		},
+		"class full of another tenant": {
+			prepare: func(c *Controller) { fillQueue(c, 10, 4, "b", bulrushchute.ClassStandard) },
+			request: Request{Tenant: "a"}, verdict: Queued, released: bulrushchute.ReasonTenantLimit,
+		},
+		"tenant beyond its share of a full class": {
+			prepare: func(c *Controller) {
+				fillQueue(c, 10, 3, "a", bulrushchute.ClassStandard)
+				fillQueue(c, 20, 1, "b", bulrushchute.ClassStandard)
+			},
+			request: Request{Tenant: "a"}, reason: bulrushchute.ReasonTenantLimit,
+		},
+		"all classes full, less important work waits": {
+			prepare: func(c *Controller) {
+				fillQueue(c, 10, 4, "a", bulrushchute.ClassBulk)
+				fillQueue(c, 20, 4, "a", bulrushchute.ClassCritical)
+			},
+			request: Request{Tenant: "a"}, verdict: Queued, released: bulrushchute.ReasonShed,
+		},
+		"all classes full, only more important work waits": {
+			prepare: func(c *Controller) {
+				fillQueue(c, 10, 4, "a", bulrushchute.ClassStandard)
+				fillQueue(c, 20, 4, "a", bulrushchute.ClassCritical)
+			},
+			request: Request{Tenant: "b", Class: bulrushchute.ClassBulk}, reason: bulrushchute.ReasonBusy,
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := rig(bulrushcatalogue.Limits{Slots: 2, Queue: 4})
+			if tc.prepare != nil {
+				tc.prepare(c)
+			}
+			request := tc.request
+			if request.ID == (bulrushchute.AttemptID{}) {
+				request.ID = attemptID(99)
+			}
+			if request.Class == bulrushchute.ClassCritical {
+				request.Class = bulrushchute.ClassStandard
+			}
+			if request.Deadline == 0 {
+				request.Deadline = bulrushchute.Hour
+			}
+			decision := c.Offer(0, request)
+			assert.Equal(t, decision.Verdict, tc.verdict)
+			assert.Equal(t, decision.Refusal.Reason, tc.reason)
+			assert.Equal(t, len(decision.Releases) == 1, tc.released != "")
+			if tc.released != "" {
+				assert.Equal(t, decision.Releases[0].Refusal.Reason, tc.released)
+			}
+		})
+	}
+}
+
+// Guards against a limit or ramp that moves without its cause, or not with it.
+func TestLimits(t *testing.T) {
+	good := func(c *Controller, n int, everyMs bulrushchute.Millis) {
+		for range n {
+			c.Offer(c.now+everyMs, Request{ID: attemptID(1000), Deadline: bulrushchute.Hour})
+			c.Done(c.now, attemptID(1000), answered)
+		}
+	}
+	bad := func(c *Controller, n int, result Result) {
+		for range n {
+			c.Offer(c.now+1, Request{ID: attemptID(1000), Deadline: bulrushchute.Hour})
+			c.Done(c.now, attemptID(1000), result)
+		}
+	}
+	cases := map[string]struct {
+		events func(*Controller)
+		limit  int
+		cold   bool
+	}{
+		"start":                         {func(*Controller) {}, 1, true},
+		"time alone":                    {func(c *Controller) { c.Tick(10 * bulrushchute.Minute) }, 1, true},
+		"many answers in little time":   {func(c *Controller) { good(c, 1000, 0) }, 1, true},
+		"half of warm_ms":               {func(c *Controller) { good(c, 50, 10) }, 5, true},
+		"all of warm_ms":                {func(c *Controller) { good(c, 101, 10) }, 10, false},
+		"one answer late in the ramp":   {func(c *Controller) { good(c, 1, 10*bulrushchute.Second) }, 2, true},
+		"failures in the ramp":          {func(c *Controller) { good(c, 50, 10); bad(c, 3, Result{Kind: bulrushchute.ResultUnknown}) }, 2, true},
+		"failures at low load":          {func(c *Controller) { good(c, 101, 10); bad(c, 4, Result{Kind: bulrushchute.ResultUnknown}) }, 1, true},
+		"latency far above at low load": {func(c *Controller) { good(c, 101, 10); bad(c, 3, Result{ElapsedMs: 200}) }, 1, true},
+		"one odd answer":                {func(c *Controller) { good(c, 101, 10); bad(c, 1, Result{ElapsedMs: 5000}) }, 10, false},
+		"callers that give up": {func(c *Controller) {
+			good(c, 101, 10)
+			bad(c, 20, Result{Kind: bulrushchute.ResultCancelled, ElapsedMs: 1})
+		}, 10, false},
+		"reported cold by an answer": {func(c *Controller) {
+			good(c, 101, 10)
+			bad(c, 1, Result{ElapsedMs: 10, Cold: true})
+		}, 1, true},
+		"reported cold by a probe": {func(c *Controller) { good(c, 101, 10); c.ObserveProbe(c.now, ProbeReport{Cold: true}) }, 1, true},
+		"stuck report of being cold": {func(c *Controller) {
+			c.ObserveProbe(c.now, ProbeReport{Cold: true})
+			good(c, 101, 10)
+			c.ObserveProbe(c.now, ProbeReport{Cold: true})
+		}, 10, false},
+		"long idle":        {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold) }, 1, true},
+		"short idle":       {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold-1) }, 10, false},
+		"restart":          {func(c *Controller) { good(c, 101, 10); c.BackendStarted(c.now, Announcement{}) }, 1, true},
+		"announced fewer":  {func(c *Controller) { good(c, 101, 10); c.Announce(c.now, Announcement{Slots: 3}) }, 3, false},
+		"few connections":  {func(c *Controller) { good(c, 101, 10); c.Announce(c.now, Announcement{Connections: 5}) }, 4, false},
+		"one failed probe": {func(c *Controller) { good(c, 101, 10); c.ObserveProbe(c.now, ProbeReport{Failed: true}) }, 10, false},
+		"no answers and failed probes": {func(c *Controller) {
+			good(c, 101, 10)
+			for range 6 {
+				c.ObserveProbe(c.now, ProbeReport{Failed: true})
+			}
+		}, 1, true},
+		"in flight and overdue": {func(c *Controller) {
+			good(c, 101, 10)
+			fillQueue(c, 1, 5, "a", bulrushchute.ClassStandard)
+			c.Tick(c.NextTick())
+		}, 5, false},
+		"tiny latencies": {func(c *Controller) { good(c, 101, 10); bad(c, 1, Result{ElapsedMs: 1e-27}) }, 10, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := New(0, Settings{Limits: bulrushcatalogue.Limits{Slots: 10, WarmMs: 1000}})
+			tc.events(c)
+			assert.Equal(t, c.Load().Limit, tc.limit)
+			assert.Equal(t, c.Load().Cold, tc.cold)
+		})
+	}
+}
+
+// Guards against shares between tenants or classes that do not follow the weights.
+func TestShares(t *testing.T) {
+	weights := []bulrushcatalogue.TenantShare{{Tenant: "a", Weight: 3}}
+	c := rig(bulrushcatalogue.Limits{Slots: 1, Queue: 100, QueueMs: bulrushchute.Hour}, weights...)
+	fillQueue(c, 1000, 60, "a", bulrushchute.ClassStandard)
+	fillQueue(c, 2000, 40, "b", bulrushchute.ClassStandard)
+	fillQueue(c, 3000, 50, "a", bulrushchute.ClassBulk)
+	running, served := attemptID(1), map[byte]int{}
+	for range 50 {
+		releases := c.Done(0, running, answered)
+		assert.Equal(t, len(releases), 1)
+		running = releases[0].ID
+		served[byte((int(running[6])<<8|int(running[7]))/1000)]++
+	}
+	assert.DeepEqual(t, served, map[byte]int{1: 30, 2: 10, 3: 10})
+}
+
+// Guards against a tenant that holds all slots with slow work while another waits.
+func TestTenantShareOfSlots(t *testing.T) {
+	c := rig(bulrushcatalogue.Limits{Slots: 4})
+	fillQueue(c, 10, 4, "holder", bulrushchute.ClassStandard)
+	fillQueue(c, 20, 4, "b", bulrushchute.ClassStandard)
+	c.Done(0, attemptID(1), answered)
+	c.Done(0, attemptID(2), answered)
+	assert.Equal(t, c.accounts["b"].inFlight, 2)
+}
+
+// Guards against a time to retry that does not follow the measured drain rate,
+// and against waits beyond queue_ms, the deadline or the end of service.
+func TestTimes(t *testing.T) {
+	c := rig(bulrushcatalogue.Limits{Slots: 1, Queue: 2})
+	assert.Equal(t, c.retryAfter(), unknownRetryAfter)
+	c.Tick(0)
+	c.Done(40, attemptID(1), answered)
+	fillQueue(c, 1, 2, "a", bulrushchute.ClassStandard)
+	assert.Equal(t, c.retryAfter(), bulrushchute.Millis(81))
+	c.Tick(40 + 10*bulrushchute.Second)
+	assert.Equal(t, c.retryAfter(), maxRetryAfter)
+
+	cases := map[string]struct {
+		deadline bulrushchute.Millis
+		event    func(*Controller)
+		at       bulrushchute.Millis
+		reason   bulrushchute.Reason
+	}{
+		"queue_ms": {bulrushchute.Hour, func(*Controller) {}, 3000, bulrushchute.ReasonQueueTimeout},
+		"deadline": {500, func(*Controller) {}, 500, bulrushchute.ReasonDeadline},
+		"leaving":  {bulrushchute.Hour, func(c *Controller) { c.Drain(7) }, 1007, bulrushchute.ReasonLeaving},
+		"withdrawn": {bulrushchute.Hour, func(c *Controller) { c.Withdraw(9, true) }, 1009,
+			bulrushchute.ReasonWithdrawn},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := rig(bulrushcatalogue.Limits{Slots: 1, QueueMs: 3000})
+			c.Offer(0, Request{ID: attemptID(50), Deadline: tc.deadline})
+			tc.event(c)
+			assert.Equal(t, c.NextTick(), tc.at)
+			assert.Equal(t, len(c.Tick(tc.at-1)), 0)
+			releases := c.Tick(tc.at)
+			assert.Equal(t, len(releases), 1)
+			assert.Equal(t, releases[0].Refusal.Reason, tc.reason)
+		})
+	}
+}
+
+// Guards against memory that grows with the names that callers choose.
+func TestBoundedMemory(t *testing.T) {
+	c := rig(bulrushcatalogue.Limits{Slots: 1})
+	for n := range uint64(1000) {
+		name := fmt.Sprint(n)
+		c.Offer(0, Request{ID: attemptID(n + 2), Route: name, Tenant: bulrushchute.Tenant(name), Deadline: 100})
+	}
+	assert.Assert(t, len(c.routes.routes) <= maxRoutes)
+	assert.Equal(t, len(c.accounts), len(c.tickets))
+}
+
+// BenchmarkOfferDone measures one request that finds a free slot, and one that
+// goes through the queue.
+func BenchmarkOfferDone(b *testing.B) {
+	for name, waits := range map[string]bool{"admitted": false, "queued": true} {
+		b.Run(name, func(b *testing.B) {
+			c := New(0, Settings{Limits: bulrushcatalogue.Limits{Slots: 1}})
+			running := uint64(1)
+			if waits {
+				c.Offer(0, Request{ID: attemptID(1), Route: "r", Tenant: "a", Deadline: bulrushchute.Hour})
+			}
+			b.ReportAllocs()
+			for id := uint64(2); b.Loop(); id++ {
+				c.Offer(0, Request{ID: attemptID(id), Route: "r", Tenant: "a", Deadline: bulrushchute.Hour})
+				if !waits {
+					running = id
+				}
+				c.Done(0, attemptID(running), answered)
+				running = id
+			}
+		})
+	}
+}
--- a/bulrushadmission/server_test.go
+++ b/bulrushadmission/server_test.go
@@ -20,7 +20,8 @@
 	// slow multiplies every job's work; workMs is the mean work of each route.
 	slow   float64
 	workMs map[string]float64
-	fails  bool
+	// fails names the routes whose requests fail.
+	fails map[string]bool
 	// fixed holds the limit at the slots, as the baseline for comparison.
 	fixed   bool
 	jobs    []*job
@@ -124,7 +125,7 @@
 func (s *server) end(j *job) {
 	result := Result{Kind: bulrushchute.ResultAnswered, ElapsedMs: max(0.1, float64(s.now-j.startedAt)+j.leftMs)}
 	switch {
-	case s.fails:
+	case s.fails[j.route]:
 		result.Kind = bulrushchute.ResultServerError
 	case s.now <= j.deadline:
 		s.good++
@@ -194,16 +195,23 @@
 }
 
 // Guards against a limit that stays down when the server stays slow by itself,
-// and against routes that are slow by nature being taken for a slowdown.
+// and against routes that are slow or broken by nature being taken for trouble.
 func TestLimitRecovers(t *testing.T) {
 	cases := map[string]func(*server){
 		"slow for good":        func(s *server) { s.slow = 5; s.run(20*bulrushchute.Second, "r", 0.1) },
 		"other, slower routes": func(s *server) { s.workMs["slow"] = 60; s.run(5*bulrushchute.Second, "slow", 0.1) },
+		"one route always fails": func(s *server) {
+			s.fails = map[string]bool{"broken": true}
+			for range 2000 {
+				s.run(1, "broken", 0.1)
+				s.run(1, "r", 0.4)
+			}
+		},
 		"failed for a while": func(s *server) {
-			s.fails = true
+			s.fails = map[string]bool{"r": true}
 			s.run(bulrushchute.Second, "r", 0.3)
 			assert.Assert(t, s.c.Load().Limit <= 2, "limit %d while failing", s.c.Load().Limit)
-			s.fails = false
+			s.fails = nil
 			s.run(3*bulrushchute.Second, "r", 0.3)
 		},
 	}
