--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -74,7 +74,7 @@
 	c.drain = drainMeter{}
 	c.serviceMs = 0
 	c.failedProbes = 0
-	c.adaptive = adaptiveLimit{limit: float64(c.slots())}
+	c.adaptive = newAdaptiveLimit(c.slots())
 	c.enterRamp()
 	c.usedAt = c.now
 	return c.finish(releases)
@@ -99,13 +99,15 @@
 	}
 }
 
-// trimQueues refuses what lowered bounds leave no room for, least important first.
+// trimQueues refuses what lowered bounds leave no room for. A class beyond its
+// own bound is busy whatever the other classes hold; beyond the bound of all
+// classes together, the least important work is shed first.
 func (c *Controller) trimQueues(releases []Release) []Release {
 	bound := c.settings.Limits.Queue
 	for i := len(c.queue.classes) - 1; i >= 0; i-- {
 		cq := &c.queue.classes[i]
 		for cq.waiting > bound {
-			releases = c.refuseQueued(cq.youngest(), bulrushchute.ReasonShed, releases)
+			releases = c.refuseQueued(cq.youngest(), bulrushchute.ReasonBusy, releases)
 		}
 	}
 	for c.queue.waiting > totalQueueFactor*bound {
