--- /dev/null
+++ b/bulrushattempt/machine_test.go
@@ -0,0 +1,223 @@
+package bulrushattempt
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const deadline = 1000 * bulrushchute.Millisecond
+
+func Example() {
+	budgets := NewBudgets(0)
+	machine := New(bulrushchute.RequestInfo{Deadline: deadline}, budgets, 0)
+	send := machine.Next(0)
+	fmt.Println(send.Kind, send.Attempt)
+	machine.Sent(0, send.Attempt, "a")
+	machine.Ended(5, send.Attempt, End{Result: bulrushchute.ResultNotRun, Reason: bulrushchute.ReasonBusy, RetryAfter: 40})
+	again := machine.Next(5)
+	fmt.Println(again.Kind, again.Attempt, again.Exclude)
+	machine.Sent(5, again.Attempt, "b")
+	machine.Ended(9, again.Attempt, End{Result: bulrushchute.ResultUnknown, Reason: bulrushchute.ReasonConnectionLost})
+	final := machine.Next(9).Final
+	fmt.Println(final.Outcome, final.Reason)
+	// Output:
+	// send 1
+	// send 2 [a]
+	// unknown connection_lost
+}
+
+// script drives a machine with short words and writes down its actions:
+//
+//	busy, late, unsent, lost, error, ok   end the last attempt sent
+//	first:...                             ends the first attempt
+//	none                                  there is no instance for the attempt
+//	gone                                  the caller leaves
+//	+n                                    n ms pass
+type script struct {
+	machine *Machine
+	now     bulrushchute.Millis
+	sent    int
+	trace   []string
+	last    Final
+}
+
+var ends = map[string]End{
+	"busy":   {Result: bulrushchute.ResultNotRun, Reason: bulrushchute.ReasonBusy, RetryAfter: 40},
+	"shed":   {Result: bulrushchute.ResultNotRun, Reason: bulrushchute.ReasonShed, RetryAfter: 30},
+	"late":   {Result: bulrushchute.ResultNotRun, Reason: bulrushchute.ReasonDeadline},
+	"unsent": {Result: bulrushchute.ResultNotSent},
+	"lost":   {Result: bulrushchute.ResultUnknown, Reason: bulrushchute.ReasonConnectionLost},
+	"error":  {Result: bulrushchute.ResultServerError},
+	"ok":     {Result: bulrushchute.ResultAnswered},
+}
+
+func (s *script) play(words string) {
+	s.drive(false)
+	for word := range strings.FieldsSeq(words) {
+		number := s.sent
+		if rest, ok := strings.CutPrefix(word, "first:"); ok {
+			word, number = rest, 1
+		}
+		switch {
+		case word == "gone":
+			s.machine.CallerGone(s.now)
+		case word[0] == '+':
+			var span bulrushchute.Millis
+			_, _ = fmt.Sscan(word[1:], &span)
+			s.now += span
+		case word != "none":
+			s.machine.Ended(s.now, number, ends[word])
+		}
+		s.drive(strings.HasSuffix(words, "none"))
+	}
+}
+
+func (s *script) drive(none bool) {
+	for {
+		action := s.machine.Next(s.now)
+		switch action.Kind {
+		case ActionWait, ActionNone:
+			return
+		case ActionSend:
+			s.send(action, none)
+		case ActionCancel:
+			s.trace = append(s.trace, fmt.Sprint("cancel", action.Attempt))
+		case ActionFinish:
+			s.last = action.Final
+			s.trace = append(s.trace, strings.TrimSpace(fmt.Sprint(s.last.Outcome, " ", s.last.Reason)))
+		}
+	}
+}
+
+func (s *script) send(action Action, none bool) {
+	if none && action.Attempt > 1 {
+		s.machine.NoBackend(s.now, action.Attempt)
+		return
+	}
+	s.sent = action.Attempt
+	word := "send"
+	if action.Hedge {
+		word = "hedge"
+	}
+	if action.Retry {
+		word += "*"
+	}
+	s.trace = append(s.trace, word)
+	s.machine.Sent(s.now, action.Attempt, bulrushchute.InstanceID(rune('a'+len(action.Exclude))))
+}
+
+// Guards against work that runs twice, retries that multiply through levels,
+// and answers that are held back or lack the time to retry.
+func TestMachine(t *testing.T) {
+	idempotent := bulrushchute.RequestInfo{Idempotent: true, Deadline: deadline}
+	marked := bulrushchute.RequestInfo{Idempotent: true, Retry: true, Deadline: deadline}
+	filing := bulrushchute.RequestInfo{Deadline: deadline}
+	cases := map[string]struct {
+		info       bulrushchute.RequestInfo
+		play       string
+		want       string
+		retryAfter bulrushchute.Millis
+	}{
+		"answered":                                    {filing, "ok", "send, answered", 0},
+		"filing: busy, then answered":                 {filing, "busy ok", "send, send, answered", 0},
+		"filing: never sent after unknown":            {filing, "lost", "send, unknown connection_lost", 0},
+		"filing: unknown after refusal":               {filing, "busy lost", "send, send, unknown connection_lost", 0},
+		"filing: not sent, another instance":          {filing, "unsent ok", "send, send, answered", 0},
+		"filing: error answer is passed on":           {filing, "error", "send, answered", 0},
+		"filing: three refusals":                      {filing, "busy shed busy", "send, send, send, not_run busy", 30},
+		"filing: deadline":                            {filing, "+1000", "send, cancel1, unknown deadline", 0},
+		"filing: caller gone, left to run":            {filing, "gone", "send, unknown cancelled", 0},
+		"filing: no hedge":                            {filing, "+50 ok", "send, answered", 0},
+		"refused for the deadline":                    {idempotent, "late", "send, not_run deadline", bulrushchute.Second},
+		"no other instance":                           {idempotent, "busy none", "send, not_run busy", 40},
+		"retry after failure":                         {idempotent, "lost ok", "send, send*, answered", 0},
+		"three failures":                              {idempotent, "lost lost lost", "send, send*, send*, unknown connection_lost", bulrushchute.Second},
+		"refusal does not undo unknown":               {idempotent, "lost busy busy", "send, send*, send*, unknown connection_lost", 40},
+		"error answer beats unknown":                  {idempotent, "error lost lost", "send, send*, send*, answered", 0},
+		"marked: no retry after failure":              {marked, "lost", "send*, unknown connection_lost", bulrushchute.Second},
+		"marked: error answer at once":                {marked, "error", "send*, answered", 0},
+		"marked: busy permits another pick":           {marked, "busy ok", "send*, send*, answered", 0},
+		"marked: no hedge":                            {marked, "+50 ok", "send*, answered", 0},
+		"hedge wins":                                  {idempotent, "+50 ok", "send, hedge*, cancel1, answered", 0},
+		"first wins over the hedge":                   {idempotent, "+50 first:ok", "send, hedge*, cancel2, answered", 0},
+		"hedge refused, the first is still awaited":   {idempotent, "+50 busy first:ok", "send, hedge*, answered", 0},
+		"hedge and first fail, one attempt is left":   {idempotent, "+50 lost first:lost ok", "send, hedge*, send*, answered", 0},
+		"hedge finds no other instance":               {idempotent, "+50 first:ok none", "send, answered", 0},
+		"caller gone, both cancelled":                 {idempotent, "+50 gone", "send, hedge*, cancel1, cancel2, unknown cancelled", bulrushchute.Second},
+		"deadline passes with a failure and an error": {idempotent, "error +1000", "send, send*, cancel2, answered", 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := &script{machine: New(tc.info, hedgingBudgets(), 0)}
+			s.play(tc.play)
+			assert.Equal(t, strings.Join(s.trace, ", "), tc.want)
+			assert.Equal(t, s.last.RetryAfter, tc.retryAfter)
+			assert.Equal(t, s.machine.Next(s.now).Kind, ActionNone)
+		})
+	}
+}
+
+// hedgingBudgets returns budgets with a known p95 of about 20 ms and full hedge tokens.
+func hedgingBudgets() *Budgets {
+	budgets := NewBudgets(0)
+	for range 2 * minSamples {
+		budgets.latency.record(0, 20)
+	}
+	for range hedgeBurst * wholeToken / hedgeRatio {
+		budgets.countRequest()
+	}
+	return budgets
+}
+
+// Guards against a request that is sent although its caller or deadline is gone.
+func TestMachineEndsBeforeSending(t *testing.T) {
+	past := New(bulrushchute.RequestInfo{Deadline: deadline}, NewBudgets(0), deadline)
+	final := past.Next(deadline).Final
+	assert.Equal(t, final.Outcome, bulrushchute.OutcomeNotRun)
+	assert.Equal(t, final.Reason, bulrushchute.ReasonDeadline)
+
+	empty := New(bulrushchute.RequestInfo{Deadline: deadline}, NewBudgets(0), 0)
+	empty.NoBackend(0, empty.Next(0).Attempt)
+	assert.Equal(t, empty.Next(0).Final.Reason, bulrushchute.ReasonNoBackend)
+
+	gone := New(bulrushchute.RequestInfo{Deadline: deadline}, NewBudgets(0), 0)
+	action := gone.Next(0)
+	gone.CallerGone(1)
+	assert.Assert(t, !gone.Sent(1, action.Attempt, "a"))
+	assert.Equal(t, gone.Next(1).Final.Outcome, bulrushchute.OutcomeNotRun)
+}
+
+// Guards against a crossed or late answer that ends an attempt twice.
+func TestMachineDropsLateAnswers(t *testing.T) {
+	m := New(bulrushchute.RequestInfo{Deadline: deadline}, NewBudgets(0), 0)
+	number := m.Next(0).Attempt
+	assert.Assert(t, !m.Ended(0, number, ends["ok"]), "not sent yet")
+	assert.Assert(t, m.Sent(0, number, "a"))
+	assert.Assert(t, !m.Ended(0, number+1, ends["ok"]), "unknown attempt")
+	assert.Assert(t, m.Ended(0, number, ends["busy"]))
+	assert.Assert(t, !m.Ended(0, number, ends["ok"]), "ended attempt")
+}
+
+// Guards against buckets that lose a latency or misplace the p95.
+func TestLatencyHistogram(t *testing.T) {
+	for latency := range bulrushchute.Millis(100_000) {
+		bound := boundOf(bucketOf(latency))
+		assert.Assert(t, bound > latency && bound <= latency+latency/8+1, "latency %d in bucket to %d", latency, bound)
+	}
+	var lh latencyHistogram
+	for range 2 * halveAtSamples {
+		lh.record(0, 5)
+	}
+	for range 100 {
+		lh.record(0, 200)
+	}
+	p95, ok := lh.quantile(0, hedgeQuantile)
+	assert.Assert(t, ok && p95 >= 200, "p95 %d follows a slowdown within 100 answers", p95)
+	_, ok = lh.quantile(bulrushchute.Hour, hedgeQuantile)
+	assert.Assert(t, !ok, "old samples have faded")
+}
