Test that UpdateObject settles a lost answer

Cause: a trial that dropped the read-back of the writer id passed all tests. Change: named table of lost answers for UpdateObject.

--- a/bulrushstore/once_test.go
+++ b/bulrushstore/once_test.go
@@ -130,3 +130,36 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(got.Value), `{"n":2,"writer":"other"}`)
 }
+
+// Guards against a change whose lost answer stays unsettled although it could
+// be read back, and against one that is repeated instead.
+func TestUpdateObjectSettles(t *testing.T) {
+	none := bulrushstore.Fault{}
+	cases := map[string]struct {
+		faults []bulrushstore.Fault
+		class  string
+		n      int
+	}{
+		"stored":                       {nil, "ok", 1},
+		"down":                         {[]bulrushstore.Fault{none, faultDown}, "unavailable", 0},
+		"answer lost":                  {[]bulrushstore.Fault{none, faultLost}, "ok", 1},
+		"answer lost, read back fails": {[]bulrushstore.Fault{none, faultLost, faultDown}, "ambiguous", 1},
+		"answer lost, read back stale": {[]bulrushstore.Fault{none, faultLost, {Kind: bulrushstore.FaultStaleRead}}, "ok", 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			memory := bulrushstore.NewMemory()
+			_, err := memory.Create(t.Context(), object("c", `{"n":0}`))
+			assert.NilError(t, err)
+			memory.SetFaults(bulrushstore.ScriptedFaults(tc.faults...))
+			_, err = bulrushstore.UpdateObject(t.Context(), memory, bulrushchute.KindServices, "c", "me", increment)
+			assert.Equal(t, classOf(err), tc.class)
+			memory.SetFaults(nil)
+			got, err := memory.Get(t.Context(), bulrushchute.KindServices, "c")
+			assert.NilError(t, err)
+			var c counter
+			assert.NilError(t, json.Unmarshal(got.Value, &c))
+			assert.Equal(t, c.N, tc.n)
+		})
+	}
+}
