--- /dev/null
+++ b/bulrushmove/brake.go
@@ -0,0 +1,47 @@
+package bulrushmove
+
+import (
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+)
+
+// Brake judges a move on the evidence of one entry node alone, so that a bad
+// version is stopped without waiting for the holder or the store. It is not
+// safe for concurrent use.
+type Brake struct {
+	move     bulrushcatalogue.Move
+	judge    *Judge
+	nextStep bulrushchute.Millis
+}
+
+// NewBrake returns a brake for a move.
+func NewBrake(move bulrushcatalogue.Move) *Brake {
+	return &Brake{move: move, judge: NewJudge(BrakeLimit)}
+}
+
+// Observe adds a sample that this node saw.
+func (b *Brake) Observe(sample Sample) {
+	counts := Counts{Requests: 1}
+	if sample.Failed {
+		counts.Failures = 1
+	} else if !sample.Warming {
+		counts.Latencies[BucketOf(sample.ElapsedMs)] = 1
+	}
+	switch sample.Version {
+	case b.move.FromVersion:
+		b.judge.AddOld(sample.Route, counts)
+	case b.move.ToVersion:
+		b.judge.AddNew(sample.Route, counts)
+	}
+}
+
+// Tick judges the evidence once in each EvidencePeriod. When the finding is
+// bad, the node calls Shares.WithBrake and spreads the record.
+func (b *Brake) Tick(now bulrushchute.Millis, share int) Finding {
+	if now < b.nextStep {
+		return b.judge.Finding()
+	}
+	b.nextStep = now + EvidencePeriod
+	b.judge.SetFrozen(share >= FullShare)
+	return b.judge.Step()
+}
--- /dev/null
+++ b/bulrushmove/evidence.go
@@ -0,0 +1,132 @@
+package bulrushmove
+
+import (
+	"cmp"
+	"slices"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+)
+
+// EvidencePeriod is the time between two reports of a Recorder and between two
+// steps of a Judge.
+const EvidencePeriod = bulrushchute.Second
+
+// maxRoutes bounds the routes that are told apart. It is the number that the
+// catalogue allows, with the default route.
+const maxRoutes = 257
+
+// Sample is how one attempt on a backend server ended.
+type Sample struct {
+	Version bulrushchute.Version
+	Route   string
+	Failed  bool
+	// ElapsedMs is the time from dispatch to the answer or to the cancellation.
+	ElapsedMs float64
+	// Warming is set for at most the entry's warm_ms after the backend server
+	// started. Its latency is then left out, since a cold start is slow in any version.
+	Warming bool
+}
+
+// SampleOf turns the result of an attempt into a sample; false means that the
+// result says nothing about the version. A cancelled attempt counts with the
+// time that it had taken: the slow attempts of a bad version are the ones that
+// hedging cancels.
+func SampleOf(version bulrushchute.Version, route string, result bulrushchute.ResultKind, elapsedMs float64) (Sample, bool) {
+	sample := Sample{Version: version, Route: route, ElapsedMs: elapsedMs}
+	switch result {
+	case bulrushchute.ResultAnswered, bulrushchute.ResultCancelled:
+		return sample, true
+	case bulrushchute.ResultServerError, bulrushchute.ResultUnknown:
+		sample.Failed = true
+		return sample, true
+	default:
+		return Sample{}, false
+	}
+}
+
+// Recorder gathers the evidence of one move on one node. It is not safe for
+// concurrent use.
+type Recorder struct {
+	service  bulrushchute.Service
+	move     bulrushcatalogue.Move
+	counts   map[recordKey]*Counts
+	sequence uint64
+}
+
+type recordKey struct {
+	version bulrushchute.Version
+	route   string
+}
+
+// NewRecorder returns an empty recorder for a service's move.
+func NewRecorder(service bulrushchute.Service, move bulrushcatalogue.Move) *Recorder {
+	return &Recorder{service: service, move: move, counts: map[recordKey]*Counts{}}
+}
+
+// Observe adds a sample. Samples of versions outside the move are left out.
+func (r *Recorder) Observe(sample Sample) {
+	if sample.Version != r.move.FromVersion && sample.Version != r.move.ToVersion {
+		return
+	}
+	counts := r.countsFor(recordKey{version: sample.Version, route: sample.Route})
+	counts.Requests++
+	if sample.Failed {
+		counts.Failures++
+	} else if !sample.Warming {
+		counts.Latencies[BucketOf(sample.ElapsedMs)]++
+	}
+}
+
+func (r *Recorder) countsFor(key recordKey) *Counts {
+	if counts, ok := r.counts[key]; ok {
+		return counts
+	}
+	if len(r.counts) >= 2*maxRoutes {
+		key.route = bulrushcatalogue.DefaultRouteName
+	}
+	if r.counts[key] == nil {
+		r.counts[key] = &Counts{}
+	}
+	return r.counts[key]
+}
+
+// Drain returns the reports since the last call, in a fixed order, and starts anew.
+func (r *Recorder) Drain() []bulrushchute.Evidence {
+	keys := make([]recordKey, 0, len(r.counts))
+	for key := range r.counts {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b recordKey) int {
+		return cmp.Or(cmp.Compare(a.version, b.version), cmp.Compare(a.route, b.route))
+	})
+	reports := make([]bulrushchute.Evidence, 0, len(keys))
+	for _, key := range keys {
+		reports = append(reports, r.report(key))
+	}
+	clear(r.counts)
+	return reports
+}
+
+func (r *Recorder) report(key recordKey) bulrushchute.Evidence {
+	counts := r.counts[key]
+	r.sequence++
+	evidence := bulrushchute.Evidence{
+		Service:    r.service,
+		Generation: r.move.Generation,
+		Version:    key.version,
+		Route:      key.route,
+		Requests:   int(counts.Requests),
+		Failures:   int(counts.Failures),
+		Sequence:   r.sequence,
+	}
+	// Empty buckets at the end are not sent.
+	last := counts.bucketOfQuantile(1)
+	if counts.answers() > 0 {
+		evidence.Latencies = make([]uint32, last+1)
+		for i := range evidence.Latencies {
+			evidence.Latencies[i] = uint32(counts.Latencies[i])
+		}
+	}
+	return evidence
+}
--- /dev/null
+++ b/bulrushmove/histogram.go
@@ -0,0 +1,105 @@
+package bulrushmove
+
+import (
+	"math"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const (
+	// BucketCount is the number of latency buckets. Evidence carries one count
+	// for each, so the number bounds the size of a report.
+	BucketCount = 64
+	// bucketsPerOctave sets the ratio of two bucket bounds to 2^(1/4), about 1.19.
+	bucketsPerOctave = 4
+	// firstBoundMs is the upper bound of bucket 0. With 64 buckets the last
+	// one holds latencies from 11.6 s.
+	firstBoundMs = 0.25
+)
+
+// BucketOf returns the bucket of a latency in milliseconds.
+func BucketOf(latencyMs float64) int {
+	if !(latencyMs >= firstBoundMs) {
+		return 0
+	}
+	bucket := 1 + int(math.Log2(latencyMs/firstBoundMs)*bucketsPerOctave)
+	return min(bucket, BucketCount-1)
+}
+
+// BucketBoundMs returns the upper bound of a bucket in milliseconds; that of
+// the last bucket is infinite.
+func BucketBoundMs(bucket int) float64 {
+	if bucket >= BucketCount-1 {
+		return math.Inf(1)
+	}
+	return firstBoundMs * math.Exp2(float64(bucket)/bucketsPerOctave)
+}
+
+// Counts is what was seen of one version on one route. Latencies holds whole
+// answers that are no failures, because a fast error says nothing about speed.
+type Counts struct {
+	Requests  float64
+	Failures  float64
+	Latencies [BucketCount]float64
+}
+
+// CountsOf reads a report. Values that cannot be right are left out.
+func CountsOf(evidence bulrushchute.Evidence) Counts {
+	var counts Counts
+	counts.Requests = float64(max(evidence.Requests, 0))
+	counts.Failures = min(float64(max(evidence.Failures, 0)), counts.Requests)
+	for i, count := range evidence.Latencies {
+		if i < BucketCount {
+			counts.Latencies[i] = float64(count)
+		}
+	}
+	return counts
+}
+
+func (c *Counts) add(other Counts) {
+	c.Requests += other.Requests
+	c.Failures += other.Failures
+	for i, count := range other.Latencies {
+		c.Latencies[i] += count
+	}
+}
+
+func (c *Counts) scale(factor float64) {
+	c.Requests *= factor
+	c.Failures *= factor
+	for i := range c.Latencies {
+		c.Latencies[i] *= factor
+	}
+}
+
+// answers returns the number of latencies.
+func (c *Counts) answers() float64 {
+	sum := 0.0
+	for _, count := range c.Latencies {
+		sum += count
+	}
+	return sum
+}
+
+// above returns the number of latencies in buckets after the given one.
+func (c *Counts) above(bucket int) float64 {
+	sum := 0.0
+	for i := bucket + 1; i < BucketCount; i++ {
+		sum += c.Latencies[i]
+	}
+	return sum
+}
+
+// bucketOfQuantile returns the first bucket at which the given part of the
+// latencies lies at or below the bucket's bound.
+func (c *Counts) bucketOfQuantile(quantile float64) int {
+	wanted := c.answers() * quantile
+	sum := 0.0
+	for i, count := range c.Latencies {
+		sum += count
+		if sum >= wanted {
+			return i
+		}
+	}
+	return BucketCount - 1
+}
--- /dev/null
+++ b/bulrushmove/judge.go
@@ -0,0 +1,249 @@
+package bulrushmove
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+const (
+	// HolderLimit is the judge's limit for the holder of a move. Section 5.7
+	// wants fewer than 1 in 1,000 good moves rolled back over all routes, both
+	// measures and all steps; a limit of 1e5 gives each test at most
+	// (1 + 3,600/1,000) / 1e5 = 5e-5 in an hour of steps with evidence.
+	HolderLimit = 1e5
+	// BrakeLimit is the limit for each single entry node. It is higher because
+	// thousands of entry nodes test the same version.
+	BrakeLimit = 1e8
+	// suspicionNats is the evidence from which a move is not raised further
+	// although it is not enough to roll back.
+	suspicionNats = 5.0
+)
+
+// Measure is what a version is judged by.
+type Measure string
+
+// Measures.
+const (
+	MeasureFailures Measure = "failures"
+	MeasureLatency  Measure = "latency"
+)
+
+// AllRoutes names the test that sums the evidence of all routes, each against
+// its own baseline. It finds badness that is thin on every single route.
+const AllRoutes = "*"
+
+// Finding is the strongest evidence against the new version.
+type Finding struct {
+	Route   string
+	Measure Measure
+	// Nats is the natural logarithm of the evidence.
+	Nats float64
+	// Bad is set when the evidence reaches the limit. It stays set.
+	Bad bool
+}
+
+// String returns the finding for reasons and logs.
+func (f Finding) String() string {
+	return fmt.Sprintf("route=%s measure=%s nats=%.1f", f.Route, f.Measure, f.Nats)
+}
+
+// Judge compares the new version of a move with the old one. Counts are added
+// as they arrive; Step, once in each EvidencePeriod, updates the tests.
+type Judge struct {
+	limitNats float64
+	routes    map[string]*routeEvidence
+	total     measures
+	// frozen is set while the old version gets no requests.
+	frozen  bool
+	finding Finding
+}
+
+// measures holds the tests of one route.
+type measures struct {
+	failures sequentialTest
+	latency  sequentialTest
+}
+
+type routeEvidence struct {
+	old      baseline
+	pending  [2]Counts
+	tests    measures
+	requests float64
+	// stageRequests counts requests of the new version since StartStage.
+	stageRequests float64
+}
+
+const (
+	oldVersion = iota
+	newVersion
+)
+
+// NewJudge returns a judge that finds a version bad at the given limit.
+func NewJudge(limit float64) *Judge {
+	return &Judge{limitNats: math.Log(limit), routes: map[string]*routeEvidence{}, total: newMeasures()}
+}
+
+func newMeasures() measures {
+	return measures{failures: newSequentialTest(), latency: newSequentialTest()}
+}
+
+// Restore sets the baselines that a former holder stored.
+func (j *Judge) Restore(baselines map[string]Baseline) {
+	for route, stored := range baselines {
+		evidence := j.route(route)
+		evidence.old.restored = stored
+		evidence.old.current = stored
+	}
+}
+
+// Baselines returns what is known of the old version, to be stored.
+func (j *Judge) Baselines() map[string]Baseline {
+	baselines := make(map[string]Baseline, len(j.routes))
+	for name, evidence := range j.routes {
+		if evidence.old.current.Requests > 0 {
+			baselines[name] = evidence.old.current
+		}
+	}
+	return baselines
+}
+
+// SetFrozen tells the judge whether the old version gets no requests.
+func (j *Judge) SetFrozen(frozen bool) {
+	j.frozen = frozen
+}
+
+// AddOld adds counts of the old version.
+func (j *Judge) AddOld(route string, counts Counts) {
+	j.route(route).pending[oldVersion].add(counts)
+}
+
+// AddNew adds counts of the new version.
+func (j *Judge) AddNew(route string, counts Counts) {
+	j.route(route).pending[newVersion].add(counts)
+}
+
+func (j *Judge) route(name string) *routeEvidence {
+	if evidence, ok := j.routes[name]; ok {
+		return evidence
+	}
+	if len(j.routes) >= maxRoutes {
+		name = AllRoutes
+	}
+	if j.routes[name] == nil {
+		j.routes[name] = &routeEvidence{tests: newMeasures()}
+	}
+	return j.routes[name]
+}
+
+// StartStage begins to count the requests of a new share.
+func (j *Judge) StartStage() {
+	for _, evidence := range j.routes {
+		evidence.stageRequests = 0
+	}
+}
+
+// Step closes a period and returns the strongest finding.
+func (j *Judge) Step() Finding {
+	var failures, latency increments
+	tested := false
+	strongest := Finding{Nats: math.Inf(-1)}
+	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
+		evidence := j.routes[name]
+		if evidence.step(j.frozen, &failures, &latency) {
+			tested = true
+		}
+		strongest = strongest.orStronger(evidence.tests.finding(name))
+	}
+	if tested {
+		j.total.failures.step(failures)
+		j.total.latency.step(latency)
+	}
+	strongest = strongest.orStronger(j.total.finding(AllRoutes))
+	strongest.Bad = strongest.Nats >= j.limitNats
+	if !j.finding.Bad {
+		j.finding = strongest
+	}
+	return j.finding
+}
+
+// Finding returns the result of the last step.
+func (j *Judge) Finding() Finding {
+	return j.finding
+}
+
+// step takes the pending counts into the tests and adds the increments to
+// those of all routes. It returns false when the new version had no requests.
+func (re *routeEvidence) step(frozen bool, allFailures, allLatency *increments) bool {
+	re.old.step(&re.pending[oldVersion])
+	counts := re.pending[newVersion]
+	re.pending = [2]Counts{}
+	if counts.Requests == 0 {
+		return false
+	}
+	re.requests += counts.Requests
+	re.stageRequests += counts.Requests
+	failures := incrementsOf(counts.Failures, counts.Requests, re.old.toleratedFailures(frozen))
+	re.tests.failures.step(failures)
+	allFailures.add(failures)
+	if tolerated, known := re.old.toleratedSlowness(frozen); known {
+		latency := incrementsOf(counts.above(re.old.current.Bound), counts.answers(), tolerated)
+		re.tests.latency.step(latency)
+		allLatency.add(latency)
+	}
+	return true
+}
+
+func (m *measures) finding(route string) Finding {
+	failures := Finding{Route: route, Measure: MeasureFailures, Nats: m.failures.nats()}
+	return failures.orStronger(Finding{Route: route, Measure: MeasureLatency, Nats: m.latency.nats()})
+}
+
+func (f Finding) orStronger(other Finding) Finding {
+	if other.Nats > f.Nats {
+		return other
+	}
+	return f
+}
+
+const (
+	// clearRequests of the new version on a route find a failure rate of 5%
+	// almost surely: the holder's limit takes about 130 on average.
+	clearRequests = 400
+	// clearStageRequests is the part of them that a stage above 1% must bring,
+	// because a version may be bad only under load.
+	clearStageRequests = 100
+	// mainRoutePart is the part of the old version's requests from which a
+	// route must be clear itself.
+	mainRoutePart = 0.1
+)
+
+// Clear reports whether the evidence for the new version suffices to raise its
+// share: nothing speaks against it and every main route had enough requests.
+func (j *Judge) Clear() bool {
+	if j.Suspicious() {
+		return false
+	}
+	all := 0.0
+	for _, evidence := range j.routes {
+		all += evidence.old.current.Requests
+	}
+	main := 0
+	for _, evidence := range j.routes {
+		if all == 0 || evidence.old.current.Requests < mainRoutePart*all {
+			continue
+		}
+		main++
+		if evidence.requests < clearRequests || evidence.stageRequests < clearStageRequests {
+			return false
+		}
+	}
+	return main > 0
+}
+
+// Suspicious reports whether something speaks against the new version that is
+// not yet enough to find it bad.
+func (j *Judge) Suspicious() bool {
+	return j.finding.Nats >= suspicionNats
+}
--- /dev/null
+++ b/bulrushmove/plan.go
@@ -0,0 +1,65 @@
+package bulrushmove
+
+import (
+	"bulrushchute.example/bulrushchute"
+)
+
+// stage is one share step and when it may begin.
+type stage struct {
+	// share is in basis points.
+	share int
+	// earliest and latest are parts of the time between the move's start and
+	// its deadline. Before earliest the stage does not begin, so that badness
+	// which comes with time meets a small share. At latest it begins even if
+	// the evidence is thin, unless something speaks against the new version.
+	earliest, latest float64
+}
+
+// stages are the share steps of section 5.7 after the share of 0.
+var stages = [...]stage{
+	{share: 0},
+	{share: 50},
+	{share: 100, earliest: 0.05, latest: 0.10},
+	{share: 500, earliest: 0.25, latest: 0.60},
+	{share: 2500, earliest: 0.40, latest: 0.72},
+	{share: 5000, earliest: 0.50, latest: 0.82},
+	{share: FullShare, earliest: 0.60, latest: 0.90},
+}
+
+const lastStage = len(stages) - 1
+
+const (
+	// A stage lasts at least 1/60 of the move's time, within these bounds, so
+	// that a move which was held up can still catch up before its deadline.
+	stageParts   = 60
+	minStageTime = 3 * bulrushchute.Second
+	maxStageTime = 30 * bulrushchute.Second
+	// A move is completed 1/50 of its time before its deadline, within these
+	// bounds, which leaves time for the store's answer.
+	finishParts   = 50
+	minFinishTime = bulrushchute.Second
+	maxFinishTime = 10 * bulrushchute.Second
+	// goneTime is how long the old version must have no backend server to
+	// count as gone; members can be missing for a moment when a node has just
+	// joined or a link has failed.
+	goneTime = 10 * bulrushchute.Second
+)
+
+func (s State) span() bulrushchute.Millis {
+	return max(s.CompleteByMs-s.StartedAtMs, 0)
+}
+
+func (s State) at(part float64) bulrushchute.Millis {
+	return s.StartedAtMs + bulrushchute.Millis(part*float64(s.span()))
+}
+
+// stageTime is the least time that a stage lasts.
+func (s State) stageTime() bulrushchute.Millis {
+	return min(max(s.span()/stageParts, minStageTime), maxStageTime)
+}
+
+// finishAt is when a move at 100% counts as completed although the old version
+// is still there.
+func (s State) finishAt() bulrushchute.Millis {
+	return s.CompleteByMs - min(max(s.span()/finishParts, minFinishTime), maxFinishTime)
+}
