--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -32,6 +32,8 @@
 	// verdict is why the share must be 0, empty while there is no reason. Once
 	// set for a generation it stays until the outcome is stored.
 	verdict string
+	// brake is the newest brake that was heard of, also before the state was read.
+	brake ShareRecord
 	// published is the last share that was spread by this holder.
 	published ShareRecord
 }
@@ -90,12 +92,8 @@
 // ObserveShare takes a share that arrived from another node. A brake leads to
 // a roll-back, whatever its epoch.
 func (c *Controller) ObserveShare(record ShareRecord) {
-	state, ok := c.store.current()
-	if !ok || record.Service != c.service || record.Generation != state.Generation {
-		return
-	}
-	if record.Braked && c.verdict == "" {
-		c.verdict = "braked: " + record.Reason
+	if record.Service == c.service && record.Braked && record.Generation > c.brake.Generation {
+		c.brake = record
 	}
 }
 
@@ -189,6 +187,8 @@
 	}
 	if finding := c.judge.Finding(); finding.Bad {
 		c.verdict = "bad: " + finding.String()
+	} else if c.brake.Generation == state.Generation {
+		c.verdict = "braked: " + c.brake.Reason
 	} else if state.Outcome == OutcomeNone && state.Stage < lastStage && now >= state.CompleteByMs && !c.oldGone(now) {
 		c.verdict = fmt.Sprintf("late: share %d of %d at the deadline", state.Share(), FullShare)
 	} else if state.Outcome == OutcomeNone && state.Stage == lastStage && now >= state.CompleteByMs && c.judge.Suspicious() {
--- a/bulrushmove/storing.go
+++ b/bulrushmove/storing.go
@@ -45,10 +45,10 @@
 	// announced is set when the event of the current outcome exists.
 	announced bool
 
-	pending   *pendingCall
-	lastID    uint64
-	failures  int
-	retryAt   bulrushchute.Millis
+	pending  *pendingCall
+	lastID   uint64
+	failures int
+	retryAt  bulrushchute.Millis
 	// writtenAs is the writer of the last write, to recognise it after a lost answer.
 	writtenAs string
 }
@@ -165,7 +165,7 @@
 	}
 	former, known := c.store.current()
 	mine := c.store.writtenAs != "" && state.Writer == c.store.writtenAs
-	if !mine && !(known && former.Writer == state.Writer) {
+	if !mine && (!known || former.Writer != state.Writer) {
 		// Another holder wrote last: its epoch has to be fenced, and the evidence
 		// behind its decisions is not known here.
 		c.store.fenced = false
