End the demo when a backend server was already killed

Cause: the second end of a killed stand-in waited for a report that had been read, so the first whole run hung after its schedule. Change: the end of a stand-in has an effect once only.

--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -70,6 +70,7 @@
 	listener net.Listener
 	server   *http.Server
 	ended    chan error
+	killed   sync.Once
 
 	mutex       sync.Mutex
 	behaviour   Behaviour
@@ -118,10 +119,14 @@
 	return b.listener.Addr().String()
 }
 
-// Kill cuts all connections at once, as a crash does. The records stay.
+// Kill cuts all connections at once, as a crash does. The records stay. A
+// second call has no effect.
 func (b *Backend) Kill() error {
-	err := b.server.Close()
-	<-b.ended
+	var err error
+	b.killed.Do(func() {
+		err = b.server.Close()
+		<-b.ended
+	})
 	return errors.Wrap(err, "close the backend server")
 }
 
