--- a/bulrushboard/board.go
+++ b/bulrushboard/board.go
@@ -13,6 +13,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushkey"
+	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushrouting"
 )
 
@@ -58,6 +59,7 @@
 	State       NodeState
 	Catalogue   bulrushcatalogue.Set
 	DataCentres DataCentreWeights
+	Shares      bulrushmove.Shares
 	members     map[bulrushchute.Service]ServiceMembers
 	keyMaps     map[bulrushchute.Service]bulrushkey.KeyMap
 }
@@ -96,6 +98,12 @@
 	return v
 }
 
+// WithShares returns a copy with other shares of version moves.
+func (v View) WithShares(shares bulrushmove.Shares) View {
+	v.Shares = shares
+	return v
+}
+
 // WithMembers returns a copy in which some services have other members. A
 // service whose instances are gone keeps its revision.
 func (v View) WithMembers(changed map[bulrushchute.Service][]bulrushchute.Instance) View {
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -11,6 +11,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushattempt"
 	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -28,6 +29,8 @@
 	lanes    *lanes
 	exchange exchanger
 	tasks    *bulrushtask.Group
+	// observe takes note of each attempt for the judgement of versions.
+	observe func(service bulrushchute.Service, sample bulrushmove.Sample)
 }
 
 // call is one request that this node runs, for a caller or as a key's home.
@@ -140,7 +143,7 @@
 	defer r.lane.mutex.Unlock()
 	r.lane.refresh(now, view, service)
 	query := bulrushchute.PickQuery{Service: service, Exclude: action.Exclude}
-	instance, found := r.lane.router.Pick(now, query)
+	instance, found := r.lane.pick(now, view, query)
 	if !found {
 		r.machine.NoBackend(now, action.Attempt)
 		return instance, false
@@ -167,6 +170,11 @@
 		observation.Load = &reply.Load
 	}
 	r.lane.observe(r.caller.clock.Now(), observation)
+	sample, useful := bulrushmove.SampleOf(instance.Version, attempt.Route, observation.Result, observation.ElapsedMs)
+	if useful {
+		sample.Warming = reply.Load.Cold
+		r.caller.observe(attempt.Service, sample)
+	}
 	return end
 }
 
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
@@ -40,6 +41,7 @@
 	commands   chan func(now bulrushchute.Millis)
 	membership *bulrushmembership.Membership
 	keys       *keys
+	moves      *moves
 
 	members map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance
 	homes   map[bulrushchute.InstanceID]bulrushchute.Service
@@ -59,6 +61,7 @@
 		self:       self.ID,
 		dataCentre: self.DataCentre,
 		keys:       n.keys,
+		moves:      n.moves,
 		inbox:      make(chan received, controlQueue),
 		commands:   make(chan func(bulrushchute.Millis)),
 		members:    make(map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance),
@@ -127,6 +130,10 @@
 	if c.keys.handle(now, r.from, r.message) {
 		return
 	}
+	if r.message.Evidence != nil {
+		c.moves.onEvidence(r.message.From, *r.message.Evidence)
+		return
+	}
 	c.send(c.membership.Receive(now, r.from, r.message))
 }
 
@@ -142,6 +149,7 @@
 	c.send(c.membership.Tick(now))
 	c.guard.tick()
 	c.keys.tick(now)
+	c.moves.tick(now)
 	c.publishMembers()
 	c.publishWeights()
 }
@@ -266,6 +274,10 @@
 		c.onCatalogue(now, record)
 	case bulrushchute.TopicKeyMap:
 		c.onKeyMap(now, record)
+	case bulrushchute.TopicMove:
+		c.moves.onShare(record)
+	case bulrushchute.TopicBeat:
+		c.moves.onHolder(record)
 	}
 }
 
@@ -360,6 +372,26 @@
 	}
 }
 
+// rank returns this node's place by hash among the members of a data centre,
+// or of all when it is empty. Every node computes the same places from the
+// members that it knows.
+func (c *control) rank(purpose string, dataCentre bulrushchute.DataCentre) int {
+	own := rankHash(purpose, c.self)
+	rank := 0
+	c.membership.Range(func(member bulrushchute.Instance) bool {
+		counted := dataCentre == "" || member.DataCentre == dataCentre
+		if counted && member.ID != c.self && rankHash(purpose, member.ID) < own {
+			rank++
+		}
+		return true
+	})
+	return rank
+}
+
+func rankHash(purpose string, id bulrushchute.InstanceID) uint64 {
+	return xxhash.Sum64String(purpose + "/" + string(id))
+}
+
 // publishObject spreads an object that a reader saw in the store.
 func (c *control) publishObject(now bulrushchute.Millis, object bulrushchute.Object, deleted bool) {
 	key, spread := recordKeyOf(object)
--- a/bulrushnode/dispatch.go
+++ b/bulrushnode/dispatch.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return dispatchResult{started: connected.Load(), reason: failureReason(ctx, err)}
 	}
+	defer func() { _ = response.Body.Close() }()
 	answer, reason := readAnswer(response)
 	return dispatchResult{answer: answer, started: true, reason: reason}
 }
@@ -112,7 +113,6 @@
 // readAnswer reads the body to its end. A body that ends only because the
 // connection does cannot be told from a truncated one and is not accepted.
 func readAnswer(response *http.Response) (*bulrushchute.Answer, bulrushchute.Reason) {
-	defer func() { _ = response.Body.Close() }()
 	if endsWithConnection(response) {
 		return nil, bulrushchute.ReasonTruncated
 	}
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -57,6 +57,7 @@
 	err := errors.Wrap(peers.Close(), "close peer connections")
 	n.tasks.Wait()
 	n.keys.tasks.Wait()
+	n.moves.tasks.Wait()
 	n.guard.tasks.Wait()
 	n.client.Wait()
 	klog.InfoS("node stopped", "instance", n.id)
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -9,6 +9,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -32,7 +33,7 @@
 	isolated   bool
 	healthy    bool
 	// observe takes note of each dispatch for the judgement of versions.
-	observe func(attempt bulrushchute.Attempt, version bulrushchute.Version, status int, elapsedMs float64)
+	observe func(service bulrushchute.Service, sample bulrushmove.Sample)
 }
 
 func newGuard(ctx context.Context, clock bulrushchute.Clock, clockSkew bulrushchute.Millis) *guard {
@@ -43,7 +44,7 @@
 		tasks:      bulrushtask.NewGroup(nil),
 		controller: bulrushadmission.New(clock.Now(), bulrushadmission.Settings{}),
 		waiting:    make(map[bulrushchute.AttemptID]chan bulrushadmission.Release),
-		observe:    func(bulrushchute.Attempt, bulrushchute.Version, int, float64) {},
+		observe:    func(bulrushchute.Service, bulrushmove.Sample) {},
 	}
 }
 
@@ -322,14 +323,13 @@
 }
 
 func (g *guard) report(attempt bulrushchute.Attempt, version bulrushchute.Version, result dispatchResult, elapsed time.Duration) {
-	if result.reason == bulrushchute.ReasonCancelled {
+	kind := admissionResult(result, elapsed).Kind
+	sample, useful := bulrushmove.SampleOf(version, attempt.Route, kind, milliseconds(elapsed))
+	if !useful {
 		return
 	}
-	status := 0
-	if result.answer != nil {
-		status = result.answer.Status
-	}
-	g.observe(attempt, version, status, milliseconds(elapsed))
+	sample.Warming = g.load().Cold
+	g.observe(attempt.Service, sample)
 }
 
 func admissionResult(result dispatchResult, elapsed time.Duration) bulrushadmission.Result {
--- a/bulrushnode/lane.go
+++ b/bulrushnode/lane.go
@@ -8,6 +8,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushattempt"
 	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushrouting"
 )
 
@@ -16,6 +17,8 @@
 	mutex   sync.Mutex
 	router  bulrushrouting.Candidates
 	budgets *bulrushattempt.Budgets
+	// splitter divides requests between versions during a move.
+	splitter *bulrushmove.Splitter
 	// The revisions of the view that the router knows.
 	members uint64
 	weights uint64
@@ -53,8 +56,9 @@
 	settings := l.settings
 	settings.Subset = subset
 	found = &lane{
-		router:  bulrushrouting.NewRouter(settings, newRandom(string(settings.Self), string(service))),
-		budgets: bulrushattempt.NewBudgets(l.clock.Now()),
+		router:   bulrushrouting.NewRouter(settings, newRandom(string(settings.Self), string(service))),
+		budgets:  bulrushattempt.NewBudgets(l.clock.Now()),
+		splitter: bulrushmove.NewSplitter(newRandom(string(settings.Self), string(service), "split")),
 	}
 	l.byName[service] = found
 	return found
@@ -81,6 +85,19 @@
 	l.router.Update(now, members.Instances, view.DataCentres.Weights)
 }
 
+// pick chooses an instance of the version that the move's share selects. When
+// the new version has none, the old one serves the request.
+func (l *lane) pick(now bulrushchute.Millis, view bulrushboard.View, query bulrushchute.PickQuery) (bulrushchute.Instance, bool) {
+	entry, _ := view.Catalogue.Service(query.Service)
+	query.Version = l.splitter.Version(entry, view.Shares)
+	instance, found := l.router.Pick(now, query)
+	if found || entry.Move == nil || query.Version != entry.Move.ToVersion {
+		return instance, found
+	}
+	query.Version = entry.Move.FromVersion
+	return l.router.Pick(now, query)
+}
+
 func (l *lane) observe(now bulrushchute.Millis, observation bulrushchute.Observation) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -45,6 +45,7 @@
 	guard    *guard
 	caller   *caller
 	keys     *keys
+	moves    *moves
 	control  *control
 	entry    *entry
 	recorder *bulrushmetric.Recorder
@@ -85,8 +86,12 @@
 		tasks:    bulrushtask.NewGroup(nil),
 	}
 	n.keys = newKeys(n, n.id)
+	n.moves = newMoves(n)
+	n.guard.observe = n.moves.observeDispatch
+	n.caller.observe = n.moves.observeAttempt
 	n.control = newControl(n, n.self)
 	n.keys.control = n.control
+	n.moves.control = n.control
 	n.entry = &entry{
 		clock:             clock,
 		board:             n.board,
@@ -163,6 +168,7 @@
 	for slot := range readersPerDataCentre {
 		n.tasks.Start(readers, "reader", func(ctx context.Context) error { return n.runReader(ctx, slot) })
 	}
+	n.tasks.Start(readers, "move leases", n.moves.runLeases)
 	<-ctx.Done()
 	stopReaders()
 	return n.drain(callerServer, peerServer)
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
@@ -56,7 +55,7 @@
 func (n *Node) runReader(ctx context.Context, slot int) error {
 	r := &reader{node: n, slot: slot}
 	lease := bulrushstore.NewLease(n.store, n.clock, bulrushstore.LeaseSettings{
-		Name:       "reader-" + string(n.settings.DataCentre) + "-" + strconv.Itoa(slot),
+		Name:       r.name(),
 		Holder:     n.id,
 		Duration:   readerLease,
 		RenewEvery: readerRenewEvery,
@@ -72,32 +71,20 @@
 	return nil
 }
 
+func (r *reader) name() string {
+	return "reader-" + string(r.node.settings.DataCentre) + "-" + strconv.Itoa(r.slot)
+}
+
 // candidate reports whether this node is among the few that may hold the
 // lease. Every node computes the same ranks from the members it knows.
 func (r *reader) candidate(ctx context.Context) bool {
 	candidate := false
 	r.node.control.do(ctx, func(bulrushchute.Millis) {
-		candidate = r.rank() < readerCandidates
+		candidate = r.node.control.rank(r.name(), r.node.settings.DataCentre) < readerCandidates
 	})
 	return candidate
 }
 
-func (r *reader) rank() int {
-	own := readerHash(r.node.id, r.slot)
-	rank := 0
-	r.node.control.membership.Range(func(member bulrushchute.Instance) bool {
-		if member.DataCentre == r.node.settings.DataCentre && member.ID != r.node.id && readerHash(member.ID, r.slot) < own {
-			rank++
-		}
-		return rank < readerCandidates
-	})
-	return rank
-}
-
-func readerHash(id bulrushchute.InstanceID, slot int) uint64 {
-	return xxhash.Sum64String("reader/" + strconv.Itoa(slot) + "/" + string(id))
-}
-
 // contend acquires or renews the lease for some time, and watches while it is held.
 func (r *reader) contend(ctx context.Context, lease *bulrushstore.Lease) {
 	ctx, stop := context.WithCancel(ctx)
@@ -245,7 +232,7 @@
 	r.node.control.do(ctx, func(bulrushchute.Millis) {
 		r.node.control.membership.Range(func(member bulrushchute.Instance) bool {
 			if member.DataCentre == r.node.settings.DataCentre && member.State != bulrushchute.StateSuspect {
-				all = append(all, ranked{readerHash(member.ID, r.slot), member.Address})
+				all = append(all, ranked{rankHash(r.name(), member.ID), member.Address})
 			}
 			return true
 		})
