Take a late Tick as a pause of the node

Cause: after the node itself was paused, every request in flight looks overdue although its answer may only have waited in the node. Change: requests that were in flight when a due Tick came over 100 ms late say nothing about the server. A spare account saves the last allocation of Offer.

--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -29,6 +29,8 @@
 
 	accounts     map[bulrushchute.Tenant]*account
 	activeWeight int
+	// spareAccount saves an allocation when a tenant's only request ends.
+	spareAccount *account
 
 	routes       routeTable
 	adaptive     adaptiveLimit
@@ -171,7 +173,8 @@
 }
 
 // NextTick returns the time of the next Tick that may have anything to do, or
-// Never. It may be early, but not late.
+// Never. It may be early, but not late. The owner calls Tick at that time; a
+// long delay is taken as a pause of the node and not as a slow server.
 func (c *Controller) NextTick() bulrushchute.Millis {
 	return min(c.nextExpiry, c.nextOverdue)
 }
--- a/bulrushadmission/evidence.go
+++ b/bulrushadmission/evidence.go
@@ -24,8 +24,15 @@
 	probesToFail = 2
 )
 
+// maxTickDelay is the delay of a due Tick from which on the node itself is taken
+// to have been paused. Answers may then have waited here and not at the server.
+const maxTickDelay = 100 * bulrushchute.Millisecond
+
 // learn draws the conclusions from the end of a request.
 func (c *Controller) learn(t *ticket, result Result) {
+	if t.paused {
+		return
+	}
 	elapsedMs := c.elapsedMs(t, result)
 	t.lowLoad = t.lowLoad && len(c.running) <= c.lowLoad()
 	f := c.judge(t, result, elapsedMs)
@@ -202,8 +209,10 @@
 	if c.now < c.nextOverdue {
 		return
 	}
+	paused := c.now-c.nextOverdue > maxTickDelay
 	c.nextOverdue = Never
 	for _, t := range c.running {
+		t.paused = t.paused || paused
 		if !t.overdue && t.overdueAt <= c.now {
 			c.countOverdue(t)
 		}
@@ -215,6 +224,9 @@
 
 func (c *Controller) countOverdue(t *ticket) {
 	t.overdue = true
+	if t.paused {
+		return
+	}
 	c.serviceMs = max(c.serviceMs, average(c.serviceMs, float64(c.now-t.dispatchedAt), serviceStep))
 	if t.epoch == c.epoch {
 		c.noteTrouble(1)
--- a/bulrushadmission/property_test.go
+++ b/bulrushadmission/property_test.go
@@ -145,6 +145,7 @@
 			m.now += bulrushchute.Millis(rapid.IntRange(0, 60).Draw(t, "span"))
 			m.take(t, m.c.Tick(m.now))
 		},
+		"clock goes back": func(t *rapid.T) { m.take(t, m.c.Tick(m.now-100)) },
 		"cancel": func(t *rapid.T) {
 			id := attemptID(uint64(rapid.IntRange(1, 50).Draw(t, "id")))
 			m.take(t, m.c.Cancel(m.now, id))
--- a/bulrushadmission/rules_test.go
+++ b/bulrushadmission/rules_test.go
@@ -196,6 +196,14 @@
 			fillQueue(c, 1, 5, "a", bulrushchute.ClassStandard)
 			c.Tick(c.NextTick())
 		}, 5, false},
+		"in flight while the node was paused": {func(c *Controller) {
+			good(c, 101, 10)
+			fillQueue(c, 1, 5, "a", bulrushchute.ClassStandard)
+			c.Tick(c.NextTick() + maxTickDelay + 1)
+			for id := range uint64(5) {
+				c.Done(c.now, attemptID(id+1), Result{ElapsedMs: 200})
+			}
+		}, 10, false},
 		"tiny latencies": {func(c *Controller) { good(c, 101, 10); bad(c, 1, Result{ElapsedMs: 1e-27}) }, 10, false},
 	}
 	for name, tc := range cases {
--- a/bulrushadmission/ticket.go
+++ b/bulrushadmission/ticket.go
@@ -25,6 +25,9 @@
 	overdueAt bulrushchute.Millis
 	overdue   bool
 	cancelled bool
+	// paused is set when the node was paused meanwhile, so that the latency says
+	// nothing about the server.
+	paused bool
 	// lowLoad is set when few others were in flight at dispatch and at the end.
 	lowLoad bool
 	// epoch tells answers to requests from before the last cut or cold start,
@@ -79,7 +82,12 @@
 	if known, ok := c.accounts[tenant]; ok {
 		return known
 	}
-	opened := &account{weight: c.weight(tenant)}
+	opened := c.spareAccount
+	c.spareAccount = nil
+	if opened == nil {
+		opened = &account{}
+	}
+	opened.weight = c.weight(tenant)
 	c.accounts[tenant] = opened
 	c.activeWeight += opened.weight
 	return opened
@@ -89,6 +97,8 @@
 	if a.tickets == 0 {
 		delete(c.accounts, tenant)
 		c.activeWeight -= a.weight
+		*a = account{}
+		c.spareAccount = a
 	}
 }
 
