Count the ages of all unanswered attempts in the score

Cause: most of the tail goes to a server that has just become slow, while several attempts to it are still unanswered. Change: the summed age of unanswered attempts raises the latency estimate as it would raise the mean of two answers.

--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -17,6 +17,11 @@
 	latencyStep = 0.3
 	serviceStep = 0.02
 
+	// Waiting without an answer raises the estimate as it would raise the mean of
+	// this many answers. With a higher number a slowdown shows later, with a
+	// lower one ordinary waiting hides the differences between instances.
+	priorAnswers = 2.0
+
 	// What is known of an instance fades towards the service's average in
 	// these spans (e-folding).
 	latencyFadeMs = 1000.0
@@ -66,6 +71,7 @@
 	// An attempt that is already older than the estimate shows that the
 	// instance has become slow before any answer does.
 	latencyMs = max(latencyMs, c.own.oldestAge(now)-distanceMs, smallestLatencyMs)
+	latencyMs += c.own.totalAge(now) / priorAnswers
 	busy := (others + float64(c.own.count())) / c.limit
 	return latencyMs*(1+busy) + distanceMs
 }
