State in a digest whether it covers one data centre's own records

Cause: two peers that saw each other differently (one as a neighbour, the other as a guest) compared different sets, so a join never found equal digests. Change: Digest.Shared names the set; a node compares with a neighbour right after joining to get the reachability reports.

--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -100,7 +100,9 @@
 }
 
 // finishJoin makes the node a part of the overlay. Its record is published
-// again because nobody heard of the first one.
+// again because nobody heard of the first one. A comparison with a neighbour
+// brings the reachability reports of the data centre, which the peers of the
+// join do not send because they may be in another one.
 func (m *Membership) finishJoin(now bulrushchute.Millis) {
 	m.status.Joined = true
 	m.contact = now
@@ -109,6 +111,7 @@
 	m.updateOverlay(now)
 	m.updateNeighbours(now)
 	m.publishSelf(now)
+	m.catchUp = true
 }
 
 func (m *Membership) otherSeeds() []bulrushchute.Address {
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -105,22 +105,23 @@
 		actions = m.watchBridges(now, actions)
 	}
 	m.updateReach(now)
-	actions = m.catchUpAfterPause(now, actions)
+	actions = m.compareNow(now, actions)
 	m.expire(now)
 	m.updateContact(now)
 	m.reportStatus(now)
 	return append(actions, m.table.Tick(now)...)
 }
 
-// catchUpAfterPause compares digests at once, because the node may have
-// missed many changes.
-func (m *Membership) catchUpAfterPause(now bulrushchute.Millis, actions []Action) []Action {
-	if !m.catchUp || len(m.links.order) == 0 {
+// compareNow compares digests at once after a pause, in which the node may
+// have missed many changes, and after the join.
+func (m *Membership) compareNow(now bulrushchute.Millis, actions []Action) []Action {
+	neighbours := m.Neighbours()
+	if !m.catchUp || len(neighbours) == 0 {
 		return actions
 	}
 	m.catchUp = false
-	l := m.links.order[m.config.Random.IntN(len(m.links.order))]
-	return append(actions, m.table.Compare(now, l.address)...)
+	id := neighbours[m.config.Random.IntN(len(neighbours))]
+	return append(actions, m.table.Compare(now, m.links.byID[id].address)...)
 }
 
 func (m *Membership) reportStatus(now bulrushchute.Millis) {
--- a/bulrushmembership/spread_test.go
+++ b/bulrushmembership/spread_test.go
@@ -98,8 +98,7 @@
 		}
 	}
 	f.run(5 * bulrushchute.Second)
-	seconds := int((f.now - start) / bulrushchute.Second)
-	extra := f.bytes - before - seconds*restBytes
+	extra := f.bytes - before - int(f.now-start)*restBytes/int(bulrushchute.Second)
 	b.ReportMetric(float64(reached), "ms_to_all")
 	b.ReportMetric(float64(extra)/centreNodes, "B/node")
 	b.ReportMetric(float64(restBytes)/float64(len(f.nodes)), "rest_B/s/node")
--- a/bulrushspread/digest.go
+++ b/bulrushspread/digest.go
@@ -20,7 +20,9 @@
 type transfer struct {
 	buckets []uint8
 	whole   [BucketCount]bool
-	at      int
+	// shared leaves out records that are valid in one data centre only.
+	shared bool
+	at     int
 	// limit is the number of bytes left to send, negative for no limit.
 	limit int
 	// digest, if set, is sent at the end to answer the peer's own digest.
@@ -35,17 +37,23 @@
 		return nil
 	}
 	t.comparing[with] = true
-	digest := bulrushchute.Digest{Buckets: t.digestFor(p), Reply: true}
+	digest := t.digest(p.sharesOnly())
+	digest.Reply = true
 	return t.send(nil, p, bulrushchute.Control{Digest: &digest})
 }
 
-func (t *Table) digestFor(p *peer) []uint64 {
-	buckets := t.hashesFor(p)
-	return append([]uint64(nil), buckets[:]...)
+// sharesOnly reports whether a peer is, or may be, in another data centre.
+func (p *peer) sharesOnly() bool {
+	return p.guest || p.neighbour.Bridge
 }
 
-func (t *Table) hashesFor(p *peer) *[BucketCount]uint64 {
-	if p.guest || p.neighbour.Bridge {
+func (t *Table) digest(shared bool) bulrushchute.Digest {
+	buckets := append([]uint64(nil), t.hashes(shared)[:]...)
+	return bulrushchute.Digest{Buckets: buckets, Shared: shared}
+}
+
+func (t *Table) hashes(shared bool) *[BucketCount]uint64 {
+	if shared {
 		return &t.shared
 	}
 	return &t.all
@@ -68,7 +76,9 @@
 		return
 	}
 	if p := t.randomNeighbour(); p != nil {
-		p.digests = append(p.digests[:0], bulrushchute.Digest{Buckets: t.digestFor(p), Reply: true})
+		digest := t.digest(p.sharesOnly())
+		digest.Reply = true
+		p.digests = append(p.digests[:0], digest)
 	}
 }
 
@@ -89,7 +99,7 @@
 }
 
 func (t *Table) receiveDigest(now bulrushchute.Millis, p *peer, digest *bulrushchute.Digest) {
-	differing := t.difference(p, digest.Buckets)
+	differing := t.difference(digest)
 	if digest.Reply {
 		t.answerDigest(p, digest, differing)
 		return
@@ -101,14 +111,15 @@
 		}
 	}
 	if len(differing) > 0 && p.transfer == nil {
-		p.transfer = &transfer{buckets: differing, limit: repairBytes}
+		p.transfer = &transfer{buckets: differing, limit: repairBytes, shared: digest.Shared}
 	}
 }
 
 // difference lists the buckets that differ, from a random one on, so that
 // repeated comparisons under a limit reach all of them. A digest without
 // buckets says that there is no difference.
-func (t *Table) difference(p *peer, buckets []uint64) []uint8 {
+func (t *Table) difference(digest *bulrushchute.Digest) []uint8 {
+	buckets := digest.Buckets
 	if len(buckets) == 0 {
 		return nil
 	}
@@ -116,7 +127,7 @@
 	if t.config.Random != nil {
 		start = t.config.Random.IntN(BucketCount)
 	}
-	own := t.hashesFor(p)
+	own := t.hashes(digest.Shared)
 	var differing []uint8
 	for i := range buckets {
 		b := (start + i) % BucketCount
@@ -135,7 +146,7 @@
 	if p.transfer != nil && p.transfer.at > 0 {
 		return // the peer repeats itself; the transfer under way answers it
 	}
-	tr := &transfer{buckets: differing, limit: repairBytes, digest: true}
+	tr := &transfer{buckets: differing, limit: repairBytes, shared: digest.Shared, digest: true}
 	if p.guest {
 		tr.limit = -1
 	}
@@ -171,7 +182,7 @@
 		if !tr.digest {
 			return actions
 		}
-		digest := bulrushchute.Digest{Buckets: t.digestFor(p)}
+		digest := t.digest(tr.shared)
 		return t.sendBulk(actions, p, bulrushchute.Control{Digest: &digest})
 	}
 	b := tr.buckets[tr.at]
@@ -198,7 +209,7 @@
 		records, size = nil, 0
 	}
 	for _, e := range t.buckets[b] {
-		if !t.inDigest(p, e) {
+		if !inDigest(e, p.transfer.shared) {
 			continue
 		}
 		records = append(records, e.record)
@@ -214,7 +225,7 @@
 func (t *Table) sendBucketVersions(actions []Action, p *peer, b uint8) []Action {
 	var versions []bulrushchute.RecordVersionOf
 	for _, e := range t.buckets[b] {
-		if t.inDigest(p, e) {
+		if inDigest(e, p.transfer.shared) {
 			versions = append(versions, bulrushchute.RecordVersionOf{Key: e.record.Key, Version: e.record.Version})
 		}
 		if len(versions) == maxListed/16 {
@@ -228,13 +239,13 @@
 	return t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
 }
 
-// inDigest tells whether a record belongs to the digest used with a peer.
-func (t *Table) inDigest(p *peer, e *entry) bool {
+// inDigest tells whether a record belongs to a digest.
+func inDigest(e *entry, shared bool) bool {
 	switch e.record.Key.Topic {
 	case bulrushchute.TopicBeat:
 		return false
 	case bulrushchute.TopicDataCentre:
-		return !p.guest && !p.neighbour.Bridge
+		return !shared
 	}
 	return true
 }
--- a/bulrushspread/size.go
+++ b/bulrushspread/size.go
@@ -53,7 +53,7 @@
 		}
 	}
 	if d := message.Digest; d != nil {
-		size += 3 + sizeUint(uint64(len(d.Buckets))) + sizeFlag(d.Reply)
+		size += 3 + sizeUint(uint64(len(d.Buckets))) + sizeFlag(d.Reply) + sizeFlag(d.Shared)
 		for _, b := range d.Buckets {
 			size += sizeUint(b)
 		}
--- a/message.go
+++ b/message.go
@@ -167,6 +167,9 @@
 	Buckets []uint64 `cbor:"1,keyasint"`
 	// Reply asks the receiver for its versions in the buckets that differ.
 	Reply bool `cbor:"2,keyasint,omitempty"`
+	// Shared is set when the hashes leave out records that are valid in one
+	// data centre only.
+	Shared bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Evidence is what one admission node saw of a version on one route since its last report.
