--- a/bulrushspread/flush.go
+++ b/bulrushspread/flush.go
@@ -146,12 +146,19 @@
 	t.stats.ChargedBytes += uint64(bytes)
 }
 
+// flushDigests sends digests. Those of guests are paid like copies, so that a
+// node under load does not delay a node that joins.
 func (t *Table) flushDigests(actions []Action) []Action {
 	for _, p := range t.order {
-		for len(p.digests) > 0 && t.budget.allows(classMember) {
+		for len(p.digests) > 0 && (t.budget.allows(classMember) || (p.guest && t.bulkAllowed())) {
 			digest := p.digests[0]
 			p.digests = p.digests[1:]
-			actions = t.send(actions, p, bulrushchute.Control{Digest: &digest})
+			message := bulrushchute.Control{Digest: &digest}
+			if p.guest {
+				actions = t.sendBulk(actions, p, message)
+				continue
+			}
+			actions = t.send(actions, p, message)
 		}
 	}
 	return actions
