--- a/bulrushkey/controller.go
+++ b/bulrushkey/controller.go
@@ -2,58 +2,180 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"bulrushchute.example/bulrushchute"
 )
 
-// Controller is one node's part in keeping the key map of its own service. It
-// is not safe for concurrent use.
+// Controller is one node's part in keeping the key map of its own service: it
+// holds the node's lease, hands its partitions over when it leaves, replaces
+// lease monitors that do not answer, and takes over from homes that have gone.
+// It compares the newest map that it knows with what should be, and proposes
+// at most one change at a time. It is not safe for concurrent use.
 type Controller struct {
 	settings Settings
 	service  bulrushchute.Service
 	self     bulrushchute.InstanceID
 	random   *rand.Rand
+	// now is the latest reading of the node's clock. A clock that is set back
+	// stands still here, so that leases and waits never grow longer by it.
+	now bulrushchute.Millis
+
+	members []Member
+	lost    map[bulrushchute.DataCentre]bulrushchute.Millis
+	leaving bool
+
+	current KeyMap
+	known   bool
+	// missingSince is when the controller first needed a map and had none.
+	missingSince bulrushchute.Millis
+
+	lease     *lease
+	takeovers map[bulrushchute.InstanceID]*takeover
+	proposal  proposal
 }
 
-// NewController returns a controller that knows no members and no key map.
+// NewController returns a controller that knows no members and no key map. The
+// source of randomness spreads retries; the caller seeds it.
 func NewController(settings Settings, service bulrushchute.Service, self bulrushchute.InstanceID, random *rand.Rand) *Controller {
-	return &Controller{settings: settings, service: service, self: self, random: random}
+	return &Controller{
+		settings:  settings,
+		service:   service,
+		self:      self,
+		random:    random,
+		lost:      make(map[bulrushchute.DataCentre]bulrushchute.Millis),
+		lease:     newLease(settings),
+		takeovers: make(map[bulrushchute.InstanceID]*takeover),
+	}
+}
+
+// advance moves the controller's time forward and returns it.
+func (c *Controller) advance(now bulrushchute.Millis) bulrushchute.Millis {
+	c.now = max(c.now, now)
+	return c.now
 }
 
 // SetMembers replaces the members of the service, this node included, and the
 // data centres that operators declared lost.
-func (c *Controller) SetMembers(_ bulrushchute.Millis, _ []Member, _ []bulrushchute.DataCentre) {}
+func (c *Controller) SetMembers(now bulrushchute.Millis, members []Member, lost []bulrushchute.DataCentre) {
+	now = c.advance(now)
+	c.members = slices.Clone(members)
+	for dataCentre := range c.lost {
+		if !slices.Contains(lost, dataCentre) {
+			delete(c.lost, dataCentre)
+		}
+	}
+	for _, dataCentre := range lost {
+		if _, known := c.lost[dataCentre]; !known {
+			c.lost[dataCentre] = now
+		}
+	}
+}
 
 // SetMap takes a key map from gossip. Versions that are not newer are ignored.
-func (c *Controller) SetMap(_ bulrushchute.Millis, _ KeyMap) {}
+func (c *Controller) SetMap(now bulrushchute.Millis, m KeyMap) {
+	c.advance(now)
+	if c.known && m.Version <= c.current.Version {
+		return
+	}
+	c.current, c.known = m, true
+	c.proposal.settle(m)
+	for id := range c.takeovers {
+		if _, named := m.Find(id); !named {
+			delete(c.takeovers, id)
+		}
+	}
+}
 
 // Leave starts the handover of all partitions. It is final.
-func (c *Controller) Leave(_ bulrushchute.Millis) {}
+func (c *Controller) Leave(now bulrushchute.Millis) {
+	c.advance(now)
+	c.leaving = true
+}
 
 // Acked takes a lease monitor's acknowledgement of a heartbeat.
-func (c *Controller) Acked(_ bulrushchute.Millis, _ bulrushchute.InstanceID, _ bulrushchute.HeartbeatAck) {
+func (c *Controller) Acked(now bulrushchute.Millis, from bulrushchute.InstanceID, ack bulrushchute.HeartbeatAck) {
+	c.advance(now)
+	c.lease.ack(from, ack)
 }
 
 // Promised takes a lease monitor's answer to a promise request.
-func (c *Controller) Promised(_ bulrushchute.Millis, _ bulrushchute.InstanceID, _ bulrushchute.Promise) {
+func (c *Controller) Promised(now bulrushchute.Millis, from bulrushchute.InstanceID, promise bulrushchute.Promise) {
+	now = c.advance(now)
+	t, wanted := c.takeovers[promise.Home]
+	if !wanted || !promise.Granted {
+		return
+	}
+	if _, known := t.promised[from]; !known {
+		t.promised[from] = now
+	}
 }
 
-// Wrote reports the end of a Write with the store's answer or error.
-func (c *Controller) Wrote(_ bulrushchute.Millis, _ bulrushchute.Object, _ error) {}
-
-// WasRead reports the end of a Read with the store's answer or error.
-func (c *Controller) WasRead(_ bulrushchute.Millis, _ bulrushchute.Object, _ error) {}
-
 // Tick returns the steps that are due. The node calls it at least four times
-// in each heartbeat interval and after each of the calls above.
-func (c *Controller) Tick(_ bulrushchute.Millis) []Action { return nil }
+// in each heartbeat interval, and after each of the calls above.
+func (c *Controller) Tick(now bulrushchute.Millis) []Action {
+	now = c.advance(now)
+	actions := c.lease.beat(now, c.beatTargets())
+	c.findGone(now)
+	actions = append(actions, c.askPromises(now)...)
+	return append(actions, c.propose(now)...)
+}
 
-// Permit says which new keys of the partition this node may record now.
-func (c *Controller) Permit(_ bulrushchute.Millis, _ int) Permit { return Permit{} }
+// Permit says which new keys of the partition this node may record now. While
+// a change that the node proposed may still take effect, it must hold under
+// the changed map too.
+func (c *Controller) Permit(now bulrushchute.Millis, partition int) Permit {
+	now = c.advance(now)
+	permit := Permit{RetryAfter: c.settings.Heartbeat}
+	home, assignment, found := c.current.HomeOf(partition)
+	if !found || home.ID != c.self {
+		return permit
+	}
+	permit.Home = true
+	permit.Since = assignment.Since
+	permit.Lease = c.lease.held(now, home.Monitors) && c.holdsUnder(c.proposal.candidate, partition, now)
+	return permit
+}
+
+func (c *Controller) holdsUnder(candidate *KeyMap, partition int, now bulrushchute.Millis) bool {
+	if candidate == nil {
+		return true
+	}
+	home, _, found := candidate.HomeOf(partition)
+	return found && home.ID == c.self && c.lease.held(now, home.Monitors)
+}
 
 // Map returns the newest key map that the controller knows.
-func (c *Controller) Map() (KeyMap, bool) { return KeyMap{}, false }
+func (c *Controller) Map() (KeyMap, bool) {
+	return c.current, c.known
+}
 
 // IsHome reports whether any partition is, or may be, assigned to this node.
 // A leaving node waits until it is false.
-func (c *Controller) IsHome() bool { return false }
+func (c *Controller) IsHome() bool {
+	if _, named := c.current.Find(c.self); named {
+		return true
+	}
+	if c.proposal.candidate == nil {
+		return false
+	}
+	_, named := c.proposal.candidate.Find(c.self)
+	return named
+}
+
+// serving returns the members that are not in a lost data centre.
+func (c *Controller) serving() []Member {
+	return slices.DeleteFunc(slices.Clone(c.members), func(m Member) bool {
+		_, lost := c.lost[m.DataCentre]
+		return lost
+	})
+}
+
+// member returns what is known of an instance of the service.
+func (c *Controller) member(id bulrushchute.InstanceID) (Member, bool) {
+	index := slices.IndexFunc(c.members, func(m Member) bool { return m.ID == id })
+	if index < 0 {
+		return Member{}, false
+	}
+	return c.members[index], true
+}
--- a/bulrushkey/map.go
+++ b/bulrushkey/map.go
@@ -143,6 +143,48 @@
 	return m
 }
 
+// WithHome returns a copy in which a home is assigned partitions, each in its
+// next epoch. A home that the map already names keeps its lease monitors. Homes
+// without partitions are dropped.
+func (m KeyMap) WithHome(home Home, since bulrushchute.Millis, partitions ...int) KeyMap {
+	m.Homes = slices.Clone(m.Homes)
+	m.Partitions = slices.Clone(m.Partitions)
+	index := slices.IndexFunc(m.Homes, func(h Home) bool { return h.ID == home.ID })
+	if index < 0 {
+		index = len(m.Homes)
+		m.Homes = append(m.Homes, home)
+	}
+	for _, p := range partitions {
+		previous := m.Partitions[p]
+		m.Partitions[p] = Assignment{
+			Home:  index,
+			Epoch: previous.Epoch + 1,
+			Since: max(since, previous.Since+1),
+		}
+	}
+	return m.compact()
+}
+
+// compact drops homes without partitions. The receiver's slices are its own.
+func (m KeyMap) compact() KeyMap {
+	position := make([]int, len(m.Homes))
+	for _, assignment := range m.Partitions {
+		position[assignment.Home] = 1
+	}
+	homes := make([]Home, 0, len(m.Homes))
+	for i, home := range m.Homes {
+		if position[i] == 1 {
+			position[i] = len(homes)
+			homes = append(homes, home)
+		}
+	}
+	for p := range m.Partitions {
+		m.Partitions[p].Home = position[m.Partitions[p].Home]
+	}
+	m.Homes = homes
+	return m
+}
+
 func (m KeyMap) validate(name string) error {
 	if string(m.Service) != name {
 		return &bulrushchute.FieldError{Field: "service", Value: string(m.Service), Allowed: name}
--- a/bulrushkey/monitor.go
+++ b/bulrushkey/monitor.go
@@ -11,14 +11,20 @@
 	settings Settings
 	heard    map[bulrushchute.InstanceID]bulrushchute.Millis
 	promised map[bulrushchute.InstanceID]uint64
+	// pruneAt is the size of heard at which homes that fell silent are dropped.
+	pruneAt int
 }
 
+// leastPruned keeps pruning rare while a node monitors its usual few homes.
+const leastPruned = 64
+
 // NewMonitor returns a monitor that has promised nothing.
 func NewMonitor(settings Settings) *Monitor {
 	return &Monitor{
 		settings: settings,
 		heard:    make(map[bulrushchute.InstanceID]bulrushchute.Millis),
 		promised: make(map[bulrushchute.InstanceID]uint64),
+		pruneAt:  leastPruned,
 	}
 }
 
@@ -32,7 +38,7 @@
 	if _, promised := m.promised[from]; promised {
 		return ack
 	}
-	m.heard[from] = now
+	m.hear(now, from)
 	ack.KeyLease = true
 	return ack
 }
@@ -59,6 +65,19 @@
 	return promised
 }
 
+func (m *Monitor) hear(now bulrushchute.Millis, home bulrushchute.InstanceID) {
+	m.heard[home] = now
+	if len(m.heard) < m.pruneAt {
+		return
+	}
+	for id := range m.heard {
+		if !m.hears(now, id) {
+			delete(m.heard, id)
+		}
+	}
+	m.pruneAt = max(leastPruned, 2*len(m.heard))
+}
+
 func (m *Monitor) hears(now bulrushchute.Millis, home bulrushchute.InstanceID) bool {
 	at, heard := m.heard[home]
 	return heard && now-at < m.settings.Lease
