--- a/bulrushmove/histogram.go
+++ b/bulrushmove/histogram.go
@@ -22,8 +22,9 @@
 	if !(latencyMs >= firstBoundMs) {
 		return 0
 	}
-	bucket := 1 + int(math.Log2(latencyMs/firstBoundMs)*bucketsPerOctave)
-	return min(bucket, BucketCount-1)
+	// Limited before the conversion, which is undefined for an infinite latency.
+	position := min(math.Log2(latencyMs/firstBoundMs)*bucketsPerOctave, BucketCount-2)
+	return 1 + int(position)
 }
 
 // BucketBoundMs returns the upper bound of a bucket in milliseconds; that of
