Move two versions in the demo, one of them bad

Cause: the demo did not show version moves. Change: a good version of the board and a bad one of the ledger start beside the old ones and are moved with a deadline of 28 s; leases of newly moving shards are stepped within 0.5 s; load raised so that 1% of it is enough evidence.

--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -27,6 +27,9 @@
 	moveCandidates = 3
 	moveLease      = 10 * bulrushchute.Second
 	moveRenewEvery = 3 * bulrushchute.Second
+	// shardsEvery is how often the shards in which services move are looked up,
+	// so that a new move starts soon.
+	shardsEvery = 500 * bulrushchute.Millisecond
 )
 
 // moveHolder is the value of the record that tells where evidence goes.
@@ -325,11 +328,15 @@
 
 // runLeases contends for the shards in which services move.
 func (m *moves) runLeases(ctx context.Context) error {
+	var nextStep [moveShards]bulrushchute.Millis
 	for ctx.Err() == nil {
 		for _, shard := range m.wantedShards(ctx) {
-			m.stepLease(ctx, shard)
+			if now := m.clock.Now(); now >= nextStep[shard] {
+				nextStep[shard] = now + moveRenewEvery
+				m.stepLease(ctx, shard)
+			}
 		}
-		pause(ctx, moveRenewEvery.Duration())
+		pause(ctx, shardsEvery.Duration())
 	}
 	m.releaseLeases()
 	return nil
--- a/cmd/bulrushbench/bulrushdemo/demo.go
+++ b/cmd/bulrushbench/bulrushdemo/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,6 +10,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushload"
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushstandin"
@@ -25,13 +27,21 @@
 	LateWork int `json:"work_after_withdrawal"`
 	// WorkAfterReturn is set when the returned data centre received work again.
 	WorkAfterReturn bool `json:"work_after_return"`
+	// The good version's move has to be completed in time and the bad one's
+	// rolled back; the outcomes are those of the announced events.
+	GoodMove string `json:"good_move"`
+	BadMove  string `json:"bad_move"`
+	// BadVersionRequests is how many requests ran on the bad version.
+	BadVersionRequests int     `json:"bad_version_requests"`
+	BadVersionShare    float64 `json:"bad_version_share"`
 	// StoreCalls is the number of calls that the store received.
 	StoreCalls uint64 `json:"store_calls"`
 }
 
 // Failed reports whether a promise was broken.
 func (r Result) Failed() bool {
-	return r.Faults()+r.LateWork > 0 || !r.WorkAfterReturn
+	moved := r.GoodMove == string(bulrushmove.OutcomeCompleted) && r.BadMove == string(bulrushmove.OutcomeRolledBack)
+	return r.Faults()+r.LateWork > 0 || !r.WorkAfterReturn || !moved
 }
 
 // step is one event of the demo's schedule.
@@ -56,7 +66,10 @@
 	dataCentreB = "ub-2"
 	board       = "defect-board"
 	ledger      = "repair-ledger"
-	loadFor     = 26 * time.Second
+	oldVersion  = "v1"
+	newVersion  = "v2"
+	loadFor     = 33 * time.Second
+	moveFor     = 28 * bulrushchute.Second
 	seed        = 7
 )
 
@@ -92,6 +105,7 @@
 	group.Wait()
 	d.result.Result = bulrushload.Compare(profiles, told, d.fleet.Reports())
 	d.checkReturn()
+	d.checkMoves(ctx)
 	for _, counts := range d.fleet.Handler.Counts() {
 		d.result.StoreCalls += counts.Reads + counts.Writes + counts.Watches
 	}
@@ -111,20 +125,43 @@
 		if number >= 4 {
 			service = ledger
 		}
-		instance, err := d.fleet.Start(InstanceConfig{DataCentre: dataCentre, Backend: demoBackend(service, uint64(number))})
-		if err != nil {
+		if err := d.start(dataCentre, demoBackend(service, oldVersion, uint64(number))); err != nil {
 			return err
 		}
-		d.instances[service] = append(d.instances[service], instance)
 	}
 	d.targets.Set(d.fleet.CallerAddresses())
 	return d.fleet.WaitReady(ctx)
 }
 
-func demoBackend(service string, number uint64) bulrushstandin.Config {
+func (d *demo) start(dataCentre string, backend bulrushstandin.Config) error {
+	instance, err := d.fleet.Start(InstanceConfig{DataCentre: dataCentre, Backend: backend})
+	if err != nil {
+		return err
+	}
+	d.instances[backend.Service] = append(d.instances[backend.Service], instance)
+	return nil
+}
+
+// startNewVersions starts a good new version of the board and a bad one of the
+// ledger beside the old ones.
+func (d *demo) startNewVersions(context.Context) error {
+	for number, dataCentre := range []string{dataCentreA, dataCentreB} {
+		if err := d.start(dataCentre, demoBackend(board, newVersion, uint64(100+number))); err != nil {
+			return err
+		}
+		bad := demoBackend(ledger, newVersion, uint64(200+number))
+		bad.Behaviour.ErrorShare = 0.5
+		if err := d.start(dataCentre, bad); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func demoBackend(service, version string, number uint64) bulrushstandin.Config {
 	return bulrushstandin.Config{
 		Service:     service,
-		Version:     "v1",
+		Version:     version,
 		Slots:       10,
 		Connections: 240,
 		ColdSlots:   2,
@@ -135,11 +172,32 @@
 }
 
 func (d *demo) writeCatalogue(ctx context.Context) error {
+	if err := d.writeServices(ctx, nil); err != nil {
+		return err
+	}
+	for _, name := range []string{dataCentreA, dataCentreB} {
+		if err := d.setDataCentre(ctx, name, bulrushcatalogue.DataCentreServing); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) startMoves(ctx context.Context) error {
+	return d.writeServices(ctx, &bulrushcatalogue.Move{
+		Generation:   1,
+		FromVersion:  oldVersion,
+		ToVersion:    newVersion,
+		CompleteByMs: bulrushchute.WallClock{}.Now() + moveFor,
+	})
+}
+
+func (d *demo) writeServices(ctx context.Context, move *bulrushcatalogue.Move) error {
 	idempotent := false
 	limits := bulrushcatalogue.Limits{Slots: 10, Connections: 240, Queue: 40, QueueMs: 200, ColdSlots: 1, WarmMs: 3000}
 	services := []bulrushcatalogue.ServiceEntry{
-		{Service: board, Owner: "towpath", Class: "critical", TimeoutMs: 1000, Limits: limits},
-		{Service: ledger, Owner: "towpath", Class: "critical", TimeoutMs: 2000, Limits: limits,
+		{Service: board, Owner: "towpath", Class: "critical", TimeoutMs: 1000, StableVersion: oldVersion, Limits: limits, Move: move},
+		{Service: ledger, Owner: "towpath", Class: "critical", TimeoutMs: 2000, StableVersion: oldVersion, Limits: limits, Move: move,
 			Routes: []bulrushcatalogue.Route{{Name: "file", Prefix: "/filings", Methods: []string{"POST"}, Idempotent: &idempotent}}},
 	}
 	for _, service := range services {
@@ -147,11 +205,6 @@
 			return err
 		}
 	}
-	for _, name := range []string{dataCentreA, dataCentreB} {
-		if err := d.setDataCentre(ctx, name, bulrushcatalogue.DataCentreServing); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
@@ -166,9 +219,9 @@
 
 func demoProfiles() []bulrushload.Profile {
 	return []bulrushload.Profile{
-		{Name: "defect-view", Service: board, Method: "GET", Path: "/defects", PerSecond: 150, TimeoutMs: 1000, Tenant: "crew", Idempotent: true},
-		{Name: "filing", Service: ledger, Method: "POST", Path: "/filings", PerSecond: 40, TimeoutMs: 2000, Tenant: "crew"},
-		{Name: "keyed-filing", Service: ledger, Method: "POST", Path: "/filings", PerSecond: 40, TimeoutMs: 2000, Tenant: "inspector", Keyed: true},
+		{Name: "defect-view", Service: board, Method: "GET", Path: "/defects", PerSecond: 400, TimeoutMs: 1000, Tenant: "crew", Idempotent: true},
+		{Name: "filing", Service: ledger, Method: "POST", Path: "/filings", PerSecond: 120, TimeoutMs: 2000, Tenant: "crew"},
+		{Name: "keyed-filing", Service: ledger, Method: "POST", Path: "/filings", PerSecond: 120, TimeoutMs: 2000, Tenant: "inspector", Keyed: true},
 	}
 }
 
@@ -190,27 +243,58 @@
 
 func (d *demo) schedule() []step {
 	return []step{
-		{3 * time.Second, "one instance crashes", func(context.Context) error {
+		{time.Second, "new versions started", d.startNewVersions},
+		{4 * time.Second, "moves requested", d.startMoves},
+		{6 * time.Second, "one instance crashes", func(context.Context) error {
 			return d.fleet.Kill(d.instances[board][0])
 		}},
-		{6 * time.Second, "data centre withdrawn", func(ctx context.Context) error {
+		{9 * time.Second, "data centre withdrawn", func(ctx context.Context) error {
 			return d.setDataCentre(ctx, dataCentreB, bulrushcatalogue.DataCentreWithdrawn)
 		}},
-		{13 * time.Second, "data centre returned", func(ctx context.Context) error {
+		{16 * time.Second, "data centre returned", func(ctx context.Context) error {
 			d.checkWithdrawal(7 * time.Second)
 			d.returnedAt = time.Now()
 			return d.setDataCentre(ctx, dataCentreB, bulrushcatalogue.DataCentreServing)
 		}},
-		{16 * time.Second, "one instance slows down", func(context.Context) error {
+		{20 * time.Second, "one instance slows down", func(context.Context) error {
 			d.instances[board][1].Backend.SetBehaviour(bulrushstandin.Behaviour{ServiceMs: 5, SpeedFactor: 10})
 			return nil
 		}},
-		{20 * time.Second, "one instance drains", func(context.Context) error {
+		{24 * time.Second, "one instance drains", func(context.Context) error {
 			return d.fleet.Leave(d.instances[ledger][0])
 		}},
 	}
 }
 
+// checkMoves reads the announced outcomes and counts what the bad version got.
+func (d *demo) checkMoves(ctx context.Context) {
+	d.result.GoodMove = d.outcome(ctx, board)
+	d.result.BadMove = d.outcome(ctx, ledger)
+	all := 0
+	for _, instance := range d.instances[ledger] {
+		runs := len(instance.Backend.Report().Runs)
+		all += runs
+		if instance.Config.Backend.Version == newVersion {
+			d.result.BadVersionRequests += runs
+		}
+	}
+	d.result.BadVersionShare = float64(d.result.BadVersionRequests) / float64(max(all, 1))
+}
+
+func (d *demo) outcome(ctx context.Context, service string) string {
+	objects, _, err := d.fleet.Store.List(ctx, bulrushchute.KindEvents)
+	if err != nil {
+		return err.Error()
+	}
+	for _, object := range objects {
+		var event bulrushmove.Event
+		if json.Unmarshal(object.Value, &event) == nil && string(event.Service) == service {
+			return string(event.Outcome)
+		}
+	}
+	return "none"
+}
+
 // checkWithdrawal looks for work that arrived after the bound.
 func (d *demo) checkWithdrawal(since time.Duration) {
 	limit := time.Now().Add(withdrawalBound - since)
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -43,7 +43,8 @@
 	Backend  *bulrushstandin.Backend
 	Settings bulrushnode.Settings
 	command  *exec.Cmd
-	exited   chan error
+	// exited is closed when the process has ended.
+	exited chan struct{}
 	// silent stops the announcements.
 	silent context.CancelFunc
 }
@@ -158,10 +159,10 @@
 	if err := instance.command.Start(); err != nil {
 		return errors.Wrap(err, "start node")
 	}
-	instance.exited = make(chan error, 1)
+	instance.exited = make(chan struct{})
 	f.tasks.Start(f.context, name, func(context.Context) error {
-		instance.exited <- instance.command.Wait()
-		return nil
+		defer close(instance.exited)
+		return instance.command.Wait()
 	})
 	return nil
 }
--- a/cmd/bulrushbench/bulrushload/load.go
+++ b/cmd/bulrushbench/bulrushload/load.go
@@ -198,17 +198,21 @@
 	told := Told{Profile: index, ID: id, Outcome: OutcomeRefused}
 	for _, address := range g.targets.pick(choice) {
 		response, err := g.client.Do(newRequest(ctx, address, profile, id, key))
-		if isDialError(err) {
-			continue
+		if err == nil {
+			defer func() { _ = response.Body.Close() }()
+			return read(told, response)
 		}
-		if err != nil {
-			told.Outcome = OutcomeCut
-			if ctx.Err() != nil {
-				told.Outcome = OutcomeHung
-			}
-			return told
+		if !isDialError(err) {
+			return failed(ctx, told)
 		}
-		return read(told, response)
+	}
+	return told
+}
+
+func failed(ctx context.Context, told Told) Told {
+	told.Outcome = OutcomeCut
+	if ctx.Err() != nil {
+		told.Outcome = OutcomeHung
 	}
 	return told
 }
@@ -240,7 +244,6 @@
 }
 
 func read(told Told, response *http.Response) Told {
-	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		told.Outcome = OutcomeCut
--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -69,7 +69,7 @@
 	config   Config
 	listener net.Listener
 	server   *http.Server
-	ended    chan error
+	ended    chan struct{}
 	killed   sync.Once
 
 	mutex       sync.Mutex
@@ -95,7 +95,7 @@
 	b := &Backend{
 		config:    config,
 		listener:  listener,
-		ended:     make(chan error, 1),
+		ended:     make(chan struct{}),
 		behaviour: config.Behaviour,
 		random:    rand.New(rand.NewPCG(config.Seed, 1)),
 		startedAt: time.Now(),
@@ -111,7 +111,9 @@
 }
 
 func (b *Backend) serve(listener net.Listener) {
-	b.ended <- b.server.Serve(listener)
+	defer close(b.ended)
+	// Serve returns only when Kill closes the server.
+	_ = b.server.Serve(listener)
 }
 
 // Address returns the address on which the backend server listens.
