Guard cuts, weights and broken routes with tests

Cause: mutations of the epoch check, the failure weight, the shedding after a cut, and the changes of limits and weights passed the tests. Change: a named case for each; the metric test uses a new expvar name on each run, since it panicked under -count=5.

--- a/bulrushadmission/rules_test.go
+++ b/bulrushadmission/rules_test.go
@@ -179,10 +179,29 @@
 			good(c, 101, 10)
 			c.ObserveProbe(c.now, ProbeReport{Cold: true})
 		}, 10, false},
-		"long idle":        {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold) }, 1, true},
-		"short idle":       {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold-1) }, 10, false},
-		"restart":          {func(c *Controller) { good(c, 101, 10); c.BackendStarted(c.now, Announcement{}) }, 1, true},
-		"announced fewer":  {func(c *Controller) { good(c, 101, 10); c.Announce(c.now, Announcement{Slots: 3}) }, 3, false},
+		"long idle":       {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold) }, 1, true},
+		"short idle":      {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold-1) }, 10, false},
+		"restart":         {func(c *Controller) { good(c, 101, 10); c.BackendStarted(c.now, Announcement{}) }, 1, true},
+		"announced fewer": {func(c *Controller) { good(c, 101, 10); c.Announce(c.now, Announcement{Slots: 3}) }, 3, false},
+		"announced fewer, then more": {func(c *Controller) {
+			good(c, 101, 10)
+			c.Announce(c.now, Announcement{Slots: 3})
+			c.Announce(c.now, Announcement{Slots: 10})
+		}, 3, false},
+		"failures of one round": {func(c *Controller) {
+			good(c, 101, 10)
+			fillQueue(c, 1, 8, "a", bulrushchute.ClassStandard)
+			for id := range uint64(8) {
+				c.Done(c.now, attemptID(id+1), Result{Kind: bulrushchute.ResultUnknown})
+			}
+		}, 5, false},
+		"one broken route": {func(c *Controller) {
+			for range 300 {
+				good(c, 1, 10)
+				c.Offer(c.now, Request{ID: attemptID(1), Route: "broken", Deadline: bulrushchute.Hour})
+				c.Done(c.now, attemptID(1), Result{Kind: bulrushchute.ResultServerError, ElapsedMs: 1})
+			}
+		}, 10, false},
 		"few connections":  {func(c *Controller) { good(c, 101, 10); c.Announce(c.now, Announcement{Connections: 5}) }, 4, false},
 		"one failed probe": {func(c *Controller) { good(c, 101, 10); c.ObserveProbe(c.now, ProbeReport{Failed: true}) }, 10, false},
 		"no answers and failed probes": {func(c *Controller) {
@@ -233,6 +252,30 @@
 	assert.DeepEqual(t, served, map[byte]int{1: 30, 2: 10, 3: 10})
 }
 
+// Guards against shares that keep to the weights of a former catalogue entry.
+func TestChangedWeights(t *testing.T) {
+	c := rig(bulrushcatalogue.Limits{Slots: 1})
+	fillQueue(c, 10, 1, "a", bulrushchute.ClassStandard)
+	c.SetSettings(0, Settings{Tenants: []bulrushcatalogue.TenantShare{{Tenant: "a", Weight: 4}}})
+	assert.Equal(t, c.accounts["a"].weight, 4)
+	assert.Equal(t, c.activeWeight, 5)
+}
+
+// Guards against work that waits in vain after a cut, and against shedding it
+// before less important work.
+func TestCutShedsExcess(t *testing.T) {
+	c := rig(bulrushcatalogue.Limits{Slots: 10})
+	fillQueue(c, 100, 4, "a", bulrushchute.ClassCritical)
+	fillQueue(c, 200, 20, "a", bulrushchute.ClassBulk)
+	c.drain.slotMs = 100
+	releases := c.Announce(0, Announcement{Cold: true})
+	assert.Equal(t, len(releases), 22)
+	for i, release := range releases {
+		assert.Equal(t, release.Refusal.Reason, bulrushchute.ReasonShed)
+		assert.Equal(t, release.ID[7] >= 200, i < 20, "critical work was shed first")
+	}
+}
+
 // Guards against a tenant that holds all slots with slow work while another waits.
 func TestTenantShareOfSlots(t *testing.T) {
 	c := rig(bulrushcatalogue.Limits{Slots: 4})
--- a/bulrushmetric/recorder_test.go
+++ b/bulrushmetric/recorder_test.go
@@ -75,7 +75,9 @@
 // published text that is not JSON.
 func TestConcurrentUse(t *testing.T) {
 	recorder := bulrushmetric.NewRecorder(2)
-	recorder.Publish("bulrush_test")
+	// Names last as long as the process, and -count repeats the test in one.
+	name := fmt.Sprintf("bulrush_test_%p", recorder)
+	recorder.Publish(name)
 	var group sync.WaitGroup
 	for range 8 {
 		group.Go(func() {
@@ -87,7 +89,7 @@
 	}
 	group.Wait()
 	var summaries []bulrushmetric.Summary
-	assert.NilError(t, json.Unmarshal([]byte(expvar.Get("bulrush_test").String()), &summaries))
+	assert.NilError(t, json.Unmarshal([]byte(expvar.Get(name).String()), &summaries))
 	assert.Equal(t, summaries[0].Outcomes["answered"], uint64(4000))
 }
 
