--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -29,6 +29,12 @@
 	readyTimeout = 20 * time.Second
 	readyPoll    = 50 * time.Millisecond
 	stopTimeout  = 30 * time.Second
+
+	// Ports of nodes. Each process starts at another one, so that two runs at
+	// once do not meet.
+	firstPort     = 10_000
+	lastPort      = 20_000
+	portsAProcess = 100
 )
 
 // InstanceConfig describes one instance: a backend server with its node.
@@ -62,6 +68,8 @@
 	context context.Context
 	cancel  context.CancelFunc
 	all     []*Instance
+	// nextPort is the port to try next.
+	nextPort int
 }
 
 // NewFleet starts the store stand-in. Nodes run the given binary.
@@ -77,13 +85,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f := &Fleet{
-		Memory:  bulrushstore.NewMemory(),
-		binary:  binary,
-		folder:  folder,
-		url:     "http://" + listener.Addr().String(),
-		tasks:   bulrushtask.NewGroup(nil),
-		context: ctx,
-		cancel:  cancel,
+		Memory:   bulrushstore.NewMemory(),
+		binary:   binary,
+		folder:   folder,
+		url:      "http://" + listener.Addr().String(),
+		tasks:    bulrushtask.NewGroup(nil),
+		context:  ctx,
+		cancel:   cancel,
+		nextPort: firstPort + os.Getpid()*portsAProcess%(lastPort-firstPort),
 	}
 	f.Handler = bulrushstore.NewHandler(f.Memory, bulrushstore.HandlerSettings{})
 	f.server = &http.Server{Handler: f.Handler, ReadHeaderTimeout: callTimeout}
@@ -110,7 +119,7 @@
 		StoreURL:          f.url,
 		TrustTenantHeader: true,
 	}
-	if err := instance.chooseAddresses(f.context); err != nil {
+	if err := f.chooseAddresses(f.context, &instance.Settings); err != nil {
 		return nil, err
 	}
 	f.all = append(f.all, instance)
@@ -121,23 +130,35 @@
 	return instance, nil
 }
 
-// chooseAddresses finds free ports. The listeners are closed again, which
-// leaves a small window in which another process may take a port.
-func (i *Instance) chooseAddresses(ctx context.Context) error {
-	var listening net.ListenConfig
-	for _, address := range []*bulrushchute.Address{&i.Settings.CallerAddress, &i.Settings.PeerAddress, &i.Settings.OperatorAddress} {
-		listener, err := listening.Listen(ctx, "tcp", loopback+":0")
+// chooseAddresses finds free ports for the node.
+func (f *Fleet) chooseAddresses(ctx context.Context, settings *bulrushnode.Settings) error {
+	for _, address := range []*bulrushchute.Address{&settings.CallerAddress, &settings.PeerAddress, &settings.OperatorAddress} {
+		free, err := f.freePort(ctx)
 		if err != nil {
-			return errors.Wrap(err, "find a free port")
-		}
-		*address = bulrushchute.Address(listener.Addr().String())
-		if err := listener.Close(); err != nil {
-			return errors.Wrap(err, "close the port")
+			return err
 		}
+		*address = free
 	}
 	return nil
 }
 
+// freePort tries one port after the other below the range from which the
+// system takes the ports of outgoing connections. A port of that range may be
+// taken between this check and the start of the node.
+func (f *Fleet) freePort(ctx context.Context) (bulrushchute.Address, error) {
+	var listening net.ListenConfig
+	for f.nextPort < lastPort {
+		address := fmt.Sprintf("%s:%d", loopback, f.nextPort)
+		f.nextPort++
+		listener, err := listening.Listen(ctx, "tcp", address)
+		if err != nil {
+			continue
+		}
+		return bulrushchute.Address(address), errors.Wrap(listener.Close(), "close the port")
+	}
+	return "", errors.New("no free port")
+}
+
 func (f *Fleet) startNode(instance *Instance) error {
 	data, err := json.Marshal(instance.Settings)
 	if err != nil {
