Test the key packages with named tables and stronger simulation

Cause: trials that removed the lease wait or the send-time rule passed the first simulation, because few keys reached both homes of a moved partition.

--- a/bulrushkey/once_test.go
+++ b/bulrushkey/once_test.go
@@ -51,35 +51,37 @@
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	switch {
 	case operation < 20:
-		s.race()
-	case operation < 40:
 		s.repeat()
-	case operation < 50:
+	case operation < 40:
 		s.submitNew()
-	case operation < 58:
-		n.frozen = true
+	case operation < 48:
+		s.freeze(n)
+	case operation < 56:
+		s.suspect(n)
+	case operation < 66:
+		s.suspect(n)
+		n.freezeOnAck = true
 	case operation < 68:
-		s.resume(n)
-	case operation < 76:
 		s.suspect(n)
-	case operation < 79:
-		n.cut = !n.cut
-	case operation < 82:
-		s.down = !s.down
-	case operation < 84:
+		s.freeze(n)
+	case operation < 70:
+		n.cut = true
+		s.after(nil, s.upTo(1_000), func() { n.cut = false })
+	case operation < 72:
+		s.down = true
+		s.after(nil, s.upTo(1_000), func() { s.down = false })
+	case operation < 76:
 		n.offset = s.drawOffset()
-	case operation < 86:
+	case operation < 79:
 		n.neighbours = s.drawNeighbours(n)
-	case operation < 88:
+	case operation < 82:
 		s.crash(n)
-	case operation < 89:
+	case operation < 83:
 		s.loseDataCentre(n.dataCentre)
-	case operation < 91:
+	case operation < 86:
 		s.leave(n)
 	}
 	s.advance(s.upTo(150))
-	s.race()
-	s.advance(s.upTo(30))
 }
 
 func (s *sim) anyMap() (bulrushkey.KeyMap, bool) {
@@ -113,7 +115,9 @@
 
 func (s *sim) submitNew() {
 	if m, found := s.anyMap(); found {
-		s.submit(s.newKey(m, s.random.IntN(bulrushkey.Partitions)), m)
+		key := s.newKey(m, s.random.IntN(bulrushkey.Partitions))
+		s.submit(key, m)
+		s.submit(key, m)
 	}
 }
 
@@ -124,41 +128,57 @@
 		return
 	}
 	s.submit(s.keys[s.random.IntN(len(s.keys))], m)
-	latest := s.keys[max(0, len(s.keys)-1-s.random.IntN(5)):][0]
-	s.submit(latest, m)
 }
 
-// race sends one key through entry nodes with the newest and an older map, in
-// a partition that has moved between them if there is one.
-func (s *sim) race() {
-	older, found := s.anyMap()
-	if !found {
-		return
-	}
+// probe looks for a key that both homes of a moved partition run: it sends new
+// keys to both, and keys of the old home to the new one, within a span.
+func (s *sim) probe(older, newest bulrushkey.KeyMap, partition int, within bulrushchute.Millis) {
+	for range 3 {
+		s.after(nil, s.upTo(within), func() {
+			key := s.newKey(newest, partition)
+			s.submit(key, older)
+			s.after(nil, s.upTo(100), func() { s.submit(key, newest) })
+		})
+	}
+	s.repeatMoved(newest, partition)
+}
+
+// probeResumed does the same for a node that comes back and may not know yet
+// that its partitions have moved.
+func (s *sim) probeResumed(n *simNode) {
 	newest := s.maps[len(s.maps)-1]
-	if s.chance(60) && len(s.maps) > 1 {
-		older = s.maps[len(s.maps)-2]
-	}
-	partition := s.random.IntN(bulrushkey.Partitions)
-	for _, p := range s.random.Perm(bulrushkey.Partitions) {
-		oldHome, _, _ := older.HomeOf(p)
-		newHome, _, _ := newest.HomeOf(p)
-		if oldHome.ID != newHome.ID {
-			partition = p
-			break
+	for i := len(s.maps) - 1; i >= 0; i-- {
+		for _, p := range s.maps[i].PartitionsOf(n.id) {
+			if home, _, _ := newest.HomeOf(p); home.ID != n.id {
+				s.probe(s.maps[i], newest, p, simSettings.Lease/2)
+				return
+			}
 		}
 	}
-	key := s.newKey(newest, partition)
-	s.submit(key, older)
-	s.submit(key, newest)
 }
 
-// suspect makes nodes hold another for dead, rightly or not, or drop that.
+func (s *sim) repeatMoved(newest bulrushkey.KeyMap, partition int) {
+	for _, key := range s.keys[max(0, len(s.keys)-100):] {
+		if key.Partition() == partition {
+			s.after(nil, s.upTo(2*simSettings.Lease), func() { s.submit(key, newest) })
+		}
+	}
+}
+
+// suspect makes most nodes hold another for dead for a while, at once or one
+// after the other.
 func (s *sim) suspect(n *simNode) {
-	dead := s.chance(70)
+	if n.crashed {
+		return
+	}
+	spread := bulrushchute.Millis(0)
+	if s.chance(50) {
+		spread = 2 * simSettings.Lease
+	}
 	for _, other := range s.nodes {
-		if other != n && s.chance(80) && !n.crashed {
-			other.dead[n.id] = dead
+		if other != n && s.chance(80) {
+			s.after(nil, s.upTo(spread), func() { other.dead[n.id] = true })
+			s.after(nil, spread+s.upTo(5*simSettings.Lease), func() { other.dead[n.id] = n.crashed })
 		}
 	}
 }
--- a/bulrushkey/sim_test.go
+++ b/bulrushkey/sim_test.go
@@ -1,9 +1,9 @@
 package bulrushkey_test
 
 import (
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -36,10 +36,12 @@
 	dataCentre bulrushchute.DataCentre
 	offset     bulrushchute.Millis
 	frozen     bool
-	crashed    bool
-	cut        bool
-	leaving    bool
-	neighbours []bulrushkey.LeaseMonitor
+	// freezeOnAck makes the node freeze before it takes its next acknowledgement.
+	freezeOnAck bool
+	crashed     bool
+	cut         bool
+	leaving     bool
+	neighbours  []bulrushkey.LeaseMonitor
 	// inbox holds the events of a frozen node.
 	inbox []func()
 	// dead and lost are the node's beliefs, right or wrong.
@@ -52,9 +54,11 @@
 
 // simEvent happens at a node, or in the store if it has none.
 type simEvent struct {
-	at   bulrushchute.Millis
-	node *simNode
-	run  func()
+	at bulrushchute.Millis
+	// order keeps events of the same time in the order of their creation.
+	order int
+	node  *simNode
+	run   func()
 }
 
 // simStats count what a run reached, to show that it tests something.
@@ -69,7 +73,9 @@
 	random *rand.Rand
 	now    bulrushchute.Millis
 	nodes  []*simNode
-	events []simEvent
+	events eventQueue
+	// created counts the events so far.
+	created int
 	// stored is the object in the store and maps all its versions.
 	stored bulrushchute.Object
 	down   bool
@@ -147,7 +153,8 @@
 }
 
 func (s *sim) after(n *simNode, delay bulrushchute.Millis, run func()) {
-	s.events = append(s.events, simEvent{at: s.now + delay, node: n, run: run})
+	s.created++
+	heap.Push(&s.events, simEvent{at: s.now + delay, order: s.created, node: n, run: run})
 }
 
 // delay is mostly short, and now and then longer than a lease and its wait.
@@ -174,24 +181,29 @@
 // advance runs all events of a span in the order of their times.
 func (s *sim) advance(span bulrushchute.Millis) {
 	end := s.now + span
-	for {
-		next := -1
-		for i, e := range s.events {
-			if e.at <= end && (next < 0 || e.at < s.events[next].at) {
-				next = i
-			}
-		}
-		if next < 0 {
-			break
-		}
-		e := s.events[next]
-		s.events = slices.Delete(s.events, next, next+1)
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(simEvent)
 		s.now = max(s.now, e.at)
 		s.deliver(e)
 	}
 	s.now = end
 }
 
+// eventQueue implements heap.Interface.
+type eventQueue []simEvent
+
+func (eq eventQueue) Len() int      { return len(eq) }
+func (eq eventQueue) Swap(i, j int) { eq[i], eq[j] = eq[j], eq[i] }
+func (eq eventQueue) Less(i, j int) bool {
+	return eq[i].at < eq[j].at || eq[i].at == eq[j].at && eq[i].order < eq[j].order
+}
+func (eq *eventQueue) Push(e any) { *eq = append(*eq, e.(simEvent)) }
+func (eq *eventQueue) Pop() any {
+	last := (*eq)[len(*eq)-1]
+	*eq = (*eq)[:len(*eq)-1]
+	return last
+}
+
 // deliver runs an event, unless its node has crashed. A node may freeze before
 // any event, and keeps those that come for when it resumes.
 func (s *sim) deliver(e simEvent) {
@@ -201,14 +213,20 @@
 	case e.node.crashed:
 	case e.node.frozen:
 		e.node.inbox = append(e.node.inbox, e.run)
-	case s.random.IntN(1000) < 3:
-		e.node.frozen = true
+	case s.random.IntN(2000) == 0:
+		s.freeze(e.node)
 		e.node.inbox = append(e.node.inbox, e.run)
 	default:
 		e.run()
 	}
 }
 
+// freeze stops a node for a while, from a few steps to several leases.
+func (s *sim) freeze(n *simNode) {
+	n.frozen = true
+	s.after(nil, s.upTo(5*simSettings.Lease), func() { s.resume(n) })
+}
+
 // resume lets a frozen node work off its events, in order or not.
 func (s *sim) resume(n *simNode) {
 	inbox := n.inbox
@@ -219,6 +237,9 @@
 	for _, run := range inbox {
 		s.after(n, 0, run)
 	}
+	if n.controller != nil && len(s.maps) > 0 {
+		s.probeResumed(n)
+	}
 }
 
 func (s *sim) view(n *simNode) []bulrushkey.Member {
@@ -259,7 +280,7 @@
 	case action.Heartbeat != nil:
 		s.send(n, action.To, func(monitor *simNode) {
 			ack := monitor.monitor.Heartbeat(s.clock(monitor), n.id, *action.Heartbeat)
-			s.send(monitor, n.id, func(n *simNode) { n.controller.Acked(s.clock(n), monitor.id, ack) })
+			s.send(monitor, n.id, func(n *simNode) { s.acked(n, monitor.id, ack) })
 		})
 	case action.PromiseAsk != nil:
 		s.send(n, action.To, func(monitor *simNode) {
@@ -275,6 +296,17 @@
 	}
 }
 
+func (s *sim) acked(n *simNode, from bulrushchute.InstanceID, ack bulrushchute.HeartbeatAck) {
+	take := func() { n.controller.Acked(s.clock(n), from, ack) }
+	if !n.freezeOnAck {
+		take()
+		return
+	}
+	n.freezeOnAck = false
+	s.freeze(n)
+	n.inbox = append(n.inbox, take)
+}
+
 // callStore makes a call that arrives late or never, or whose answer is lost.
 // The node learns the answer, or after its timeout that there is none.
 func (s *sim) callStore(n *simNode, call func() (bulrushchute.Object, error), done func(bulrushchute.Millis, bulrushchute.Object, error)) {
@@ -326,8 +358,12 @@
 	s.checkSuccession(m)
 	s.maps = append(s.maps, m)
 	for _, n := range s.nodes {
-		if n.controller != nil && !s.chance(10) {
-			s.after(n, s.delay(), func() { n.controller.SetMap(s.clock(n), m) })
+		if n.controller != nil {
+			delay := s.delay()
+			if s.chance(50) {
+				delay = s.upTo(1_500)
+			}
+			s.after(n, delay, func() { n.controller.SetMap(s.clock(n), m) })
 		}
 	}
 	return object, nil
@@ -347,6 +383,7 @@
 			continue
 		}
 		s.stats.moved++
+		s.probe(previous, m, p, 2*simSettings.Lease)
 		assert.Assert(s.t, assignment.Epoch == old.Epoch+1 && assignment.Since > old.Since, "partition %d", p)
 	}
 }
--- /dev/null
+++ b/bulrushkey/table_test.go
@@ -0,0 +1,213 @@
+package bulrushkey_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushkey"
+)
+
+var tableSettings = bulrushkey.Settings{
+	Lease: 3_000, ClockSkew: 250, Heartbeat: 1_000, ProposeStep: 2_000, Retention: 600_000, MaxKeys: 2, MaxBytes: 1_000,
+}
+
+// tableNow is not at the start of a second, so that rounding shows.
+const tableNow = bulrushchute.Millis(1_700_000_000_400)
+
+var fullPermit = bulrushkey.Permit{Home: true, Lease: true, Since: tableNow - 1_000, RetryAfter: 1_000}
+
+func numberedKey(mint bulrushchute.Millis, n int) bulrushkey.Key {
+	return bulrushkey.NewKey(mint, [10]byte{4: byte(n >> 16), 5: byte(n >> 8), 6: byte(n)})
+}
+
+func requestOf(key bulrushkey.Key, attempt byte) bulrushkey.Request {
+	return bulrushkey.Request{Key: key, Attempt: bulrushchute.AttemptID{attempt}, Fingerprint: 1}
+}
+
+func answerOf(body string) bulrushchute.Reply {
+	return bulrushchute.Reply{Answer: &bulrushchute.Answer{Status: 200, Body: []byte(body)}}
+}
+
+// outcome describes a verdict or reply in one word or two.
+func outcome(verdict bulrushkey.Verdict) string {
+	switch {
+	case verdict.Kind == bulrushkey.VerdictRun:
+		return "run"
+	case verdict.Kind == bulrushkey.VerdictWait:
+		return "wait"
+	case verdict.Reply.Answer != nil:
+		return "answer " + string(verdict.Reply.Answer.Body)
+	case verdict.Reply.Refusal != nil:
+		return "not run " + string(verdict.Reply.Refusal.Reason)
+	default:
+		return "unknown " + string(verdict.Reply.Failure.Reason)
+	}
+}
+
+// Guards against a wrong verdict on a new key, each of which could run it
+// twice or deny that it ran.
+func TestTableNewKey(t *testing.T) {
+	cases := map[string]struct {
+		mint   bulrushchute.Millis
+		permit bulrushkey.Permit
+		want   string
+	}{
+		"new":                        {tableNow, fullPermit, "run"},
+		"minted at since":            {tableNow - 1_000, fullPermit, "run"},
+		"minted before since":        {tableNow - 1_001, fullPermit, "unknown key_too_old"},
+		"minted at the skew":         {tableNow + 250, fullPermit, "run"},
+		"minted after the skew":      {tableNow + 251, fullPermit, "not run key_from_future"},
+		"past retention":             {tableNow - 600_000, bulrushkey.Permit{Home: true, Lease: true}, "unknown key_too_old"},
+		"last moment of retention":   {tableNow - 599_999, bulrushkey.Permit{Home: true, Lease: true}, "run"},
+		"not the home":               {tableNow, bulrushkey.Permit{}, "not run key_home_unavailable"},
+		"no lease":                   {tableNow, bulrushkey.Permit{Home: true}, "not run key_home_unavailable"},
+		"too old even without lease": {tableNow - 1_001, bulrushkey.Permit{Home: true, Since: tableNow - 1_000}, "unknown key_too_old"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := bulrushkey.NewTable(tableSettings)
+			verdict := table.Offer(tableNow, requestOf(numberedKey(tc.mint, 1), 1), tc.permit)
+			assert.Equal(t, outcome(verdict), tc.want)
+		})
+	}
+}
+
+// Guards against a repeat that runs, that misses the recorded answer, or that
+// gets the answer to other work.
+func TestTableRepeat(t *testing.T) {
+	key := numberedKey(tableNow, 1)
+	other := requestOf(key, 2)
+	other.Fingerprint = 2
+	cases := map[string]struct {
+		done   []bulrushchute.Reply
+		repeat bulrushkey.Request
+		permit bulrushkey.Permit
+		want   string
+	}{
+		"running":                    {nil, requestOf(key, 2), fullPermit, "wait"},
+		"running, lease lost":        {nil, requestOf(key, 2), bulrushkey.Permit{Home: true}, "wait"},
+		"answered":                   {[]bulrushchute.Reply{answerOf("a")}, requestOf(key, 2), fullPermit, "answer a"},
+		"answered, no longer home":   {[]bulrushchute.Reply{answerOf("a")}, requestOf(key, 2), bulrushkey.Permit{}, "answer a"},
+		"answered twice":             {[]bulrushchute.Reply{answerOf("a"), answerOf("b")}, requestOf(key, 2), fullPermit, "answer a"},
+		"failed":                     {[]bulrushchute.Reply{{Failure: &bulrushchute.Failure{Reason: "deadline"}}}, requestOf(key, 2), fullPermit, "unknown deadline"},
+		"not run":                    {[]bulrushchute.Reply{{Refusal: &bulrushchute.Refusal{Reason: "busy"}}}, requestOf(key, 2), fullPermit, "run"},
+		"answer over the byte limit": {[]bulrushchute.Reply{answerOf(fmt.Sprintf("%1000d", 1))}, requestOf(key, 2), fullPermit, "unknown too_large"},
+		"other work, same key":       {[]bulrushchute.Reply{answerOf("a")}, other, fullPermit, "not run malformed"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := bulrushkey.NewTable(tableSettings)
+			assert.Equal(t, outcome(table.Offer(tableNow, requestOf(key, 1), fullPermit)), "run")
+			for _, reply := range tc.done {
+				table.Done(tableNow, key, reply)
+			}
+			assert.Equal(t, outcome(table.Offer(tableNow, tc.repeat, tc.permit)), tc.want)
+		})
+	}
+}
+
+// Guards against waiting requests that are never answered, or answered although
+// their callers have gone.
+func TestTableReleasesWaiters(t *testing.T) {
+	key := numberedKey(tableNow, 1)
+	table := bulrushkey.NewTable(tableSettings)
+	for attempt := range byte(4) {
+		table.Offer(tableNow, requestOf(key, attempt), fullPermit)
+	}
+	table.Abandon(key, bulrushchute.AttemptID{2})
+	release := table.Done(tableNow, key, answerOf("a"))
+	assert.DeepEqual(t, release.Attempts, []bulrushchute.AttemptID{{1}, {3}})
+
+	late := numberedKey(tableNow, 2)
+	table.Offer(tableNow, requestOf(late, 1), fullPermit)
+	table.Offer(tableNow, requestOf(late, 2), fullPermit)
+	releases := table.Tick(tableNow + 601_000)
+	assert.Equal(t, len(releases), 1)
+	assert.Equal(t, releases[0].Reply.Failure.Reason, bulrushchute.ReasonKeyTooOld)
+	assert.Equal(t, table.Len(), 0)
+	assert.Equal(t, table.Bytes(), 0)
+}
+
+// Guards against a record that was dropped and looks new again because the
+// node's clock was set back.
+func TestTableClockSetBack(t *testing.T) {
+	key := numberedKey(tableNow, 1)
+	table := bulrushkey.NewTable(tableSettings)
+	permit := bulrushkey.Permit{Home: true, Lease: true}
+	assert.Equal(t, outcome(table.Offer(tableNow, requestOf(key, 1), permit)), "run")
+	table.Done(tableNow, key, answerOf("a"))
+	table.Tick(tableNow + 601_000)
+	assert.Equal(t, table.Len(), 0)
+	assert.Equal(t, outcome(table.Offer(tableNow+599_900, requestOf(key, 2), permit)), "unknown key_too_old")
+}
+
+// Guards against a table that outgrows its bounds, and against one that stays
+// full after its keys are gone.
+func TestTableBounds(t *testing.T) {
+	table := bulrushkey.NewTable(tableSettings)
+	for n := range 3 {
+		want := "run"
+		if n == 2 {
+			want = "not run key_record_full"
+		}
+		verdict := table.Offer(tableNow, requestOf(numberedKey(tableNow, n), 1), fullPermit)
+		assert.Equal(t, outcome(verdict), want)
+	}
+	busy := 0
+	for attempt := range byte(100) {
+		if outcome(table.Offer(tableNow, requestOf(numberedKey(tableNow, 0), attempt), fullPermit)) == "not run busy" {
+			busy++
+		}
+		assert.Assert(t, table.Bytes() <= tableSettings.MaxBytes)
+	}
+	assert.Assert(t, busy > 0, "waiting requests must be bounded")
+	refused := bulrushchute.Reply{Refusal: &bulrushchute.Refusal{Reason: bulrushchute.ReasonBusy}}
+	table.Done(tableNow, numberedKey(tableNow, 0), refused)
+	assert.Equal(t, table.Len(), 1)
+	assert.Equal(t, outcome(table.Offer(tableNow, requestOf(numberedKey(tableNow, 2), 1), fullPermit)), "run")
+}
+
+// BenchmarkTable measures one new key with its answer, in a table that holds
+// the given number of keys, and the memory of each key.
+func BenchmarkTable(b *testing.B) {
+	for _, size := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			settings := bulrushkey.DefaultSettings()
+			settings.MaxKeys = size + 1
+			// Keys are spread over the retention, so each new one expires an old one.
+			settings.Retention = bulrushchute.Millis(size)
+			permit := bulrushkey.Permit{Home: true, Lease: true}
+			table := bulrushkey.NewTable(settings)
+			put := func(n int) {
+				now := tableNow + bulrushchute.Millis(n)
+				key := numberedKey(now, n)
+				table.Tick(now)
+				table.Offer(now, requestOf(key, 1), permit)
+				table.Done(now, key, answerOf(""))
+			}
+			before := heapBytes()
+			for n := range size {
+				put(n)
+			}
+			grown := heapBytes() - before
+			accounted := table.Bytes()
+			b.ResetTimer()
+			for n := range b.N {
+				put(size + n)
+			}
+			b.ReportMetric(float64(grown)/float64(size), "heap_B/key")
+			b.ReportMetric(float64(accounted)/float64(size), "accounted_B/key")
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
