Bind a permit to the instant for which it was given

Cause: a node that freezes between the permit and the record table's decision could judge the mint time by a later clock reading than the lease. Change: Permit carries its instant; the table allows no mint time later than the skew after it. Key maps also come from and go to CBOR gossip records, with the same checks as from the store. Result: go test ./bulrushkey passes with permit and decision as separate steps of the simulation.

--- a/bulrushkey/action.go
+++ b/bulrushkey/action.go
@@ -41,8 +41,12 @@
 	Object bulrushchute.Object
 }
 
-// Permit says which new keys of a partition this node may record.
+// Permit says which new keys of a partition this node may record. It stays
+// valid for keys minted up to the clock skew after At, even if the node freezes
+// before it uses the permit.
 type Permit struct {
+	// At is the instant for which the permit was given.
+	At bulrushchute.Millis
 	// Home is set when the key map names this node as the partition's home.
 	Home bool
 	// Lease is set when the node holds its lease for the partition.
--- a/bulrushkey/controller.go
+++ b/bulrushkey/controller.go
@@ -126,7 +126,7 @@
 // the changed map too.
 func (c *Controller) Permit(now bulrushchute.Millis, partition int) Permit {
 	now = c.advance(now)
-	permit := Permit{RetryAfter: c.settings.Heartbeat}
+	permit := Permit{At: now, RetryAfter: c.settings.Heartbeat}
 	home, assignment, found := c.current.HomeOf(partition)
 	if !found || home.ID != c.self {
 		return permit
--- a/bulrushkey/map.go
+++ b/bulrushkey/map.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
@@ -61,12 +62,35 @@
 		return KeyMap{}, errors.Wrapf(err, "key map %s", object.Name)
 	}
 	m.Version = object.Version
-	if err := m.validate(object.Name); err != nil {
+	if string(m.Service) != object.Name {
+		err := &bulrushchute.FieldError{Field: "service", Value: string(m.Service), Allowed: object.Name}
+		return KeyMap{}, errors.Wrapf(err, "key map %s", object.Name)
+	}
+	if err := m.validate(); err != nil {
 		return KeyMap{}, errors.Wrapf(err, "key map %s", object.Name)
 	}
 	return m, nil
 }
 
+// ParseRecord reads a key map from the value of a gossip record.
+func ParseRecord(value []byte) (KeyMap, error) {
+	var m KeyMap
+	if err := cbor.Unmarshal(value, &m); err != nil {
+		return KeyMap{}, errors.Wrap(err, "key map record")
+	}
+	if err := m.validate(); err != nil {
+		return KeyMap{}, errors.Wrap(err, "key map record")
+	}
+	return m, nil
+}
+
+// Record returns the key map in CBOR, with its version, as the value of a
+// gossip record.
+func (m KeyMap) Record() ([]byte, error) {
+	value, err := cbor.Marshal(m)
+	return value, errors.Wrap(err, "encode key map record")
+}
+
 // Object returns the key map as an object of the store, at its version.
 func (m KeyMap) Object() (bulrushchute.Object, error) {
 	value, err := json.Marshal(m)
@@ -185,10 +209,7 @@
 	return m
 }
 
-func (m KeyMap) validate(name string) error {
-	if string(m.Service) != name {
-		return &bulrushchute.FieldError{Field: "service", Value: string(m.Service), Allowed: name}
-	}
+func (m KeyMap) validate() error {
 	if len(m.Partitions) != Partitions {
 		return &bulrushchute.FieldError{
 			Field:   "partitions",
--- a/bulrushkey/map_test.go
+++ b/bulrushkey/map_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -17,7 +16,7 @@
 func Example() {
 	settings := bulrushkey.DefaultSettings()
 	key, _ := bulrushkey.ParseKey("0199c3a4-8b00-7000-8000-000000000001")
-	permit := bulrushkey.Permit{Home: true, Lease: true, Since: key.Mint()}
+	permit := bulrushkey.Permit{At: key.Mint(), Home: true, Lease: true, Since: key.Mint()}
 	table := bulrushkey.NewTable(settings)
 
 	first := table.Offer(key.Mint(), bulrushkey.Request{Key: key}, permit)
@@ -113,6 +112,11 @@
 		parsed, err := bulrushkey.ParseMap(object)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, parsed, m)
+		record, err := m.WithVersion(9).Record()
+		assert.NilError(t, err)
+		spread, err := bulrushkey.ParseRecord(record)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, spread, m.WithVersion(9))
 		total := 0
 		for _, home := range m.Homes {
 			count := len(m.PartitionsOf(home.ID))
@@ -156,23 +160,34 @@
 		t.Run(name, func(t *testing.T) {
 			object, err := m.Object()
 			assert.NilError(t, err)
-			fresh, err := bulrushkey.ParseMap(object)
-			assert.NilError(t, err)
-			object.Value, err = json.Marshal(change(fresh))
+			object.Value, err = json.Marshal(change(copyOf(t, m)))
 			assert.NilError(t, err)
 			_, err = bulrushkey.ParseMap(object)
 			assert.ErrorContains(t, err, "is not allowed")
+			record, err := change(copyOf(t, m)).Record()
+			assert.NilError(t, err)
+			_, err = bulrushkey.ParseRecord(record)
+			assert.Equal(t, err == nil, name == "other service", "a record carries no name to compare with")
 		})
 	}
 }
 
+// copyOf returns a map that shares nothing with the given one.
+func copyOf(t *testing.T, m bulrushkey.KeyMap) bulrushkey.KeyMap {
+	record, err := m.Record()
+	assert.NilError(t, err)
+	fresh, err := bulrushkey.ParseRecord(record)
+	assert.NilError(t, err)
+	return fresh
+}
+
 // BenchmarkKeyMapSize reports the size of the map of a service of 12 homes.
 func BenchmarkKeyMapSize(b *testing.B) {
 	m, _ := bulrushkey.NewKeyMap("repair-ledger", membersOf(12), tableNow)
 	var text, binary []byte
 	for b.Loop() {
 		text, _ = json.Marshal(m)
-		binary, _ = cbor.Marshal(m)
+		binary, _ = m.Record()
 	}
 	b.ReportMetric(float64(len(text)), "json_B")
 	b.ReportMetric(float64(len(binary)), "cbor_B")
--- a/bulrushkey/sim_test.go
+++ b/bulrushkey/sim_test.go
@@ -403,24 +403,28 @@
 	}
 }
 
-// arrive reads the clock and decides in separate steps, as a node that freezes
-// in between would.
+// arrive reads the clock, gets a permit and decides in separate steps, so that
+// a freeze or a tick can come between any two of them.
 func (s *sim) arrive(n *simNode, request bulrushkey.Request) {
 	now := s.clock(n)
 	s.after(n, 0, func() {
 		permit := n.controller.Permit(now, request.Key.Partition())
-		verdict := n.table.Offer(now, request, permit)
-		switch verdict.Kind {
-		case bulrushkey.VerdictRun:
-			s.after(n, s.delay(), func() { s.execute(n, request) })
-		case bulrushkey.VerdictWait:
-			s.stats.waited++
-		default:
-			s.reply(request.Attempt, verdict.Reply)
-		}
+		s.after(n, 0, func() { s.decide(n, now, permit, request) })
 	})
 }
 
+func (s *sim) decide(n *simNode, now bulrushchute.Millis, permit bulrushkey.Permit, request bulrushkey.Request) {
+	verdict := n.table.Offer(now, request, permit)
+	switch verdict.Kind {
+	case bulrushkey.VerdictRun:
+		s.after(n, s.delay(), func() { s.execute(n, request) })
+	case bulrushkey.VerdictWait:
+		s.stats.waited++
+	default:
+		s.reply(request.Attempt, verdict.Reply)
+	}
+}
+
 // execute runs the work, or refuses it as admission does, and asserts that the
 // key did not run before and that this request was not reported as not run.
 func (s *sim) execute(n *simNode, request bulrushkey.Request) {
--- a/bulrushkey/table.go
+++ b/bulrushkey/table.go
@@ -30,10 +30,9 @@
 // concurrent use.
 type Table struct {
 	settings Settings
-	// now is the latest reading of the node's clock, and floor the latest mint
-	// time that is past its retention. Neither goes back, because a record that
-	// was dropped must not look new again.
-	now   bulrushchute.Millis
+	// floor is the latest mint time that is past its retention. It does not go
+	// back with the clock, because a record that was dropped must not look new
+	// again.
 	floor bulrushchute.Millis
 	bytes int
 
@@ -72,11 +71,13 @@
 	return t.bytes
 }
 
-// Offer decides on a keyed request. The permit is that of the key's partition
-// at the same instant.
+// Offer decides on a keyed request. The permit is that of the key's partition,
+// and the one given for the same reading of the clock; an older permit only
+// makes the decision stricter.
 func (t *Table) Offer(now bulrushchute.Millis, request Request, permit Permit) Verdict {
-	now = t.advance(now)
+	t.advance(now)
 	mint := request.Key.Mint()
+	horizon := min(now, permit.At) + t.settings.ClockSkew
 	if mint <= t.floor {
 		return settled(unknown(bulrushchute.ReasonKeyTooOld))
 	}
@@ -89,9 +90,9 @@
 	case mint < permit.Since:
 		// The key belongs to an earlier home, which may have run it.
 		return settled(unknown(bulrushchute.ReasonKeyTooOld))
-	case mint > now+t.settings.ClockSkew:
+	case mint > horizon:
 		// A later home could be given the partition from before this mint time.
-		return refusal(bulrushchute.ReasonKeyFromFuture, mint-now-t.settings.ClockSkew)
+		return refusal(bulrushchute.ReasonKeyFromFuture, mint-horizon)
 	case !permit.Lease:
 		return refusal(bulrushchute.ReasonKeyHome, permit.RetryAfter)
 	case len(t.records) >= t.settings.MaxKeys || !t.fits(recordBytes):
@@ -187,10 +188,8 @@
 	})
 }
 
-func (t *Table) advance(now bulrushchute.Millis) bulrushchute.Millis {
-	t.now = max(t.now, now)
-	t.floor = max(t.floor, t.now-t.settings.Retention)
-	return t.now
+func (t *Table) advance(now bulrushchute.Millis) {
+	t.floor = max(t.floor, now-t.settings.Retention)
 }
 
 func (t *Table) add(request Request) {
--- a/bulrushkey/table_test.go
+++ b/bulrushkey/table_test.go
@@ -18,7 +18,10 @@
 // tableNow is not at the start of a second, so that rounding shows.
 const tableNow = bulrushchute.Millis(1_700_000_000_400)
 
-var fullPermit = bulrushkey.Permit{Home: true, Lease: true, Since: tableNow - 1_000, RetryAfter: 1_000}
+var fullPermit = bulrushkey.Permit{At: tableNow, Home: true, Lease: true, Since: tableNow - 1_000, RetryAfter: 1_000}
+
+// earlierPermit was given before the node froze and read its clock again.
+var earlierPermit = bulrushkey.Permit{At: tableNow - 100, Home: true, Lease: true}
 
 func numberedKey(mint bulrushchute.Millis, n int) bulrushkey.Key {
 	return bulrushkey.NewKey(mint, [10]byte{4: byte(n >> 16), 5: byte(n >> 8), 6: byte(n)})
@@ -61,10 +64,11 @@
 		"minted before since":        {tableNow - 1_001, fullPermit, "unknown key_too_old"},
 		"minted at the skew":         {tableNow + 250, fullPermit, "run"},
 		"minted after the skew":      {tableNow + 251, fullPermit, "not run key_from_future"},
-		"past retention":             {tableNow - 600_000, bulrushkey.Permit{Home: true, Lease: true}, "unknown key_too_old"},
-		"last moment of retention":   {tableNow - 599_999, bulrushkey.Permit{Home: true, Lease: true}, "run"},
+		"permit given earlier":       {tableNow + 200, earlierPermit, "not run key_from_future"},
+		"past retention":             {tableNow - 600_000, bulrushkey.Permit{At: tableNow, Home: true, Lease: true}, "unknown key_too_old"},
+		"last moment of retention":   {tableNow - 599_999, bulrushkey.Permit{At: tableNow, Home: true, Lease: true}, "run"},
 		"not the home":               {tableNow, bulrushkey.Permit{}, "not run key_home_unavailable"},
-		"no lease":                   {tableNow, bulrushkey.Permit{Home: true}, "not run key_home_unavailable"},
+		"no lease":                   {tableNow, bulrushkey.Permit{At: tableNow, Home: true}, "not run key_home_unavailable"},
 		"too old even without lease": {tableNow - 1_001, bulrushkey.Permit{Home: true, Since: tableNow - 1_000}, "unknown key_too_old"},
 	}
 	for name, tc := range cases {
@@ -137,7 +141,7 @@
 func TestTableClockSetBack(t *testing.T) {
 	key := numberedKey(tableNow, 1)
 	table := bulrushkey.NewTable(tableSettings)
-	permit := bulrushkey.Permit{Home: true, Lease: true}
+	permit := bulrushkey.Permit{At: tableNow, Home: true, Lease: true}
 	assert.Equal(t, outcome(table.Offer(tableNow, requestOf(key, 1), permit)), "run")
 	table.Done(tableNow, key, answerOf("a"))
 	table.Tick(tableNow + 601_000)
@@ -180,10 +184,10 @@
 			settings.MaxKeys = size + 1
 			// Keys are spread over the retention, so each new one expires an old one.
 			settings.Retention = bulrushchute.Millis(size)
-			permit := bulrushkey.Permit{Home: true, Lease: true}
 			table := bulrushkey.NewTable(settings)
 			put := func(n int) {
 				now := tableNow + bulrushchute.Millis(n)
+				permit := bulrushkey.Permit{At: now, Home: true, Lease: true}
 				key := numberedKey(now, n)
 				table.Tick(now)
 				table.Offer(now, requestOf(key, 1), permit)
