Test lease waits after a late promise and clocks that are set back

Cause: trials that counted the wait from the first promise, let the lease revive with the clock, or dropped a change after a lost answer passed. Change: named cases for each.

--- a/bulrushkey/controller_test.go
+++ b/bulrushkey/controller_test.go
@@ -145,8 +145,10 @@
 		promises []bulrushchute.InstanceID
 		refusals []bulrushchute.InstanceID
 		lost     []bulrushchute.DataCentre
-		wait     bulrushchute.Millis
-		want     bool
+		// between is the time from one promise to the next, and wait that from the last.
+		between bulrushchute.Millis
+		wait    bulrushchute.Millis
+		want    bool
 	}{
 		"no promise":                        {wait: 60_000},
 		"one promise of three":              {promises: []bulrushchute.InstanceID{"m0"}, wait: 60_000},
@@ -154,6 +156,8 @@
 		"promises of others":                {promises: []bulrushchute.InstanceID{"x", "y"}, wait: 60_000},
 		"majority refuses":                  {promises: []bulrushchute.InstanceID{"m0"}, refusals: []bulrushchute.InstanceID{"m1", "m2"}, wait: 60_000},
 		"majority, lease not over":          {promises: []bulrushchute.InstanceID{"m0", "m2"}, wait: leaseWait - 100},
+		"second promise late, not over":     {promises: []bulrushchute.InstanceID{"m0", "m2"}, between: 3_000, wait: leaseWait - 100},
+		"second promise late, over":         {promises: []bulrushchute.InstanceID{"m0", "m2"}, between: 3_000, wait: leaseWait + 100, want: true},
 		"majority, lease over":              {promises: []bulrushchute.InstanceID{"m0", "m2"}, wait: leaseWait + 100, want: true},
 		"data centre lost, lease not over":  {lost: []bulrushchute.DataCentre{"dc-b"}, wait: leaseWait - 100},
 		"data centre lost":                  {lost: []bulrushchute.DataCentre{"dc-b"}, wait: leaseWait + 100, want: true},
@@ -173,12 +177,17 @@
 			for _, from := range tc.refusals {
 				b.controller.Promised(b.now, from, bulrushchute.Promise{Home: "b"})
 			}
-			for _, from := range tc.promises {
+			for i, from := range tc.promises {
+				if i > 0 {
+					b.run(tc.between)
+				}
 				b.controller.Promised(b.now, from, bulrushchute.Promise{Home: "b", Granted: true})
 			}
 			actions := b.run(tc.wait)
 			if !tc.want {
-				assert.Assert(t, len(actions) == 0 || actions[len(actions)-1].Write == nil)
+				for _, action := range actions {
+					assert.Assert(t, action.Write == nil)
+				}
 				return
 			}
 			m := b.written(actions)
@@ -232,6 +241,17 @@
 	}
 }
 
+// Guards against a lease that revives when the node's clock is set back.
+func TestLeaseClockSetBack(t *testing.T) {
+	b := newBench(t, "a", smallFleet())
+	b.run(1_200, "m0", "m1")
+	assert.Assert(t, b.lease("a"))
+	b.now += settings.Lease
+	assert.Assert(t, !b.lease("a"))
+	b.now -= settings.Lease
+	assert.Assert(t, !b.lease("a"))
+}
+
 // Guards against a home that records keys again although its own handover may
 // still take effect.
 func TestHandoverWithLostAnswer(t *testing.T) {
@@ -263,6 +283,8 @@
 			assert.Assert(t, !b.lease("a"), "the write may still arrive")
 			again := b.written(b.run(100, "m0", "m1", "m2"))
 			assert.DeepEqual(t, again, first)
+			b.controller.Wrote(b.now, bulrushchute.Object{}, unavailable)
+			assert.Assert(t, !b.lease("a"), "only the second try certainly had no effect")
 			b.controller.SetMap(b.now, b.keyMap.WithVersion(6))
 			assert.Assert(t, b.lease("a"), "the write's condition has failed for good")
 			assert.Assert(t, b.controller.IsHome())
