--- /dev/null
+++ b/bulrushnode/dispatch_test.go
@@ -0,0 +1,162 @@
+package bulrushnode
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// rawBackend is a backend server that answers each connection with fixed
+// bytes, and counts the requests that it read.
+type rawBackend struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func startRawBackend(t *testing.T, answer string, keepOpen bool) *rawBackend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	rb := &rawBackend{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go rb.accept(answer, keepOpen)
+	return rb
+}
+
+func (rb *rawBackend) accept(answer string, keepOpen bool) {
+	for {
+		connection, err := rb.listener.Accept()
+		if err != nil {
+			return
+		}
+		go rb.serve(connection, answer, keepOpen)
+	}
+}
+
+func (rb *rawBackend) serve(connection net.Conn, answer string, keepOpen bool) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, request.ContentLength)
+		_, _ = request.Body.Read(buffer)
+		rb.requests.Add(1)
+		_, _ = connection.Write([]byte(answer))
+		if !keepOpen {
+			return
+		}
+	}
+}
+
+func (rb *rawBackend) address() bulrushchute.Address {
+	return bulrushchute.Address(rb.listener.Addr().String())
+}
+
+func dispatchTo(address bulrushchute.Address, attempt bulrushchute.Attempt) dispatchResult {
+	client := newBackendClient(4)
+	defer client.close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	return client.dispatch(ctx, address, attempt, 0)
+}
+
+func filing() bulrushchute.Attempt {
+	return bulrushchute.Attempt{
+		Method: http.MethodPost,
+		Path:   "/filings",
+		Header: []bulrushchute.HeaderField{{Name: "Idempotency-Key", Value: "k"}},
+		Body:   []byte("repair"),
+	}
+}
+
+// Guards against truncated or unframed answers that are passed on as whole,
+// and against a wrong claim that a request was not run.
+func TestDispatchEnds(t *testing.T) {
+	cases := map[string]struct {
+		answer      string
+		wantWhole   bool
+		wantReason  bulrushchute.Reason
+		wantStarted bool
+	}{
+		"whole":                    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true, "", true},
+		"cut in the body":          {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", false, bulrushchute.ReasonTruncated, true},
+		"cut in a chunk":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwho", false, bulrushchute.ReasonTruncated, true},
+		"chunked and whole":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", true, "", true},
+		"ends with the connection": {"HTTP/1.1 200 OK\r\n\r\nwhole", false, bulrushchute.ReasonTruncated, true},
+		"no content":               {"HTTP/1.1 204 No Content\r\n\r\n", true, "", true},
+		"cut in the header":        {"HTTP/1.1 200 OK\r\nContent-", false, bulrushchute.ReasonConnectionLost, true},
+		"cut before the answer":    {"", false, bulrushchute.ReasonConnectionLost, true},
+		"not HTTP":                 {"220 mail\r\n", false, bulrushchute.ReasonConnectionLost, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			backend := startRawBackend(t, tc.answer, false)
+			result := dispatchTo(backend.address(), filing())
+			assert.Equal(t, result.answer != nil, tc.wantWhole)
+			assert.Equal(t, result.reason, tc.wantReason)
+			assert.Equal(t, result.started, tc.wantStarted)
+			assert.Equal(t, backend.requests.Load(), int64(1), "a request must be sent once")
+		})
+	}
+}
+
+// Guards against "not run" withheld when nobody listened.
+func TestDispatchRefusedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	result := dispatchTo(bulrushchute.Address(listener.Addr().String()), filing())
+	assert.Assert(t, result.answer == nil && !result.started)
+	assert.Assert(t, replyOf(result).Refusal != nil)
+}
+
+// Guards against net/http's own repeat of a request with an Idempotency-Key
+// header on a reused connection that the backend server closes.
+func TestDispatchNeverRepeatsOnReusedConnection(t *testing.T) {
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		if runs.Add(1) == 1 {
+			return
+		}
+		connection, _, err := writer.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = connection.Close()
+		}
+	}))
+	defer server.Close()
+	address := bulrushchute.Address(strings.TrimPrefix(server.URL, "http://"))
+	client := newBackendClient(1)
+	defer client.close()
+	first := client.dispatch(context.Background(), address, filing(), 0)
+	assert.Assert(t, first.answer != nil)
+	second := client.dispatch(context.Background(), address, filing(), 0)
+	assert.Assert(t, second.answer == nil && second.started)
+	assert.Equal(t, runs.Load(), int64(2), "the second request must run once")
+}
+
+// Guards against forged outcomes from callers or backend servers and against
+// headers of one connection that reach the next.
+func TestPassedFields(t *testing.T) {
+	header := http.Header{
+		"Bulrush-Outcome": {"not_run"},
+		"Bulrush-Reason":  {"busy"},
+		"Connection":      {"close, X-Private"},
+		"X-Private":       {"1"},
+		"Upgrade":         {"websocket"},
+		"Accept":          {"a", "b"},
+	}
+	fields := passedFields(header)
+	assert.DeepEqual(t, fields, []bulrushchute.HeaderField{{Name: "Accept", Value: "a"}, {Name: "Accept", Value: "b"}})
+}
--- /dev/null
+++ b/bulrushwire/transport_test.go
@@ -0,0 +1,234 @@
+package bulrushwire_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushwire"
+)
+
+// fakeNode answers attempts as the test tells it.
+type fakeNode struct {
+	attempt func(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply
+	control chan bulrushchute.Control
+	// connections receives each accepted connection, for tests that cut it.
+	connections chan net.Conn
+}
+
+func (fn *fakeNode) HandleAttempt(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+	return fn.attempt(ctx, attempt)
+}
+
+func (fn *fakeNode) HandleControl(_ bulrushchute.Address, message bulrushchute.Control) {
+	fn.control <- message
+}
+
+func echo(_ context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+	answer := bulrushwire.Seal(bulrushchute.Answer{Status: 200, Body: attempt.Body})
+	return bulrushchute.Reply{Answer: &answer}
+}
+
+func startNode(t testing.TB, node *fakeNode) (bulrushchute.Address, *httptest.Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	node.connections = make(chan net.Conn, 16)
+	server := httptest.NewUnstartedServer(bulrushwire.NewServer(ctx, node))
+	server.Config.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
+		node.connections <- connection
+		return ctx
+	}
+	server.Start()
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+	})
+	return bulrushchute.Address(strings.TrimPrefix(server.URL, "http://")), server
+}
+
+func newClient(t testing.TB) *bulrushwire.Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := bulrushwire.NewClient(ctx, "127.0.0.1:1", nil)
+	t.Cleanup(func() {
+		cancel()
+		client.Wait()
+	})
+	return client
+}
+
+func numberedAttempt(number byte) bulrushchute.Attempt {
+	attempt := sampleAttempt()
+	attempt.ID[0] = number
+	attempt.Body = []byte{number}
+	return attempt
+}
+
+// Guards against answers that reach another attempt when they come in another
+// order than the attempts were sent.
+func TestAnswersOutOfOrder(t *testing.T) {
+	const count = 50
+	release := make(chan struct{})
+	node := &fakeNode{attempt: func(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+		if attempt.ID[0] == count-1 {
+			close(release)
+		}
+		<-release
+		return echo(ctx, attempt)
+	}}
+	address, _ := startNode(t, node)
+	client := newClient(t)
+	failures := make(chan error, count)
+	for number := range byte(count) {
+		go func() {
+			reply, err := client.Exchange(context.Background(), address, numberedAttempt(number))
+			if err == nil && reply.Answer.Body[0] != number {
+				err = errors.Errorf("attempt %d got the answer of %d", number, reply.Answer.Body[0])
+			}
+			failures <- err
+		}()
+	}
+	for range count {
+		assert.NilError(t, <-failures)
+	}
+}
+
+// Guards against an attempt that is repeated although it may have run, or
+// given up although it certainly did not.
+func TestExchangeClassifiesFailures(t *testing.T) {
+	cases := map[string]struct {
+		run      func(t *testing.T, client *bulrushwire.Client) error
+		wantSent bool
+	}{
+		"nobody listens": {func(t *testing.T, client *bulrushwire.Client) error {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			assert.NilError(t, listener.Close())
+			_, err = client.Exchange(context.Background(), bulrushchute.Address(listener.Addr().String()), sampleAttempt())
+			return err
+		}, false},
+		"message too large": {func(t *testing.T, client *bulrushwire.Client) error {
+			address, _ := startNode(t, &fakeNode{attempt: echo})
+			attempt := sampleAttempt()
+			attempt.Body = make([]byte, bulrushwire.MaxFrameBytes)
+			_, err := client.Exchange(context.Background(), address, attempt)
+			return err
+		}, false},
+		"connection cut before the answer": {func(t *testing.T, client *bulrushwire.Client) error {
+			node := &fakeNode{}
+			node.attempt = func(ctx context.Context, _ bulrushchute.Attempt) bulrushchute.Reply {
+				_ = (<-node.connections).Close()
+				<-ctx.Done()
+				return bulrushchute.Reply{Refusal: &bulrushchute.Refusal{}}
+			}
+			address, _ := startNode(t, node)
+			_, err := client.Exchange(context.Background(), address, sampleAttempt())
+			return err
+		}, true},
+		"truncated answer": {func(t *testing.T, client *bulrushwire.Client) error {
+			address, _ := startNode(t, &fakeNode{attempt: func(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+				reply := echo(ctx, attempt)
+				reply.Answer.Body = nil
+				return reply
+			}})
+			_, err := client.Exchange(context.Background(), address, numberedAttempt(1))
+			return err
+		}, true},
+		"caller gives up": {func(t *testing.T, client *bulrushwire.Client) error {
+			ctx, cancel := context.WithCancel(context.Background())
+			address, _ := startNode(t, &fakeNode{attempt: func(attemptContext context.Context, _ bulrushchute.Attempt) bulrushchute.Reply {
+				cancel()
+				<-attemptContext.Done()
+				return bulrushchute.Reply{Refusal: &bulrushchute.Refusal{}}
+			}})
+			_, err := client.Exchange(ctx, address, sampleAttempt())
+			return err
+		}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := tc.run(t, newClient(t))
+			var notSent *bulrushchute.NotSentError
+			var lost *bulrushchute.LostError
+			assert.Equal(t, errors.As(err, &notSent), !tc.wantSent, "got %v", err)
+			assert.Equal(t, errors.As(err, &lost), tc.wantSent, "got %v", err)
+		})
+	}
+}
+
+// Guards against a late answer that is given to a later attempt on the same connection.
+func TestLateAnswerIsDropped(t *testing.T) {
+	late := make(chan struct{})
+	started := make(chan struct{})
+	node := &fakeNode{attempt: func(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+		if attempt.ID[0] == 1 {
+			close(started)
+			<-late
+		}
+		return echo(ctx, attempt)
+	}}
+	address, _ := startNode(t, node)
+	client := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := client.Exchange(ctx, address, numberedAttempt(1))
+		ended <- err
+	}()
+	<-started
+	cancel()
+	assert.Assert(t, <-ended != nil)
+	close(late)
+	for client.LateReplies() == 0 {
+		reply, err := client.Exchange(context.Background(), address, numberedAttempt(2))
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Answer.Body[0], byte(2))
+	}
+}
+
+// Guards against a peer that keeps a connection after it broke the protocol,
+// and against connections whose sender cannot be answered.
+func TestServerRefuses(t *testing.T) {
+	address, server := startNode(t, &fakeNode{attempt: echo})
+	_, response, err := websocket.Dial(context.Background(), "ws://"+string(address)+bulrushwire.PeerPath, nil)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, response.StatusCode, 400)
+	header := map[string][]string{"Bulrush-Peer-Address": {"127.0.0.1:1"}}
+	socket, _, err := websocket.Dial(context.Background(), server.URL+bulrushwire.PeerPath, &websocket.DialOptions{HTTPHeader: header})
+	assert.NilError(t, err)
+	assert.NilError(t, socket.Write(context.Background(), websocket.MessageBinary, []byte("not CBOR")))
+	_, _, err = socket.Read(context.Background())
+	assert.Assert(t, err != nil, "the connection must end")
+}
+
+// Guards against control messages that are lost on a working connection.
+func TestControlMessages(t *testing.T) {
+	node := &fakeNode{control: make(chan bulrushchute.Control, 1)}
+	address, _ := startNode(t, node)
+	client := newClient(t)
+	client.Send(address, bulrushchute.Control{From: "a", Heartbeat: &bulrushchute.Heartbeat{Sequence: 7}})
+	message := <-node.control
+	assert.Equal(t, message.Heartbeat.Sequence, uint64(7))
+}
+
+func BenchmarkExchange(b *testing.B) {
+	address, _ := startNode(b, &fakeNode{attempt: echo})
+	client := newClient(b)
+	b.ReportAllocs()
+	number := uint64(0)
+	for b.Loop() {
+		number++
+		attempt := sampleAttempt()
+		for i := range 8 {
+			attempt.ID[i] = byte(number >> (8 * i))
+		}
+		if _, err := client.Exchange(context.Background(), address, attempt); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
