Take silence since the last answer as evidence of slowness

Cause: ages alone count waiting from before the last answer, which says nothing about the present speed. Change: the time without any answer, times the own unanswered attempts, replaces the summed ages.

--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -17,9 +17,9 @@
 	latencyStep = 0.3
 	serviceStep = 0.02
 
-	// Waiting without an answer raises the estimate as it would raise the mean of
-	// this many answers. With a higher number a slowdown shows later, with a
-	// lower one ordinary waiting hides the differences between instances.
+	// Silence while attempts are unanswered raises the estimate as it would raise
+	// the mean of this many answers. With a higher number a slowdown shows later,
+	// with a lower one ordinary waiting hides the differences between instances.
 	priorAnswers = 2.0
 
 	// What is known of an instance fades towards the service's average in
@@ -71,11 +71,16 @@
 	// An attempt that is already older than the estimate shows that the
 	// instance has become slow before any answer does.
 	latencyMs = max(latencyMs, c.own.oldestAge(now)-distanceMs, smallestLatencyMs)
-	latencyMs += c.own.totalAge(now) / priorAnswers
+	latencyMs += float64(c.own.count()) * c.silenceMs(now) / priorAnswers
 	busy := (others + float64(c.own.count())) / c.limit
 	return latencyMs*(1+busy) + distanceMs
 }
 
+// silenceMs is how long the own attempts have been unanswered since the last answer.
+func (c *candidate) silenceMs(now bulrushchute.Millis) float64 {
+	return min(c.own.oldestAge(now), float64(max(now-c.heardAt, 0)))
+}
+
 // observeLatency takes in how long the instance needed for an attempt.
 func (c *candidate) observeLatency(now bulrushchute.Millis, ms float64) {
 	if !c.heard {
--- a/bulrushrouting/outstanding.go
+++ b/bulrushrouting/outstanding.go
@@ -42,12 +42,3 @@
 	}
 	return float64(max(now-o.starts[0], 0))
 }
-
-// totalAge returns the time that all attempts together have been unanswered.
-func (o *outstanding) totalAge(now bulrushchute.Millis) float64 {
-	total := 0.0
-	for _, start := range o.starts {
-		total += float64(max(now-start, 0))
-	}
-	return total
-}
