Keep entry nodes with equal reports apart

Cause: 24 entry nodes that held the same report of one idle server all chose it: 72 of 72 attempts (TestNoHerd). Change: an own attempt since the last report stands for those of up to 10 other entry nodes, estimated from the mean counts; scores get up to 30% of random jitter. errorCost is 30 in place of 10: with jitter, a server five times faster that fails every second attempt still got 28% (TestFailuresCost). Result: TestNoHerd holds (at most half).

--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -28,11 +28,18 @@
 	loadFadeMs    = 100.0
 	errorFadeMs   = 10_000.0
 
+	// mostFollowers bounds how many other entry nodes an attempt stands for. Beyond
+	// it, one attempt is enough to make an idle server look full.
+	mostFollowers = 10.0
+	// Scores are drawn up to this share too high. Entry nodes with equal reports
+	// would otherwise choose the same server at the same moment.
+	scoreJitter = 0.3
+
 	// A failure moves the share of failures by errorStep. Its cost is that of
 	// errorCost more attempts, so that a server that fails now and then gets
 	// less work without being ejected.
 	errorStep = 0.1
-	errorCost = 10.0
+	errorCost = 30.0
 
 	// A refusal keeps the instance out of the choice for this span, doubled for
 	// each further one in a row. An instance that refuses everything reports no
@@ -46,7 +53,16 @@
 	latencyMs float64
 	// others is the mean number of requests from other entry nodes.
 	others float64
-	known  bool
+	// own is the mean number of own attempts at the same moments.
+	own   float64
+	known bool
+}
+
+// followers estimates how many other entry nodes use the service as this one
+// does. They hold similar reports and are likely to follow them at the same
+// time, so each attempt sent since the last report stands for theirs too.
+func (a average) followers() float64 {
+	return min(a.others/max(a.own, 0.1), mostFollowers)
 }
 
 // candidate is what the node knows of one instance.
@@ -59,7 +75,9 @@
 
 	latencyMs float64
 	// others is the reported number of requests from other entry nodes.
-	others  float64
+	others float64
+	// ownThen is the number of own attempts at the last report.
+	ownThen int
 	limit   float64
 	heardAt bulrushchute.Millis
 	heard   bool
@@ -90,7 +108,9 @@
 	// instance has become slow before any answer does.
 	latencyMs = max(latencyMs, c.own.oldestAge(now)-distanceMs, smallestLatencyMs)
 	latencyMs += float64(c.own.count()) * c.silenceMs(now) / priorAnswers
-	busy := (others + float64(c.own.count())) / c.limit
+	own := float64(c.own.count())
+	since := max(own-float64(c.ownThen), 0)
+	busy := (others + own + since*average.followers()) / c.limit
 	return latencyMs*(1+busy)*(1+errorCost*c.errors(now)) + distanceMs
 }
 
@@ -141,5 +161,6 @@
 func (c *candidate) observeLoad(load bulrushchute.Load) {
 	c.leaving = load.Leaving
 	c.limit = float64(max(load.Limit, 1))
+	c.ownThen = c.own.count()
 	c.others = float64(max(load.InFlight+load.Queued-c.own.count(), 0))
 }
--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -80,7 +80,7 @@
 		if rank == rankUsable {
 			compared++
 		}
-		chosen.offer(c, rank, c.scoreMs(now, r.average, r.distances.to(c.instance.DataCentre)))
+		chosen.offer(c, rank, r.scoreMs(now, c))
 	}
 	if chosen.candidate == nil {
 		return bulrushchute.Instance{}, false
@@ -118,6 +118,11 @@
 	return 0
 }
 
+func (r *Router) scoreMs(now bulrushchute.Millis, c *candidate) float64 {
+	scoreMs := c.scoreMs(now, r.average, r.distances.to(c.instance.DataCentre))
+	return scoreMs * (1 + scoreJitter*r.random.Float64())
+}
+
 func (r *Router) observeResult(now bulrushchute.Millis, c *candidate, observation bulrushchute.Observation) {
 	switch observation.Result {
 	case bulrushchute.ResultAnswered:
@@ -166,6 +171,7 @@
 
 func (r *Router) observeOthers(c *candidate) {
 	r.average.others += serviceStep * (c.others - r.average.others)
+	r.average.own += serviceStep * (float64(c.ownThen) - r.average.own)
 }
 
 // rank sorts a candidate into those to use and those to fall back on. It
--- a/bulrushrouting/router_test.go
+++ b/bulrushrouting/router_test.go
@@ -195,6 +195,37 @@
 	}
 }
 
+// Guards against entry nodes that all rush to the server that the same report shows as idle.
+func TestNoHerd(t *testing.T) {
+	const entries, rounds = 24, 3
+	counts := map[bulrushchute.InstanceID]int{}
+	var routers []Candidates
+	for e := range entries {
+		router := newFakeRouter(e, rand.New(rand.NewPCG(1, uint64(e))))
+		var members []bulrushchute.Instance
+		for i := range 6 {
+			members = append(members, member(fakeID(i), "dc"))
+		}
+		router.Update(0, members, nil)
+		for i := range 600 {
+			load := bulrushchute.Load{InFlight: 5, Limit: 10, ServiceMs: 5}
+			if i%6 == 3 && i > 590 {
+				load.InFlight = 0
+			}
+			attempt(router, bulrushchute.Millis(i), fakeID(i%6), 5, bulrushchute.ResultAnswered, &load)
+		}
+		routers = append(routers, router)
+	}
+	for range rounds {
+		for _, router := range routers {
+			picked, _ := router.Pick(606, bulrushchute.PickQuery{})
+			router.Started(606, picked.ID)
+			counts[picked.ID]++
+		}
+	}
+	assert.Assert(t, counts[fakeID(3)] <= entries*rounds/2, "%v", counts)
+}
+
 // Guards against a distance that grows with queueing or never leaves its start value.
 func TestDistanceIsMeasured(t *testing.T) {
 	d := newDistances("own")
