--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -1,6 +1,7 @@
 package bulrushrouting
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -53,6 +54,10 @@
 	for version, instances := range byVersion {
 		r.pools[version] = r.pool(instances)
 	}
+	// Pools share instances, so a fixed order keeps runs with one seed equal.
+	for _, version := range slices.Sorted(maps.Keys(r.pools)) {
+		releaseExcess(now, r.pools[version])
+	}
 	r.forget()
 }
 
@@ -75,7 +80,7 @@
 		if rank == rankUsable {
 			compared++
 		}
-		chosen.offer(c, rank, c.scoreMs(now, r.average, r.distances.to(c.instance.DataCentre)))
+		chosen.offer(c, rank, r.scoreMs(now, c))
 	}
 	if chosen.candidate == nil {
 		return bulrushchute.Instance{}, false
@@ -113,15 +118,22 @@
 	return 0
 }
 
+func (r *Router) scoreMs(now bulrushchute.Millis, c *candidate) float64 {
+	scoreMs := c.scoreMs(now, r.average, r.distances.to(c.instance.DataCentre))
+	return scoreMs * (1 + scoreJitter*r.random.Float64())
+}
+
 func (r *Router) observeResult(now bulrushchute.Millis, c *candidate, observation bulrushchute.Observation) {
 	switch observation.Result {
 	case bulrushchute.ResultAnswered:
-		c.ejection.good(now)
+		c.observeGood(now)
 		r.observeAnswer(now, c, observation)
 	case bulrushchute.ResultServerError, bulrushchute.ResultUnknown:
 		r.observeFailure(now, c, 1)
 	case bulrushchute.ResultNotSent:
 		r.observeFailure(now, c, notSentCount)
+	case bulrushchute.ResultNotRun:
+		c.observeRefusal(now)
 	case bulrushchute.ResultCancelled:
 		r.observeCancelled(now, c, observation.ElapsedMs)
 	}
@@ -151,32 +163,15 @@
 }
 
 func (r *Router) observeFailure(now bulrushchute.Millis, c *candidate, weight int) {
+	c.observeError(now)
 	if c.ejection.failed(now, weight) && r.mayEject(now, c) {
 		c.ejection.eject(now)
 	}
 }
 
-// mayEject bounds the ejected members to half of a subset.
-func (r *Router) mayEject(now bulrushchute.Millis, wanted *candidate) bool {
-	for _, pool := range r.pools {
-		if !slices.Contains(pool, wanted) {
-			continue
-		}
-		ejected := 1
-		for _, c := range pool {
-			if c != wanted && c.ejection.ejected(now) {
-				ejected++
-			}
-		}
-		if ejected > len(pool)/2 {
-			return false
-		}
-	}
-	return true
-}
-
 func (r *Router) observeOthers(c *candidate) {
 	r.average.others += serviceStep * (c.others - r.average.others)
+	r.average.own += serviceStep * (float64(c.ownThen) - r.average.own)
 }
 
 // rank sorts a candidate into those to use and those to fall back on. It
@@ -190,6 +185,8 @@
 		return rankEjected, true
 	case c.ejection.full(c.own.count()):
 		return rankReadmitted, true
+	case now < c.pauseUntil:
+		return rankRefusing, true
 	case weight < 1 && r.random.Float64() >= weight:
 		return rankReturning, true
 	}
@@ -238,6 +235,8 @@
 	rankUsable rank = iota
 	// rankReturning candidates are in a data centre that ramps up and were not drawn.
 	rankReturning
+	// rankRefusing candidates have refused an attempt a short time ago.
+	rankRefusing
 	// rankReadmitted candidates have as many attempts as they may after an ejection.
 	rankReadmitted
 	rankEjected
