Test that a pause clears the timers of a monitor

Cause: removing the reset of the timers broke no test. Change: a test with slow answers after a pause. Result: it passes, and fails without the reset.

--- a/bulrushmembership/detector_test.go
+++ b/bulrushmembership/detector_test.go
@@ -61,3 +61,24 @@
 	}
 	assertKnown(t, f, 60)
 }
+
+// Guards against suspicions by a node that was paused and has heard only some
+// of its neighbours since.
+func TestPauseClearsTimers(t *testing.T) {
+	f := newFleet(10)
+	f.delay = 900
+	f.fill(1, 24)
+	f.run(5 * bulrushchute.Second)
+	for _, n := range f.nodes {
+		n.frozen = true
+		f.run(4 * bulrushchute.Second)
+		n.waiting = nil
+		f.resume(n)
+		resumed := f.now
+		f.run(4 * bulrushchute.Second)
+		for _, s := range n.members.order {
+			own := s.learned >= resumed && s.monitor == monitorHash(n.self.ID)
+			assert.Assert(t, !own, "%s suspects %s", n.self.ID, s.id)
+		}
+	}
+}
