Keep a node connected when all its neighbours fail at once

Cause: the property test found, once in 1,050 runs, a node whose ring neighbours had all stopped; it counted as isolated though others ran. With 40% of a data centre frozen this meets about one node in 250. Change: a node that lost most of its neighbours sends heartbeats to random members of its data centre and treats those that answer as neighbours.

--- a/bulrushmembership/link.go
+++ b/bulrushmembership/link.go
@@ -11,8 +11,8 @@
 	sentCount = 512
 	// roundTripGain is the weight of a new round-trip time, the usual one eighth.
 	roundTripGain = 0.125
-	// maxInbound and inboundIdle bound the nodes of other data centres that
-	// are neighbours only because they send heartbeats to this node.
+	// maxInbound and inboundIdle bound the nodes that are neighbours only
+	// because they exchanged a heartbeat with this node.
 	maxInbound  = 8
 	inboundIdle = 5 * bulrushchute.Second
 )
@@ -187,22 +187,22 @@
 	l.rttMs += roundTripGain * (elapsedMs - l.rttMs)
 }
 
-// inboundPeer is a node of another data centre that exchanged a heartbeat
-// with this node and is not a link. After a long cut the two sides may choose
-// different bridges; then each side follows the other's choice too.
+// inboundPeer is a node that exchanged a heartbeat with this node and is not a
+// link. After a long cut the two sides may choose different bridges; then each
+// side follows the other's choice too. A node whose ring neighbours all failed at
+// once stays connected by the members that answer its probes.
 type inboundPeer struct {
 	id      bulrushchute.InstanceID
 	address bulrushchute.Address
 	until   bulrushchute.Millis
+	// near marks a node of the same data centre.
+	near bool
 }
 
 func (m *Membership) addInbound(now bulrushchute.Millis, from bulrushchute.Address, id bulrushchute.InstanceID) {
 	if m.links.has(id) || id == m.self.ID {
 		return
 	}
-	if known, ok := m.members.byID[id]; ok && known.home.name == m.self.DataCentre {
-		return
-	}
 	for i := range m.inbound {
 		if m.inbound[i].id == id {
 			m.inbound[i].until = now + inboundIdle
@@ -210,7 +210,10 @@
 		}
 	}
 	if len(m.inbound) < maxInbound {
-		m.inbound = append(m.inbound, inboundPeer{id: id, address: from, until: now + inboundIdle})
+		in := inboundPeer{id: id, address: from, until: now + inboundIdle}
+		known, ok := m.members.byID[id]
+		in.near = ok && known.home.name == m.self.DataCentre
+		m.inbound = append(m.inbound, in)
 		m.neighboursChanged = true
 	}
 }
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -103,6 +103,7 @@
 	actions = m.sendHeartbeats(now, actions)
 	if m.status.Joined && !m.left {
 		actions = m.watchBridges(now, actions)
+		actions = m.probeHome(now, actions)
 	}
 	m.updateReach(now)
 	actions = m.compareNow(now, actions)
--- a/bulrushmembership/overlay.go
+++ b/bulrushmembership/overlay.go
@@ -153,7 +153,7 @@
 }
 
 // updateNeighbours tells the record table whom to announce changes to: the
-// overlay neighbours and nodes of other data centres that count this node as theirs.
+// overlay neighbours and the inbound peers.
 func (m *Membership) updateNeighbours(now bulrushchute.Millis) {
 	if m.dropInbound(now) {
 		m.neighboursChanged = true
@@ -171,7 +171,7 @@
 	}
 	for _, in := range m.inbound {
 		if !m.links.has(in.id) {
-			neighbours = append(neighbours, bulrushspread.Neighbour{ID: in.id, Address: in.address, Bridge: true})
+			neighbours = append(neighbours, bulrushspread.Neighbour{ID: in.id, Address: in.address, Bridge: !in.near})
 		}
 	}
 	m.table.SetNeighbours(neighbours)
--- a/bulrushmembership/reach.go
+++ b/bulrushmembership/reach.go
@@ -63,9 +63,24 @@
 	return actions
 }
 
+// probeHome asks random members of this data centre when this node lost most
+// of its neighbours. When 40% of a data centre freezes, some nodes lose all
+// six neighbours and would otherwise refuse work as isolated.
+func (m *Membership) probeHome(now bulrushchute.Millis, actions []Action) []Action {
+	home := m.members.centre(m.self.DataCentre)
+	if !m.doubtful || now < home.nextProbe {
+		return actions
+	}
+	home.nextProbe = now + probeInterval
+	return m.probe(now, actions, home)
+}
+
 func (m *Membership) probe(now bulrushchute.Millis, actions []Action, dc *dataCentre) []Action {
 	for range min(probeCount, len(dc.members)) {
 		target := dc.members[m.config.Random.IntN(len(dc.members))]
+		if target.instance.ID == m.self.ID {
+			continue
+		}
 		actions = m.sendHeartbeat(now, actions, target.instance.ID, target.instance.Address)
 	}
 	return actions
