Reach other data centres from a node that lost its neighbours

Change: the probes of such a node go to a random other data centre too. Also a benchmark of whole fleets and a budget check in the freeze test.

--- a/bulrushmembership/detector_test.go
+++ b/bulrushmembership/detector_test.go
@@ -19,7 +19,8 @@
 	assertKnown(t, f, 59)
 }
 
-// Guards against a mass eviction when a platform fault freezes many nodes for a while.
+// Guards against a mass eviction when a platform fault freezes many nodes for
+// a while, and against a burst that exceeds the budget.
 func TestFrozenShareIsNotEvicted(t *testing.T) {
 	f := newFleet(2)
 	f.fill(1, 200)
@@ -36,6 +37,11 @@
 	assert.Equal(t, f.deaths(), 0)
 	assert.Equal(t, f.suspicions(), 0)
 	assertKnown(t, f, 200)
+	for _, n := range f.nodes {
+		stats := n.table.Stats()
+		limit := uint64(8192 * (f.now - testStart + 2*bulrushchute.Second) / bulrushchute.Second)
+		assert.Assert(t, stats.SentBytes+stats.ChargedBytes <= limit, "%s exceeds its budget: %+v", n.self.ID, stats)
+	}
 }
 
 // Guards against deaths across a cut between data centres, and against a cut that heals unnoticed.
--- a/bulrushmembership/membership_test.go
+++ b/bulrushmembership/membership_test.go
@@ -348,19 +348,37 @@
 }
 
 // Guards against a node that refuses work and misses changes because all its
-// neighbours failed at once while others still run.
+// neighbours failed at once, or all of its data centre, while others still run.
 func TestAllNeighboursLost(t *testing.T) {
-	f := newFleet(12)
-	f.fill(1, 40)
-	f.run(5 * bulrushchute.Second)
-	n := f.nodes[0]
-	for _, l := range n.links.order {
-		f.at[l.address].stopped = true
+	cases := map[string]struct{ centres, each, lost int }{
+		"ring neighbours": {1, 40, 6},
+		"data centre":     {2, 12, 11},
 	}
-	f.run(8 * bulrushchute.Second)
-	assert.Assert(t, !n.Status().Isolated)
-	other := slices.IndexFunc(f.nodes[1:], func(n *testNode) bool { return !n.stopped }) + 1
-	f.nodes[other].table.Publish(f.now, testEntry(1, 1))
-	f.run(2 * bulrushchute.Second)
-	assert.Assert(t, has(testEntry(1, 1))(n))
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(12)
+			f.fill(tc.centres, tc.each)
+			f.run(5 * bulrushchute.Second)
+			n := f.withoutBridge(tc.each)
+			for i, id := range n.Neighbours() {
+				f.nodes[slices.IndexFunc(f.nodes, func(n *testNode) bool { return n.self.ID == id })].stopped = i < tc.lost
+			}
+			for i := range tc.each {
+				f.nodes[i].stopped = f.nodes[i] != n && (f.nodes[i].stopped || tc.lost == tc.each-1)
+			}
+			f.run(8 * bulrushchute.Second)
+			assert.Assert(t, !n.Status().Isolated)
+			running := slices.IndexFunc(f.nodes, func(other *testNode) bool { return !other.stopped && other != n })
+			f.nodes[running].table.Publish(f.now, testEntry(1, 1))
+			f.run(2 * bulrushchute.Second)
+			assert.Assert(t, has(testEntry(1, 1))(n))
+		})
+	}
+}
+
+// withoutBridge returns a node of data centre 0 that has only ring links.
+func (f *fleet) withoutBridge(each int) *testNode {
+	return f.nodes[slices.IndexFunc(f.nodes[:each], func(n *testNode) bool {
+		return len(n.Neighbours()) == len(n.links.order)
+	})]
 }
--- a/bulrushmembership/reach.go
+++ b/bulrushmembership/reach.go
@@ -63,16 +63,22 @@
 	return actions
 }
 
-// probeHome asks random members of this data centre when this node lost most
-// of its neighbours. When 40% of a data centre freezes, some nodes lose all
-// six neighbours and would otherwise refuse work as isolated.
+// probeHome asks random members of this data centre and of another when this
+// node lost most of its neighbours. When 40% of a data centre freezes, some
+// nodes lose all six neighbours and would otherwise refuse work as isolated;
+// the last node of a data centre may hold no bridge.
 func (m *Membership) probeHome(now bulrushchute.Millis, actions []Action) []Action {
 	home := m.members.centre(m.self.DataCentre)
 	if !m.doubtful || now < home.nextProbe {
 		return actions
 	}
 	home.nextProbe = now + probeInterval
-	return m.probe(now, actions, home)
+	actions = m.probe(now, actions, home)
+	other := m.members.centreOrder[m.config.Random.IntN(len(m.members.centreOrder))]
+	if other == home {
+		return actions
+	}
+	return m.probe(now, actions, other)
 }
 
 func (m *Membership) probe(now bulrushchute.Millis, actions []Action, dc *dataCentre) []Action {
--- a/bulrushmembership/spread_test.go
+++ b/bulrushmembership/spread_test.go
@@ -1,6 +1,7 @@
 package bulrushmembership
 
 import (
+	"fmt"
 	"testing"
 
 	"bulrushchute.example/bulrushchute"
@@ -105,7 +106,7 @@
 }
 
 func allDone(f *fleet, done func(n *testNode) bool) bool {
-	for _, n := range f.nodes[:centreNodes] {
+	for _, n := range f.nodes[:min(centreNodes, len(f.nodes))] {
 		if !n.stopped && !done(n) {
 			return false
 		}
@@ -163,39 +164,63 @@
 }
 
 // BenchmarkCatalogueRate publishes 0.78 changes of 1 KB and 26 beats a second for
-// a minute and reports what the average and the busiest node send.
+// a minute in one data centre of 885 nodes and reports what the average and
+// the busiest node send.
 func BenchmarkCatalogueRate(b *testing.B) {
 	for b.Loop() {
 		f, _ := quietCentre(b)
-		start, before := f.now, f.bytes
-		sent := make([]int, len(f.nodes))
-		for i, n := range f.nodes {
-			sent[i] = n.sent
-		}
-		slowest := changeRate(f, bulrushchute.Minute)
-		most := 0
-		for i, n := range f.nodes {
-			most = max(most, n.sent-sent[i])
-		}
-		seconds := float64((f.now - start) / bulrushchute.Second)
-		b.ReportMetric(float64(f.bytes-before)/seconds/float64(len(f.nodes)), "B/s/node")
-		b.ReportMetric(float64(most)/seconds, "B/s_busiest")
-		b.ReportMetric(float64(slowest), "ms_slowest")
+		reportRate(b, f, fleetCentres, func(dc int) *testNode { return f.nodes[(dc*31+5)%centreNodes] })
+	}
+}
+
+// BenchmarkFleetRate does the same in whole fleets, each beat starting in its data centre.
+func BenchmarkFleetRate(b *testing.B) {
+	for _, size := range []struct{ centres, each int }{{3, 4}, {4, 4}, {26, 4}, {26, 34}} {
+		b.Run(fmt.Sprintf("centres=%d/each=%d", size.centres, size.each), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(13)
+				f.fill(size.centres, size.each)
+				for _, n := range f.nodes {
+					n.status.Joined = true
+					n.overlayChanged = true
+				}
+				f.run(20 * bulrushchute.Second)
+				reportRate(b, f, size.centres, func(dc int) *testNode { return f.nodes[dc*size.each] })
+			}
+		})
 	}
 }
 
-// changeRate returns the longest time in which a catalogue change reached all nodes.
-func changeRate(f *fleet, span bulrushchute.Millis) (slowest bulrushchute.Millis) {
+func reportRate(b *testing.B, f *fleet, centres int, beats func(dc int) *testNode) {
+	start, before := f.now, f.bytes
+	sent := make([]int, len(f.nodes))
+	for i, n := range f.nodes {
+		sent[i] = n.sent
+	}
+	slowest := changeRate(f, centres, beats)
+	most := 0
+	for i, n := range f.nodes {
+		most = max(most, n.sent-sent[i])
+	}
+	seconds := float64((f.now - start) / bulrushchute.Second)
+	b.ReportMetric(float64(f.bytes-before)/seconds/float64(len(f.nodes)), "B/s/node")
+	b.ReportMetric(float64(most)/seconds, "B/s_busiest")
+	b.ReportMetric(float64(slowest), "ms_slowest")
+}
+
+// changeRate returns the longest time in which a catalogue change reached all
+// nodes in a minute, or the age of the oldest that did not.
+func changeRate(f *fleet, centres int, beats func(dc int) *testNode) (slowest bulrushchute.Millis) {
 	type pending struct {
 		record bulrushchute.Record
 		at     bulrushchute.Millis
 	}
 	var open []pending
 	tickets, revision := 0.0, uint64(0)
-	for end := f.now + span; f.now < end; {
+	for end := f.now + bulrushchute.Minute; f.now < end; {
 		if f.now%bulrushchute.Second == 0 {
-			for dc := range fleetCentres {
-				f.nodes[(dc*31+5)%centreNodes].table.Publish(f.now, testBeat(f.now, dc))
+			for dc := range centres {
+				beats(dc).table.Publish(f.now, testBeat(f.now, dc))
 			}
 			tickets += 0.78
 		}
@@ -203,7 +228,7 @@
 			tickets--
 			revision++
 			record := testEntry(revision, int(revision))
-			f.nodes[f.random.IntN(centreNodes)].table.Publish(f.now, record)
+			f.nodes[f.random.IntN(min(centreNodes, len(f.nodes)))].table.Publish(f.now, record)
 			open = append(open, pending{record: record, at: f.now})
 		}
 		f.step()
@@ -212,6 +237,9 @@
 			open = open[1:]
 		}
 	}
+	if len(open) > 0 {
+		slowest = max(slowest, f.now-open[0].at)
+	}
 	return slowest
 }
 
