Spread the copies for joining nodes over the fleet

Change: a node without allowance for a copy names 16 members in place of it, and the joining node copies from one of them. A joining node takes no inbound neighbours; it announced all that it copied.

--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -13,6 +13,9 @@
 	joinRounds = 5
 	// joinPause is the time between two comparisons with the same peer.
 	joinPause = 300 * bulrushchute.Millisecond
+	// turnedAway is the number of differing buckets above which the answer was
+	// no copy but a few members to copy from.
+	turnedAway = bulrushspread.BucketCount / 2
 )
 
 // Stages of a join.
@@ -55,6 +58,8 @@
 		return m.startStage(now, actions)
 	case !j.answered || now < j.next || m.table.Outstanding() > 0:
 		return actions
+	case j.stage == stageCopy && j.differing > turnedAway:
+		return m.startStage(now, actions)
 	case j.differing > 0 && j.rounds < joinRounds:
 		return m.compareJoin(now, actions)
 	}
@@ -133,12 +138,12 @@
 	return candidates[m.config.Random.IntN(len(candidates))]
 }
 
-// joinCandidates returns the seeds for the copy. For the comparison it
+// joinCandidates returns, for the copy, the seeds until one of them has named members. For the comparison it
 // returns members of this data centre, or else any peer but the first.
 func (m *Membership) joinCandidates() []bulrushchute.Address {
 	seeds := m.otherSeeds()
 	if m.join.stage == stageCopy {
-		return seeds
+		return m.copyCandidates(seeds)
 	}
 	candidates := m.candidatesIn(m.members.centre(m.self.DataCentre))
 	if len(candidates) > 0 {
@@ -155,6 +160,17 @@
 	return candidates
 }
 
+func (m *Membership) copyCandidates(seeds []bulrushchute.Address) []bulrushchute.Address {
+	var named []bulrushchute.Address
+	for _, dc := range m.members.centreOrder {
+		named = append(named, m.candidatesIn(dc)...)
+	}
+	if len(named) == 0 {
+		return seeds
+	}
+	return named
+}
+
 func (m *Membership) candidatesIn(dc *dataCentre) []bulrushchute.Address {
 	var candidates []bulrushchute.Address
 	for _, other := range dc.members {
--- a/bulrushmembership/link.go
+++ b/bulrushmembership/link.go
@@ -200,8 +200,8 @@
 }
 
 func (m *Membership) addInbound(now bulrushchute.Millis, from bulrushchute.Address, id bulrushchute.InstanceID) {
-	if m.links.has(id) || id == m.self.ID {
-		return
+	if !m.status.Joined || m.links.has(id) || id == m.self.ID {
+		return // a joining node would announce each record that it copies
 	}
 	for i := range m.inbound {
 		if m.inbound[i].id == id {
--- a/bulrushmembership/membership_test.go
+++ b/bulrushmembership/membership_test.go
@@ -382,3 +382,23 @@
 		return len(n.Neighbours()) == len(n.links.order)
 	})]
 }
+
+// Guards against a seed that copies to every joining node, beyond its budget,
+// and against joins that wait for it.
+func TestManyJoinsThroughOneSeed(t *testing.T) {
+	f := newFleet(14)
+	f.fill(1, 40)
+	for i := range 1900 {
+		for _, n := range f.nodes {
+			n.table.Publish(f.now, testEntry(1, i))
+		}
+	}
+	f.run(10 * bulrushchute.Second)
+	for i := range 12 {
+		joiner := f.add(testInstance(0, 100+i), f.nodes[0].self.Address)
+		f.run(10 * bulrushchute.Second)
+		assert.Assert(t, joiner.Status().Joined, "join %d", i)
+		assert.Assert(t, joiner.table.Stats().Records >= 1940)
+	}
+	assert.Assert(t, f.nodes[0].table.Stats().BulkBytes < 12<<20)
+}
--- a/bulrushspread/digest.go
+++ b/bulrushspread/digest.go
@@ -13,6 +13,15 @@
 	busyChanges = 64
 	// repairBytes bounds what one comparison with a neighbour makes a node announce.
 	repairBytes = 64 << 10
+	// sampleRecords is the number of members named to a node that is turned away.
+	sampleRecords = 16
+	// turnAwayFilled is the number of filled buckets up to which a joining node
+	// is turned away. It lets a node that was turned away twice copy in any case.
+	turnAwayFilled = 2 * sampleRecords
+	// copyFilled is the number of filled buckets up to which a joining node
+	// gets all buckets whole. Asking for the rest one by one takes half a
+	// minute at the ordinary rate.
+	copyFilled = 4 * sampleRecords
 )
 
 // transfer sends the content of the buckets in which a peer differs. Buckets
@@ -146,16 +155,64 @@
 	if p.transfer != nil && p.transfer.at > 0 {
 		return // the peer repeats itself; the transfer under way answers it
 	}
+	filled := filledBuckets(digest)
+	if p.guest && filled <= turnAwayFilled && t.copyTooDear() {
+		t.turnAway(p, digest.Shared)
+		return
+	}
 	tr := &transfer{buckets: differing, limit: repairBytes, shared: digest.Shared, digest: true}
 	if p.guest {
 		tr.limit = -1
 	}
 	for _, b := range differing {
-		tr.whole[b] = digest.Buckets[b] == 0
+		tr.whole[b] = digest.Buckets[b] == 0 || (p.guest && filled <= copyFilled)
 	}
 	p.transfer = tr
 }
 
+// filledBuckets counts the buckets in which the sender of a digest has records.
+func filledBuckets(digest *bulrushchute.Digest) int {
+	filled := 0
+	for _, hash := range digest.Buckets {
+		if hash != 0 {
+			filled++
+		}
+	}
+	return filled
+}
+
+// copyTooDear reports whether the bulk allowance does not cover another copy
+// while there are other nodes to copy from.
+func (t *Table) copyTooDear() bool {
+	if len(t.topics[bulrushchute.TopicMember]) < 2*sampleRecords {
+		return false
+	}
+	committed := t.heldBytes
+	for _, p := range t.order {
+		if p.guest && p.transfer != nil {
+			committed += t.heldBytes
+		}
+	}
+	return t.budget.bulk < float64(committed)
+}
+
+// turnAway sends a few member records in place of a copy, so that the joining
+// node can copy from one of these members. Without this, the few seeds would
+// serve all joins: 5,400 a day of 4.4 MB are 275 KB/s. The digest differs in
+// most buckets, which tells the joining node that this was not the copy.
+func (t *Table) turnAway(p *peer, shared bool) {
+	members := t.topics[bulrushchute.TopicMember]
+	start := 0
+	if t.config.Random != nil {
+		start = t.config.Random.IntN(len(members))
+	}
+	step := len(members)/sampleRecords + 1
+	for i := range sampleRecords {
+		p.deliver[classMember].push(members[(start+i*step)%len(members)])
+	}
+	p.digests = append(p.digests[:0], t.digest(shared))
+}
+
 // flushTransfers sends parts of the transfers under way, a bounded number of bytes a tick.
 func (t *Table) flushTransfers(actions []Action) []Action {
 	left := bulkTickBytes
--- a/bulrushspread/table.go
+++ b/bulrushspread/table.go
@@ -38,6 +38,8 @@
 	// shared covers records that every node holds, all covers in addition
 	// those that are valid in this data centre only.
 	shared, all [BucketCount]uint64
+	// heldBytes is the size of all records, which a copy costs.
+	heldBytes int
 
 	peers     map[bulrushchute.Address]*peer
 	order     []*peer
@@ -108,6 +110,7 @@
 		return
 	}
 	t.mark(e, e.hash)
+	t.heldBytes -= sizeRecord(&e.record)
 	delete(t.entries, key)
 	e.forgotten = true
 	removeAt(&t.buckets[e.bucket], e.inBucket, func(moved *entry, at int) { moved.inBucket = at })
@@ -134,7 +137,10 @@
 			return false
 		}
 		e = t.insert(record.Key)
+	} else {
+		t.heldBytes -= sizeRecord(&e.record)
 	}
+	t.heldBytes += sizeRecord(&record)
 	e.record = record
 	hash := hashRecord(&record)
 	t.mark(e, e.hash^hash)
--- a/bulrushspread/table_test.go
+++ b/bulrushspread/table_test.go
@@ -257,3 +257,43 @@
 	assert.DeepEqual(t, near, map[string]int{"kgl-1": 10, "kgl-2": 2, "kgl-1>kgl-2/0": 10})
 	assert.DeepEqual(t, far, map[string]int{"kgl-1": 2, "kgl-2": 2})
 }
+
+// Guards against seeds that exceed their budget by serving every joining node.
+func TestCopyIsRefusedWithoutAllowance(t *testing.T) {
+	cases := map[string]struct {
+		bulk    float64
+		members int
+		copied  bool
+	}{
+		"enough allowance":          {bulk: bulkBytes, members: 1000, copied: true},
+		"no allowance":              {bulk: 0, members: 1000, copied: false},
+		"nobody else to copy from":  {bulk: 0, members: 10, copied: true},
+		"allowance for half a copy": {bulk: 70_000, members: 1000, copied: false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := New(meshStart, Config{Self: "n0", DataCentre: "kgl-1"})
+			for i := range tc.members {
+				table.Publish(meshStart, memberRecord(i, 1))
+			}
+			table.budget.bulk = tc.bulk
+			empty := &bulrushchute.Digest{Buckets: make([]uint64, BucketCount), Reply: true, Shared: true}
+			actions := table.Receive(meshStart, meshAddress(1), bulrushchute.Control{Digest: empty})
+			for now := meshStart; now < meshStart+10*bulrushchute.Second; now += TickInterval {
+				actions = append(actions, table.Tick(now)...)
+			}
+			records, digests := 0, 0
+			for _, a := range actions {
+				if a.Message.Records != nil {
+					records += len(a.Message.Records.Records)
+				}
+				if a.Message.Digest != nil {
+					digests += len(a.Message.Digest.Buckets)
+				}
+			}
+			assert.Equal(t, records == tc.members, tc.copied, "%d records", records)
+			assert.Assert(t, tc.copied || records == sampleRecords, "%d records", records)
+			assert.Equal(t, digests, BucketCount)
+		})
+	}
+}
