--- a/bulrushmembership/detector_test.go
+++ b/bulrushmembership/detector_test.go
@@ -19,7 +19,8 @@
 	assertKnown(t, f, 59)
 }
 
-// Guards against a mass eviction when a platform fault freezes many nodes for a while.
+// Guards against a mass eviction when a platform fault freezes many nodes for
+// a while, and against a burst that exceeds the budget.
 func TestFrozenShareIsNotEvicted(t *testing.T) {
 	f := newFleet(2)
 	f.fill(1, 200)
@@ -36,6 +37,11 @@
 	assert.Equal(t, f.deaths(), 0)
 	assert.Equal(t, f.suspicions(), 0)
 	assertKnown(t, f, 200)
+	for _, n := range f.nodes {
+		stats := n.table.Stats()
+		limit := uint64(8192 * (f.now - testStart + 2*bulrushchute.Second) / bulrushchute.Second)
+		assert.Assert(t, stats.SentBytes+stats.ChargedBytes <= limit, "%s exceeds its budget: %+v", n.self.ID, stats)
+	}
 }
 
 // Guards against deaths across a cut between data centres, and against a cut that heals unnoticed.
@@ -61,3 +67,24 @@
 	}
 	assertKnown(t, f, 60)
 }
+
+// Guards against suspicions by a node that was paused and has heard only some
+// of its neighbours since.
+func TestPauseClearsTimers(t *testing.T) {
+	f := newFleet(10)
+	f.delay = 900
+	f.fill(1, 24)
+	f.run(5 * bulrushchute.Second)
+	for _, n := range f.nodes {
+		n.frozen = true
+		f.run(4 * bulrushchute.Second)
+		n.waiting = nil
+		f.resume(n)
+		resumed := f.now
+		f.run(4 * bulrushchute.Second)
+		for _, s := range n.members.order {
+			own := s.learned >= resumed && s.monitor == monitorHash(n.self.ID)
+			assert.Assert(t, !own, "%s suspects %s", n.self.ID, s.id)
+		}
+	}
+}
