Hold thin evidence longer at 1%

Cause: at few requests a second the stages above 1% began at 0.60 to 0.90 of the time with too little evidence to have seen a bad version. Change: without enough evidence the stage of 5% begins at 0.75 of the time, and those of 25% and 50% at 0.81 and 0.86.

--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -20,9 +20,9 @@
 	{share: 0},
 	{share: 50},
 	{share: 100, earliest: 0.05, latest: 0.10},
-	{share: 500, earliest: 0.25, latest: 0.60},
-	{share: 2500, earliest: 0.40, latest: 0.72},
-	{share: 5000, earliest: 0.50, latest: 0.82},
+	{share: 500, earliest: 0.25, latest: 0.75},
+	{share: 2500, earliest: 0.40, latest: 0.81},
+	{share: 5000, earliest: 0.50, latest: 0.86},
 	{share: FullShare, earliest: 0.60, latest: 0.90},
 }
 
