Halve the margin of the tolerated failure rate

Cause: with a failure rate of 0.1% in the old version, the margin of 0.2% made up most of the tolerated rate and delayed the finding of slight badness. Change: the margin is 0.1%.

--- a/bulrushmove/baseline.go
+++ b/bulrushmove/baseline.go
@@ -27,7 +27,7 @@
 // that has changed since.
 const (
 	toleratedFactor      = 1.5
-	failureMargin        = 0.002
+	failureMargin        = 0.001
 	slownessMargin       = 0.02
 	frozenFailureMargin  = 0.007
 	frozenSlownessMargin = 0.06
