--- a/bulrushmove/fake_test.go
+++ b/bulrushmove/fake_test.go
@@ -217,7 +217,8 @@
 	return bulrushcatalogue.Move{Generation: generation, FromVersion: "1", ToVersion: "2", CompleteByMs: fakeStart + span}
 }
 
-// moveRun is one move under a fake of request outcomes.
+// moveRun is one move under a fake of request outcomes: a few counts a second,
+// without servers, nodes or messages.
 type moveRun struct {
 	rate  int
 	span  bulrushchute.Millis
