Start a generation's evidence when its state is stored

Cause: reports on a former move that arrived while the next one was being stored left their sequence numbers behind, so all reports of the same nodes on the next move, numbered from 1, were dropped as repeated. Change: evidence and sequence numbers restart when the new state is confirmed.

Result: TestNextGenerationTakesReports fails before and passes after.

--- a/bulrushmove/controller_test.go
+++ b/bulrushmove/controller_test.go
@@ -325,3 +325,32 @@
 	assert.Equal(t, event.Outcome, bulrushmove.OutcomeRolledBack)
 	assert.Assert(t, event.AtMs > fakeStart && event.Reason != "")
 }
+
+// Guards against reports on a former move, sent while the next one is being
+// stored, that make the holder drop all reports on the next one as repeated.
+func TestNextGenerationTakesReports(t *testing.T) {
+	b := newBench(1)
+	b.run(3 * bulrushchute.Minute)
+	b.setMove(2)
+	for range 10 {
+		b.c.SetLease(b.now + bulrushchute.Minute)
+		for _, action := range b.c.Tick(b.now) {
+			// Arrives while the store call is under way.
+			b.report(0, b.old)
+			if action.Store != nil {
+				b.c.Stored(b.now, b.store.call(*action.Store))
+			}
+		}
+	}
+	b.fresh = failing(5)
+	for i := range uint64(20) {
+		old, fresh := report(0, 0, i+1, b.old), report(0, 1, i+1, b.fresh)
+		old.Generation, fresh.Generation = 2, 2
+		b.c.AddEvidence("m", old)
+		b.c.AddEvidence("n", fresh)
+		b.now += bulrushchute.Second
+		b.c.SetLease(b.now + bulrushchute.Minute)
+		b.shares = settle(b.c, b.now, b.store, b.shares)
+	}
+	assert.Equal(t, b.state(t).Outcome, bulrushmove.OutcomeRolledBack)
+}
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -64,7 +64,6 @@
 	if c.move == nil {
 		return nil
 	}
-	c.forgetEvidence(now)
 	return c.write(now, former.withMove(c.service, *c.move, now))
 }
 
--- a/bulrushmove/storing.go
+++ b/bulrushmove/storing.go
@@ -201,7 +201,12 @@
 		c.store.confirm = false
 		c.store.announced = false
 	}
-	if former.Generation != state.Generation || !judged(state) {
+	if mine && former.Generation != state.Generation {
+		// Reports on the former move may have arrived until now, and each
+		// recorder numbers those on the new one from 1.
+		c.forgetEvidence(now)
+	}
+	if !judged(state) {
 		// A verdict that was found while a completion was being stored holds.
 		c.verdict = ""
 	}
