Hold a move of whose new version too little is heard

Cause: a new version that refuses connections, or whose reports are lost, leaves no evidence, and thin evidence let it pass to 100%. Change: a move is not raised while fewer than a quarter of the requests that the share should have brought are reported, once 20 are expected; it is then rolled back at the deadline.

--- a/bulrushmove/brake.go
+++ b/bulrushmove/brake.go
@@ -42,6 +42,6 @@
 		return b.judge.Finding()
 	}
 	b.nextStep = now + EvidencePeriod
-	b.judge.SetFrozen(share >= FullShare)
+	b.judge.SetShare(share)
 	return b.judge.Step()
 }
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -179,7 +179,7 @@
 func (c *Controller) judgeStep(now bulrushchute.Millis, state State) {
 	if now >= c.nextStep {
 		c.nextStep = now + EvidencePeriod
-		c.judge.SetFrozen(state.Stage == lastStage)
+		c.judge.SetShare(state.Share())
 		c.judge.Step()
 	}
 	if c.verdict != "" {
