--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -25,8 +25,11 @@
 	moveShards = 32
 	// moveCandidates bounds the nodes that try to acquire a shard's lease.
 	moveCandidates = 3
-	moveLease      = 10 * bulrushchute.Second
-	moveRenewEvery = 3 * bulrushchute.Second
+	// A move stands still until a lost holder's lease has lapsed. Renewals cost
+	// 21 writes a second if services move in every shard.
+	moveLease      = 5 * bulrushchute.Second
+	moveRenewEvery = 1500 * bulrushchute.Millisecond
+	moveMargin     = bulrushchute.Second
 	// shardsEvery is how often the shards in which services move are looked up,
 	// so that a new move starts soon.
 	shardsEvery = 500 * bulrushchute.Millisecond
@@ -91,6 +94,7 @@
 			Holder:     n.id,
 			Duration:   moveLease,
 			RenewEvery: moveRenewEvery,
+			Margin:     moveMargin,
 		})
 	}
 	return m
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -24,8 +24,10 @@
 )
 
 const (
-	loopback     = "127.0.0.1"
-	callTimeout  = 2 * time.Second
+	loopback    = "127.0.0.1"
+	callTimeout = 2 * time.Second
+	// clockSkewMs allows for the clock of one machine being set.
+	clockSkewMs  = 100 * bulrushchute.Millisecond
 	readyTimeout = 20 * time.Second
 	readyPoll    = 50 * time.Millisecond
 	stopTimeout  = 30 * time.Second
@@ -117,6 +119,7 @@
 		DataCentre:        bulrushchute.DataCentre(config.DataCentre),
 		BackendAddress:    bulrushchute.Address(backend.Address()),
 		StoreURL:          f.url,
+		ClockSkewMs:       clockSkewMs,
 		TrustTenantHeader: true,
 	}
 	if err := f.chooseAddresses(f.context, &instance.Settings); err != nil {
