Ignore late answers of an ejected instance and assume slots if none are announced

Cause: answers from before an ejection would have raised the bound of its re-admission; an instance without announced slots looked full after one attempt. Change: both as in the title.

--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -12,6 +12,9 @@
 	// smallestLatencyMs keeps a score above zero, so that load always counts.
 	smallestLatencyMs = 0.05
 
+	// unknownSlots is assumed for an instance that announces none, until its first report.
+	unknownSlots = 10.0
+
 	// A sample moves the estimate of its instance by latencyStep and that of
 	// the service by serviceStep.
 	latencyStep = 0.3
@@ -89,7 +92,10 @@
 }
 
 func newCandidate(instance bulrushchute.Instance) *candidate {
-	c := &candidate{instance: instance, limit: float64(max(instance.Slots, 1))}
+	c := &candidate{instance: instance, limit: float64(instance.Slots)}
+	if instance.Slots <= 0 {
+		c.limit = unknownSlots
+	}
 	if instance.State == bulrushchute.StateCold {
 		c.limit = 1
 	}
--- a/bulrushrouting/ejection.go
+++ b/bulrushrouting/ejection.go
@@ -46,7 +46,8 @@
 // good records a whole answer.
 func (e *ejection) good(now bulrushchute.Millis) {
 	e.failures = 0
-	if e.readmit > 0 {
+	// An answer to an attempt from before the ejection proves nothing.
+	if e.readmit > 0 && !e.ejected(now) {
 		e.readmit++
 	}
 	if e.readmit >= readmitDone {
--- a/bulrushrouting/router_test.go
+++ b/bulrushrouting/router_test.go
@@ -143,6 +143,9 @@
 	}
 	e.good(now)
 	assert.Assert(t, !e.full(1000))
+	e.eject(now)
+	e.good(now)
+	assert.Assert(t, e.full(1), "answers from before the ejection do not count")
 }
 
 // Guards against a sudden slowdown that shows only in the answers' average,
--- a/bulrushrouting/settings.go
+++ b/bulrushrouting/settings.go
@@ -69,6 +69,6 @@
 type Candidates interface {
 	bulrushchute.Picker
 	// Update replaces the members and the weights of their data centres. What
-	// is known of instances that stay is kept.
+	// is known of instances that stay is kept. The weights must not be changed afterwards.
 	Update(now bulrushchute.Millis, members []bulrushchute.Instance, weights Weights)
 }
