Read the state again when a newer epoch is heard of

Cause: a property test (rapid, 1 in several hundred histories) found a paused former holder whose delayed write began a generation after its successor had read the store. The entry no longer asked for the move, and the successor never ended it. The share was 0 throughout. Change: a share with a newer epoch than the known one makes the holder read the state again; the readers spread what they see in the store. State.ShareRecord is exported for them.

--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -34,6 +34,8 @@
 	verdict string
 	// brake is the newest brake that was heard of, also before the state was read.
 	brake ShareRecord
+	// observedEpoch is the newest epoch that was heard of since the state was read.
+	observedEpoch uint64
 	// published is the last share that was spread by this holder.
 	published ShareRecord
 }
@@ -90,11 +92,16 @@
 }
 
 // ObserveShare takes a share that arrived from another node. A brake leads to
-// a roll-back, whatever its epoch.
+// a roll-back, whatever its epoch. A newer epoch than the known one means that
+// a delayed write of a former holder has reached the store.
 func (c *Controller) ObserveShare(record ShareRecord) {
-	if record.Service == c.service && record.Braked && record.Generation > c.brake.Generation {
+	if record.Service != c.service {
+		return
+	}
+	if record.Braked && record.Generation > c.brake.Generation {
 		c.brake = record
 	}
+	c.observedEpoch = max(c.observedEpoch, record.Epoch)
 }
 
 // State returns the stored state as this holder knows it.
@@ -117,7 +124,8 @@
 	if !c.store.ready(now) {
 		return c.lowerWhileWaiting(now)
 	}
-	if !c.store.loaded {
+	if state, _ := c.store.current(); !c.store.loaded || c.observedEpoch > state.Epoch {
+		c.observedEpoch = 0
 		return c.call(now, StoreGet, c.stateObject(), purposeLoad)
 	}
 	return c.decide(now)
@@ -162,7 +170,7 @@
 	if c.verdict == "" {
 		return nil
 	}
-	record := state.record()
+	record := state.ShareRecord()
 	record.Share, record.Braked, record.Reason = 0, true, c.verdict
 	return c.publish(record)
 }
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -114,7 +114,7 @@
 	ended := state.withOutcome(outcome, reason, now)
 	var actions []Action
 	if ended.Share() < state.Share() || c.verdict != "" {
-		actions = c.publish(ended.record())
+		actions = c.publish(ended.ShareRecord())
 	}
 	return append(actions, c.write(now, ended)...)
 }
@@ -124,7 +124,7 @@
 func (c *Controller) pause(now bulrushchute.Millis, state State) []Action {
 	paused := state.withStage(0, now)
 	paused.Reason = "no backend server of the new version"
-	return append(c.publish(paused.record()), c.write(now, paused)...)
+	return append(c.publish(paused.ShareRecord()), c.write(now, paused)...)
 }
 
 // raise stores the next share in a new epoch. It is spread when the store has
--- a/bulrushmove/faults_test.go
+++ b/bulrushmove/faults_test.go
@@ -69,6 +69,11 @@
 	if w.now >= w.until && w.nodes[w.holder].paused {
 		w.holder = 1 - w.holder
 	}
+	if object, ok := w.store.objects["moves/"+string(fakeService)]; ok {
+		// A reader spreads what it sees in the store.
+		state, _ := bulrushmove.ParseState(object)
+		w.nodes[w.holder].c.ObserveShare(state.ShareRecord())
+	}
 	if !w.nodes[w.holder].paused {
 		w.until = w.now + worldLease
 		w.nodes[w.holder].c.SetLease(w.until)
--- a/bulrushmove/share.go
+++ b/bulrushmove/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -51,7 +52,7 @@
 		return ShareRecord{}, errors.Wrapf(err, "share record of %s", record.Key.Name)
 	}
 	if share.Share < 0 || share.Share > FullShare {
-		return ShareRecord{}, &bulrushchute.FieldError{Field: "share", Value: errors.Errorf("%d", share.Share).Error(), Allowed: "0 to 10000"}
+		return ShareRecord{}, &bulrushchute.FieldError{Field: "share", Value: strconv.Itoa(share.Share), Allowed: "0 to 10000"}
 	}
 	sound := record.Key.Topic == bulrushchute.TopicMove && record.Key.Name == string(share.Service) && record.Version == share.Version()
 	if !sound {
--- a/bulrushmove/state.go
+++ b/bulrushmove/state.go
@@ -73,8 +73,9 @@
 	return state, nil
 }
 
-// record returns the share as it is spread.
-func (s State) record() ShareRecord {
+// ShareRecord returns the share as it is spread, by the holder and by the
+// readers that watch the store.
+func (s State) ShareRecord() ShareRecord {
 	return ShareRecord{
 		Service:    s.Service,
 		Generation: s.Generation,
--- a/bulrushmove/storing.go
+++ b/bulrushmove/storing.go
@@ -223,7 +223,7 @@
 	if c.verdict != "" {
 		return c.publishVerdict(state)
 	}
-	return c.publish(state.record())
+	return c.publish(state.ShareRecord())
 }
 
 func (c *Controller) storedEvent(now bulrushchute.Millis, why purpose, result StoreResult) {
