Test crashes, freezes, store outages and rolling replacement with real processes

Cause: the promises were shown by the demo only, on one schedule. Change: process tests that compare callers with the backend servers' records while instances are killed, a node is frozen for 6 s, the store is down or loses answers, and four instances are replaced in turn.

--- /dev/null
+++ b/cmd/bulrushbench/bulrushdemo/fault_test.go
@@ -0,0 +1,187 @@
+package bulrushdemo_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushstore"
+	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushdemo"
+	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushload"
+	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushstandin"
+)
+
+// nodeBinary is the daemon, built once for all tests.
+var nodeBinary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "bulrushd")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	nodeBinary = filepath.Join(folder, "bulrushd")
+	build := exec.Command("go", "build", "-o", nodeBinary, "bulrushchute.example/bulrushchute/cmd/bulrushd")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build the daemon:", err)
+		return 1
+	}
+	return m.Run()
+}
+
+const (
+	viewService   = "view"
+	ledgerService = "ledger"
+)
+
+// newFleet starts four instances in two data centres: two of a service for
+// views and two of one for filings in each.
+func newFleet(t *testing.T) (*bulrushdemo.Fleet, []*bulrushdemo.Instance) {
+	ctx := context.Background()
+	fleet, err := bulrushdemo.NewFleet(ctx, nodeBinary)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		assert.Check(t, fleet.Stop())
+		assert.Check(t, fleet.RemoveLogs())
+	})
+	limits := bulrushcatalogue.Limits{Slots: 10, Connections: 240, Queue: 40, ColdSlots: 1, WarmMs: 1000}
+	for _, service := range []bulrushchute.Service{viewService, ledgerService} {
+		entry := bulrushcatalogue.ServiceEntry{Service: service, Owner: "test", TimeoutMs: 1500, Limits: limits}
+		assert.NilError(t, fleet.Put(ctx, bulrushchute.KindServices, string(service), entry))
+	}
+	var instances []*bulrushdemo.Instance
+	for number := range 8 {
+		dataCentre := fmt.Sprintf("dc-%d", number%2)
+		entry := bulrushcatalogue.DataCentreEntry{DataCentre: bulrushchute.DataCentre(dataCentre), Region: "r", State: bulrushcatalogue.DataCentreServing, ReturnRampMs: 1000}
+		assert.NilError(t, fleet.Put(ctx, bulrushchute.KindDataCentres, dataCentre, entry))
+		instances = append(instances, startInstance(t, fleet, number))
+	}
+	assert.NilError(t, fleet.WaitReady(ctx))
+	return fleet, instances
+}
+
+func startInstance(t *testing.T, fleet *bulrushdemo.Fleet, number int) *bulrushdemo.Instance {
+	service := viewService
+	if number%4 >= 2 {
+		service = ledgerService
+	}
+	instance, err := fleet.Start(bulrushdemo.InstanceConfig{
+		DataCentre: fmt.Sprintf("dc-%d", number%2),
+		Backend: bulrushstandin.Config{
+			Service: service, Version: "v1", Slots: 10, Connections: 240, ColdSlots: 2, WarmMs: 500,
+			Behaviour: bulrushstandin.Behaviour{ServiceMs: 5}, Seed: uint64(number),
+		},
+	})
+	assert.NilError(t, err)
+	return instance
+}
+
+func faultProfiles() []bulrushload.Profile {
+	return []bulrushload.Profile{
+		{Name: "view", Service: viewService, Method: "GET", Path: "/", PerSecond: 100, TimeoutMs: 1500, Tenant: "a", Idempotent: true},
+		{Name: "filing", Service: ledgerService, Method: "POST", Path: "/", PerSecond: 60, TimeoutMs: 1500, Tenant: "a"},
+		{Name: "keyed", Service: ledgerService, Method: "POST", Path: "/", PerSecond: 60, TimeoutMs: 1500, Tenant: "b", Keyed: true},
+	}
+}
+
+// underLoad runs a fault while callers send requests, and compares what they
+// were told with what the backend servers recorded.
+func underLoad(t *testing.T, fleet *bulrushdemo.Fleet, targets []string, fault func()) bulrushload.Result {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	callers := &bulrushload.Targets{}
+	callers.Set(targets)
+	profiles := faultProfiles()
+	told := make(chan []bulrushload.Told, 1)
+	go func() { told <- bulrushload.New(callers, profiles).Run(ctx, 1) }()
+	time.Sleep(time.Second)
+	fault()
+	stop()
+	result := bulrushload.Compare(profiles, <-told, fleet.Reports())
+	t.Logf("requests=%d answered=%d not_run=%d unknown=%d reasons=%v", result.Requests, result.Answered, result.NotRun, result.Unknown, result.Reasons)
+	assert.Equal(t, result.Faults(), 0, "%+v", result)
+	assert.Assert(t, result.Answered > 0)
+	return result
+}
+
+// addresses returns where callers send requests, without one instance.
+func addresses(instances []*bulrushdemo.Instance, without *bulrushdemo.Instance) []string {
+	var found []string
+	for _, instance := range instances {
+		if instance != without {
+			found = append(found, string(instance.Settings.CallerAddress))
+		}
+	}
+	return found
+}
+
+// Guards against lost, doubled or crossed work when processes crash, freeze or
+// lose the store under load. The checks hold however long each step takes.
+func TestFaultsUnderLoad(t *testing.T) {
+	cases := map[string]func(t *testing.T, fleet *bulrushdemo.Fleet, instances []*bulrushdemo.Instance){
+		"instance killed": func(t *testing.T, fleet *bulrushdemo.Fleet, instances []*bulrushdemo.Instance) {
+			assert.NilError(t, fleet.Kill(instances[0]))
+			assert.NilError(t, fleet.Kill(instances[3]))
+			time.Sleep(2 * time.Second)
+		},
+		"node frozen and resumed": func(t *testing.T, _ *bulrushdemo.Fleet, instances []*bulrushdemo.Instance) {
+			assert.NilError(t, instances[2].Signal(syscall.SIGSTOP))
+			time.Sleep(6 * time.Second)
+			assert.NilError(t, instances[2].Signal(syscall.SIGCONT))
+			time.Sleep(2 * time.Second)
+		},
+		"store down": func(_ *testing.T, fleet *bulrushdemo.Fleet, _ []*bulrushdemo.Instance) {
+			fleet.Memory.SetDown(true)
+			time.Sleep(6 * time.Second)
+			fleet.Memory.SetDown(false)
+		},
+		"store answers lost while a home is killed": func(t *testing.T, fleet *bulrushdemo.Fleet, instances []*bulrushdemo.Instance) {
+			fleet.Memory.SetFaults(bulrushstore.SeededFaults(3, bulrushstore.FaultRates{AnswerLost: 0.3, Down: 0.1}))
+			assert.NilError(t, fleet.Kill(instances[2]))
+			time.Sleep(5 * time.Second)
+			fleet.Memory.SetFaults(nil)
+		},
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			fleet, instances := newFleet(t)
+			// A caller of the frozen node itself gets no answer from anyone, so
+			// callers use the other nodes in every case.
+			underLoad(t, fleet, addresses(instances, instances[2]), func() { fault(t, fleet, instances) })
+		})
+	}
+}
+
+// Guards against requests that are cut when every node is replaced in turn.
+// Callers use nodes that stay, and nodes that leave while connections are open.
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	fleet, instances := newFleet(t)
+	result := underLoad(t, fleet, addresses(instances, nil), func() {
+		for number, instance := range instances[:4] {
+			replacement := startInstance(t, fleet, number)
+			assert.NilError(t, fleet.WaitJoined(context.Background(), replacement))
+			assert.NilError(t, fleet.Leave(instance))
+			assert.NilError(t, instance.WaitExit())
+		}
+	})
+	for name, class := range result.Classes {
+		if name != "keyed" {
+			assert.Equal(t, class.Unknown, 0, "%s must not be cut", name)
+		}
+	}
+}
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -237,6 +237,23 @@
 	return nil
 }
 
+// WaitJoined waits until one instance is ready.
+func (f *Fleet) WaitJoined(ctx context.Context, instance *Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		status, err := instance.Status(ctx)
+		if err == nil && status.State == "ready" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("node %s has not joined, its log is in %s", instance.Settings.PeerAddress, f.folder)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
 func (f *Fleet) ready(ctx context.Context, instance *Instance) bool {
 	status, err := instance.Status(ctx)
 	return err == nil && status.State == "ready" && status.Members >= len(f.all)
@@ -315,7 +332,7 @@
 		}
 	}
 	for _, instance := range f.all {
-		if err := instance.waitExit(); err != nil && first == nil {
+		if err := instance.WaitExit(); err != nil && first == nil {
 			first = err
 		}
 		_ = instance.Backend.Kill()
@@ -326,7 +343,8 @@
 	return first
 }
 
-func (i *Instance) waitExit() error {
+// WaitExit waits until the node's process has ended.
+func (i *Instance) WaitExit() error {
 	select {
 	case <-i.exited:
 		return nil
