Count a version's refused connections and its own warm-up only

Cause: a version that accepts no connection left no evidence, and a version that is slow enough to look cold had its latencies left out as warm-up. Change: a refused backend connection is a failed sample; warm-up ends warm_ms after the start that the backend server announced, which its member record carries.

--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -141,7 +141,7 @@
 	if m.left {
 		return
 	}
-	m.self = m.self.WithBackendServer(self.Service, self.Version, self.Slots).WithState(self.State)
+	m.self = m.self.WithBackendServer(self.Service, self.Version, self.Slots).WithStartedAt(self.StartedAt).WithState(self.State)
 	m.publishSelf(now)
 }
 
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -172,12 +172,19 @@
 	r.lane.observe(r.caller.clock.Now(), observation)
 	sample, useful := bulrushmove.SampleOf(instance.Version, attempt.Route, observation.Result, observation.ElapsedMs)
 	if useful {
-		sample.Warming = reply.Load.Cold
+		sample.Warming = r.warming(instance)
 		r.caller.observe(attempt.Service, sample)
 	}
 	return end
 }
 
+// warming reports whether the instance's backend server started less than
+// warm_ms ago, when any version may be slow.
+func (r *running) warming(instance bulrushchute.Instance) bool {
+	entry, _ := r.caller.board.Read().Catalogue.Service(instance.Service)
+	return r.caller.clock.Now() < instance.StartedAt+entry.WithDefaults().Limits.WarmMs
+}
+
 func endOf(number int, reply bulrushchute.Reply, err error) attemptEnd {
 	end := attemptEnd{number: number, answer: reply.Answer}
 	var notSent *bulrushchute.NotSentError
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -32,6 +32,7 @@
 	client     *backendClient
 	isolated   bool
 	healthy    bool
+	warmMs     bulrushchute.Millis
 	// observe takes note of each dispatch for the judgement of versions.
 	observe func(service bulrushchute.Service, sample bulrushmove.Sample)
 }
@@ -90,7 +91,9 @@
 func (g *guard) configure(entry bulrushcatalogue.ServiceEntry) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.release(g.controller.SetSettings(g.clock.Now(), bulrushadmission.SettingsOf(entry)))
+	settings := bulrushadmission.SettingsOf(entry)
+	g.warmMs = settings.Limits.WarmMs
+	g.release(g.controller.SetSettings(g.clock.Now(), settings))
 }
 
 func (g *guard) withdraw(withdrawn bool) {
@@ -301,7 +304,7 @@
 	result := client.dispatch(ctx, backend.Address, attempt, deadline)
 	elapsed := time.Since(begin)
 	g.finish(attempt, result, elapsed)
-	g.report(attempt, backend.Version, result, elapsed)
+	g.report(attempt, backend, result, elapsed)
 	return replyOf(result)
 }
 
@@ -322,16 +325,29 @@
 	})
 }
 
-func (g *guard) report(attempt bulrushchute.Attempt, version bulrushchute.Version, result dispatchResult, elapsed time.Duration) {
+func (g *guard) report(attempt bulrushchute.Attempt, backend Announcement, result dispatchResult, elapsed time.Duration) {
 	kind := admissionResult(result, elapsed).Kind
-	sample, useful := bulrushmove.SampleOf(version, attempt.Route, kind, milliseconds(elapsed))
+	if kind == bulrushchute.ResultNotSent && result.reason == bulrushchute.ReasonConnectionLost {
+		// A version whose servers accept no connections is bad, although no
+		// request ran.
+		kind = bulrushchute.ResultUnknown
+	}
+	sample, useful := bulrushmove.SampleOf(backend.Version, attempt.Route, kind, milliseconds(elapsed))
 	if !useful {
 		return
 	}
-	sample.Warming = g.load().Cold
+	sample.Warming = g.warming(backend)
 	g.observe(attempt.Service, sample)
 }
 
+// warming reports whether the backend server started less than warm_ms ago. A
+// server that seems cold later may as well be a bad version.
+func (g *guard) warming(backend Announcement) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.clock.Now() < backend.StartedAtMs+g.warmMs
+}
+
 func admissionResult(result dispatchResult, elapsed time.Duration) bulrushadmission.Result {
 	end := bulrushadmission.Result{Kind: bulrushchute.ResultAnswered, ElapsedMs: milliseconds(elapsed)}
 	switch {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -244,7 +244,9 @@
 		state = bulrushchute.StateLeaving
 	}
 	current := c.membership.Self()
-	wanted := current.WithBackendServer(backend.Service, backend.Version, backend.Slots).WithState(state)
+	wanted := current.WithBackendServer(backend.Service, backend.Version, backend.Slots).
+		WithStartedAt(backend.StartedAtMs).
+		WithState(state)
 	if wanted == current {
 		return false
 	}
--- a/instance.go
+++ b/instance.go
@@ -58,7 +58,8 @@
 	State       InstanceState `cbor:"6,keyasint" json:"state"`
 	Incarnation uint64        `cbor:"7,keyasint" json:"incarnation"`
 	Slots       int           `cbor:"8,keyasint,omitempty" json:"slots"`
-	StartedAt   Millis        `cbor:"9,keyasint" json:"started_at"`
+	// StartedAt is when the backend server started, by its own announcement.
+	StartedAt Millis `cbor:"9,keyasint" json:"started_at"`
 }
 
 // WithState returns a copy in another state.
@@ -81,6 +82,12 @@
 	return i
 }
 
+// WithStartedAt returns a copy whose backend server started at an instant.
+func (i Instance) WithStartedAt(startedAt Millis) Instance {
+	i.StartedAt = startedAt
+	return i
+}
+
 // Load is what an admission node knows of its backend server. It travels on
 // every answer, so entry nodes learn of a change without probing.
 type Load struct {
