Let short moves reach every stage before their deadline

Cause: a stage on thin evidence began at 75% of the time at the earliest, so a good version could not pass the four stages that follow in a move under a minute. Change: the latest instant of a stage leaves room for the stages after it.

--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -149,7 +149,7 @@
 	if now-since < state.stageTime() || now < state.at(next.earliest) || c.judge.Suspicious() {
 		return false
 	}
-	return now >= state.at(next.latest) || (c.judge.Clear() && c.hasCapacity(next.share))
+	return now >= state.latestAt(state.Stage+1) || (c.judge.Clear() && c.hasCapacity(next.share))
 }
 
 // hasCapacity reports whether the new version has servers in proportion to the
--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -39,6 +39,9 @@
 	finishParts   = 50
 	minFinishTime = bulrushchute.Second
 	maxFinishTime = 10 * bulrushchute.Second
+	// decisionTime is what a stage takes beyond stageTime: the next judgement and
+	// the store's answer.
+	decisionTime = EvidencePeriod + 500*bulrushchute.Millisecond
 	// goneTime is how long the old version must have no backend server to
 	// count as gone; members can be missing for a moment when a node has just
 	// joined or a link has failed.
@@ -53,6 +56,15 @@
 	return s.StartedAtMs + bulrushchute.Millis(part*float64(s.span()))
 }
 
+// latestAt is when a stage begins on thin evidence. In a short move it is
+// earlier than the stage's part of the time, so that the stages that follow,
+// of stageTime each, still fit in before the deadline.
+func (s State) latestAt(next int) bulrushchute.Millis {
+	following := bulrushchute.Millis(lastStage - next + 1)
+	fitting := s.finishAt() - following*(s.stageTime()+decisionTime)
+	return min(s.at(stages[next].latest), fitting)
+}
+
 // stageTime is the least time that a stage lasts.
 func (s State) stageTime() bulrushchute.Millis {
 	return min(max(s.span()/stageParts, minStageTime), maxStageTime)
--- /dev/null
+++ b/bulrushmove/plan_test.go
@@ -0,0 +1,30 @@
+package bulrushmove
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// Guards against a short move that waits so long for evidence that the
+// remaining stages no longer fit in before its deadline.
+func TestLatestStagesFitBeforeTheDeadline(t *testing.T) {
+	cases := map[string]bulrushchute.Millis{
+		"half a minute": 30 * bulrushchute.Second,
+		"a minute":      bulrushchute.Minute,
+		"ten minutes":   10 * bulrushchute.Minute,
+		"eight hours":   8 * bulrushchute.Hour,
+	}
+	for name, span := range cases {
+		t.Run(name, func(t *testing.T) {
+			state := State{StartedAtMs: 1000, CompleteByMs: 1000 + span}
+			for next := 3; next < lastStage; next++ {
+				earliestEnd := state.latestAt(next) + state.stageTime()
+				assert.Assert(t, earliestEnd <= state.latestAt(next+1), "stage %d ends after %d begins", next, next+1)
+			}
+			assert.Assert(t, state.latestAt(lastStage)+state.stageTime() <= state.finishAt())
+		})
+	}
+}
