Tell admission nodes where a move's evidence goes

Cause: the record that names a shard's holder used the beat topic, which refuses versions with an epoch, and the refusal was not looked at. No evidence reached any holder; bad versions were found by the entry nodes' brakes alone.

--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -275,9 +275,7 @@
 	case bulrushchute.TopicKeyMap:
 		c.onKeyMap(now, record)
 	case bulrushchute.TopicMove:
-		c.moves.onShare(record)
-	case bulrushchute.TopicBeat:
-		c.moves.onHolder(record)
+		c.moves.onRecord(record)
 	}
 }
 
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,6 +36,10 @@
 	shardsEvery = 500 * bulrushchute.Millisecond
 )
 
+// holderPrefix begins the names of the records that tell a shard's holder. It
+// is not a valid part of a service's name.
+const holderPrefix = "holder/"
+
 // moveHolder is the value of the record that tells where evidence goes.
 type moveHolder struct {
 	ID      bulrushchute.InstanceID `cbor:"1,keyasint"`
@@ -169,6 +174,15 @@
 	}
 }
 
+// onRecord takes a record of the move topic: a share or a shard's holder.
+func (m *moves) onRecord(record bulrushchute.Record) {
+	if strings.HasPrefix(record.Key.Name, holderPrefix) {
+		m.onHolder(record)
+		return
+	}
+	m.onShare(record)
+}
+
 // onHolder notes where the evidence of a shard goes.
 func (m *moves) onHolder(record bulrushchute.Record) {
 	var holder moveHolder
@@ -176,7 +190,7 @@
 		klog.ErrorS(err, "move holder not taken", "name", record.Key.Name)
 		return
 	}
-	m.holders[record.Key.Name] = holder
+	m.holders[strings.TrimPrefix(record.Key.Name, holderPrefix)] = holder
 }
 
 func (m *moves) onEvidence(from bulrushchute.InstanceID, evidence bulrushchute.Evidence) {
@@ -365,11 +379,14 @@
 		klog.ErrorS(err, "encode move holder")
 		return
 	}
-	m.control.membership.Table().Publish(now, bulrushchute.Record{
-		Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicBeat, Name: shardName(shard)},
+	published := m.control.membership.Table().Publish(now, bulrushchute.Record{
+		Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicMove, Name: holderPrefix + shardName(shard)},
 		Version: bulrushchute.RecordVersion{Epoch: epoch},
 		Value:   value,
 	})
+	if !published {
+		klog.InfoS("move holder not published", "shard", shard, "epoch", epoch)
+	}
 }
 
 // releaseLeases lets other nodes continue at once after this one has left.
