Test the record table with arbitrary messages

Cause: a peer may send what no correct node does. Change: a property test of Receive and Tick with drawn messages.

--- a/bulrushspread/table_test.go
+++ b/bulrushspread/table_test.go
@@ -297,3 +297,30 @@
 		})
 	}
 }
+
+// Guards against a panic or an unbounded answer on input that no correct peer sends.
+func TestArbitraryInput(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		table := New(meshStart, Config{Self: "n0", DataCentre: "kgl-1"})
+		table.SetNeighbours([]Neighbour{{Address: meshAddress(1)}, {Address: meshAddress(2), Bridge: true}})
+		now := meshStart
+		for range rapid.IntRange(1, 30).Draw(r, "messages") {
+			from := meshAddress(rapid.IntRange(1, 4).Draw(r, "from"))
+			table.Receive(now, from, drawControl(r))
+			now += bulrushchute.Millis(rapid.IntRange(-100, 2000).Draw(r, "span"))
+			for _, a := range table.Tick(now) {
+				assert.Assert(r, Size(a.Message) <= bulkBatchBytes+maxValueBytes)
+			}
+		}
+		assert.Equal(r, table.all, digestOfRepaired(table))
+	})
+}
+
+// digestOfRepaired is digestOf without beats, which digests leave out.
+func digestOfRepaired(table *Table) [BucketCount]uint64 {
+	digest := digestOf(table)
+	for _, e := range table.topics[bulrushchute.TopicBeat] {
+		digest[e.bucket] ^= hashRecord(&e.record)
+	}
+	return digest
+}
