Recompute reachability when a bridge holder's suspicion changes

Cause: the property test found, once in 1,323 runs, a data centre that stayed unreachable for a node that holds a working bridge to it itself. Its suspicion had been refuted, and only reports started the computation. Change: member and suspicion records start it too.

--- a/bulrushmembership/detector_test.go
+++ b/bulrushmembership/detector_test.go
@@ -88,3 +88,27 @@
 		}
 	}
 }
+
+// Guards against a data centre that stays unreachable after the suspicion of
+// the node that holds the only working bridge to it was refuted.
+func TestReachAfterRefutation(t *testing.T) {
+	f := newFleet(15)
+	f.fill(2, 6)
+	f.run(5 * bulrushchute.Second)
+	n := f.nodes[0]
+	far := n.members.centre("kgl-01")
+	holder := far.holders[0].instance.ID
+	for slot := 1; slot < bridgeCount; slot++ {
+		key := reachKey("kgl-00", "kgl-01", slot)
+		version := bulrushchute.RecordVersion{Counter: uint64(f.now + 50_000)}
+		n.table.Publish(f.now, bulrushchute.Record{Key: key, Version: version, Value: []byte{reachDown}})
+	}
+	n.table.Publish(f.now, suspicionRecord(holder, n.self.ID, 1, rankSuspect, f.now))
+	n.updateReach(f.now)
+	assert.Assert(t, !n.Reachable("kgl-01"))
+	refuted, err := encodeMember(far.holders[0].instance.WithIncarnation(2), 1)
+	assert.NilError(t, err)
+	n.table.Publish(f.now, refuted)
+	n.updateReach(f.now)
+	assert.Assert(t, n.Reachable("kgl-01"))
+}
--- a/bulrushmembership/members.go
+++ b/bulrushmembership/members.go
@@ -187,6 +187,8 @@
 func (m *Membership) change(now bulrushchute.Millis, record bulrushchute.Record) {
 	switch record.Key.Topic {
 	case bulrushchute.TopicMember:
+		// Reports of suspected bridge holders do not count.
+		m.reachChanged = true
 		if _, ok := suspected(record.Key); ok {
 			m.changeSuspicion(now, record)
 			return
