Compare digests at once with a new near peer

Cause: the property test found a node that held outdated reachability reports for over a minute, because its only running peer in the data centre was one of a dozen to compare digests with. Change: a new inbound peer of the same data centre is compared with at once, at most every 5 s. Result: the failing case passes; go test ./bulrushmembership passes.

--- a/bulrushmembership/link.go
+++ b/bulrushmembership/link.go
@@ -15,6 +15,10 @@
 	// because they exchanged a heartbeat with this node.
 	maxInbound  = 8
 	inboundIdle = 5 * bulrushchute.Second
+	// nearInterval bounds how often digests are compared at once with a new
+	// inbound peer of this data centre, which may be the only one left that
+	// has its reachability reports.
+	nearInterval = 5 * bulrushchute.Second
 )
 
 type linkKind uint8
@@ -214,6 +218,10 @@
 		known, ok := m.members.byID[id]
 		in.near = ok && known.home.name == m.self.DataCentre
 		m.inbound = append(m.inbound, in)
+		if in.near && now >= m.nextNear {
+			m.nextNear = now + nearInterval
+			m.near = from
+		}
 		m.neighboursChanged = true
 	}
 }
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -34,6 +34,9 @@
 	resumed  bulrushchute.Millis
 	doubtful bool
 	catchUp  bool
+	// near is a new inbound peer of this data centre to compare digests with.
+	near     bulrushchute.Address
+	nextNear bulrushchute.Millis
 
 	overlayChanged    bool
 	neighboursChanged bool
@@ -114,8 +117,12 @@
 }
 
 // compareNow compares digests at once after a pause, in which the node may
-// have missed many changes, and after the join.
+// have missed many changes, after the join, and with a new near peer.
 func (m *Membership) compareNow(now bulrushchute.Millis, actions []Action) []Action {
+	if m.near != "" {
+		actions = append(actions, m.table.Compare(now, m.near)...)
+		m.near = ""
+	}
 	neighbours := m.Neighbours()
 	if !m.catchUp || len(neighbours) == 0 {
 		return actions
