Send heartbeats more often to a quiet neighbour

Cause: with 20% of all messages lost, the property test found, once in 965 runs, a running member marked dead: two monitors had lost every exchange for 5 s. Change: a monitor asks a quiet neighbour every 300 ms instead of each second.

--- a/bulrushmembership/link.go
+++ b/bulrushmembership/link.go
@@ -7,6 +7,10 @@
 
 const (
 	heartbeatInterval = bulrushchute.Second
+	// hurryInterval is the time between heartbeats to a quiet link, until the
+	// member would be confirmed dead.
+	hurryInterval = 300 * bulrushchute.Millisecond
+	hurryUntil    = 2 * (suspectAfter + confirmAfter)
 	// sentCount is how many sent heartbeats are remembered to check acknowledgements.
 	sentCount = 512
 	// roundTripGain is the weight of a new round-trip time, the usual one eighth.
@@ -111,11 +115,11 @@
 
 func (m *Membership) sendHeartbeats(now bulrushchute.Millis, actions []Action) []Action {
 	for _, l := range m.links.order {
-		if now < l.next {
+		if now < l.next-m.hurry(now, l) {
 			continue
 		}
 		l.next += heartbeatInterval
-		if l.next <= now {
+		if l.next <= now || l.next > now+heartbeatInterval {
 			l.next = now + heartbeatInterval
 		}
 		actions = m.sendHeartbeat(now, actions, l.id, l.address)
@@ -123,6 +127,17 @@
 	return actions
 }
 
+// hurry is how much earlier the next heartbeat to a quiet link is due. When
+// one message in five is lost, two monitors would otherwise now and then miss
+// a running member for 5 s.
+func (m *Membership) hurry(now bulrushchute.Millis, l *link) bulrushchute.Millis {
+	silence := m.silence(now, l)
+	if silence < quietAfter || silence > hurryUntil {
+		return 0
+	}
+	return heartbeatInterval - hurryInterval
+}
+
 func (m *Membership) sendHeartbeat(now bulrushchute.Millis, actions []Action, to bulrushchute.InstanceID, address bulrushchute.Address) []Action {
 	m.sequence++
 	m.sent[m.sequence%sentCount] = sentBeat{sequence: m.sequence, to: to, at: now}
