Shorten a join among failed peers

Cause: the property test found a join that took over a minute, because it met stopped members one after the other and compared five times with each. Change: suspected members are no candidates, a timeout is 3 s, and three comparisons are enough.

--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -7,10 +7,10 @@
 
 const (
 	// joinTimeout is the time without progress after which another peer is tried.
-	joinTimeout = 5 * bulrushchute.Second
+	joinTimeout = 3 * bulrushchute.Second
 	// joinRounds is the number of comparisons after which remaining
 	// differences are taken for changes under way.
-	joinRounds = 5
+	joinRounds = 3
 	// joinPause is the time between two comparisons with the same peer.
 	joinPause = 300 * bulrushchute.Millisecond
 	// turnedAway is the number of differing buckets above which the answer was
@@ -173,11 +173,13 @@
 	return named
 }
 
+// candidatesIn leaves out suspected members, which would cost a timeout each.
 func (m *Membership) candidatesIn(dc *dataCentre) []bulrushchute.Address {
 	var candidates []bulrushchute.Address
 	for _, other := range dc.members {
 		address := other.instance.Address
-		if address != m.self.Address && address != m.join.copied {
+		_, suspect := m.members.suspicionOf(other.instance.ID, other.instance.Incarnation)
+		if !suspect && address != m.self.Address && address != m.join.copied {
 			candidates = append(candidates, address)
 		}
 	}
