Move bridges away from suspected members

Cause: the property test found, in 4,800 runs, a data centre unreachable for over a minute, because the suspicion of all three bridge holders was held. Change: bridges go to members that are not suspected; a node that lost most of its neighbours trusts its own probes for 15 s.

--- a/bulrushmembership/members.go
+++ b/bulrushmembership/members.go
@@ -187,8 +187,9 @@
 func (m *Membership) change(now bulrushchute.Millis, record bulrushchute.Record) {
 	switch record.Key.Topic {
 	case bulrushchute.TopicMember:
-		// Reports of suspected bridge holders do not count.
+		// Suspected members hold no bridges and their reports do not count.
 		m.reachChanged = true
+		m.overlayChanged = m.overlayChanged || m.suspicionMatters(record)
 		if _, ok := suspected(record.Key); ok {
 			m.changeSuspicion(now, record)
 			return
@@ -203,6 +204,15 @@
 	}
 }
 
+// suspicionMatters reports whether a record begins or ends a suspicion.
+func (m *Membership) suspicionMatters(record bulrushchute.Record) bool {
+	if _, ok := suspected(record.Key); ok {
+		return true
+	}
+	_, ok := m.members.suspicions[bulrushchute.InstanceID(record.Key.Name)]
+	return ok
+}
+
 func (m *Membership) changeMember(now bulrushchute.Millis, record bulrushchute.Record) {
 	instance, err := decodeMember(record)
 	if err != nil {
--- a/bulrushmembership/overlay.go
+++ b/bulrushmembership/overlay.go
@@ -68,15 +68,25 @@
 
 // bridgeNodes returns the members of one data centre that hold its bridges to
 // another: those with the highest rendezvous hashes for this pair. A small
-// data centre has one member hold several.
-func bridgeNodes(from, to *dataCentre) [bridgeCount]*member {
+// data centre has one member hold several. Suspected members are left out
+// while there are others, because a suspicion can stand for a minute.
+func (ms *members) bridgeNodes(from, to *dataCentre) [bridgeCount]*member {
 	pair := mix(from.hash) + mix(to.hash)
-	var best [bridgeCount]*member
-	var scores [bridgeCount]uint64
+	var best, suspects [bridgeCount]*member
+	var scores, suspectScores [bridgeCount]uint64
+	able := 0
 	for _, m := range from.members {
+		if _, suspect := ms.suspicionOf(m.instance.ID, m.instance.Incarnation); suspect {
+			insertBest(&suspects, &suspectScores, m, mix(m.hash^pair))
+			continue
+		}
+		able++
 		insertBest(&best, &scores, m, mix(m.hash^pair))
 	}
-	count := min(len(from.members), bridgeCount)
+	if able == 0 {
+		best, able = suspects, len(from.members)
+	}
+	count := min(able, bridgeCount)
 	for slot := count; slot < bridgeCount && count > 0; slot++ {
 		best[slot] = best[slot%count]
 	}
@@ -127,7 +137,7 @@
 			dc.roles = [bridgeCount]bool{}
 			continue
 		}
-		dc.holders = bridgeNodes(self.home, dc)
+		dc.holders = m.members.bridgeNodes(self.home, dc)
 		m.updateRoles(now, self, dc)
 	}
 }
@@ -141,7 +151,7 @@
 			continue
 		}
 		if far[0] == nil {
-			far = bridgeNodes(dc, self.home)
+			far = m.members.bridgeNodes(dc, self.home)
 		}
 		if !held {
 			dc.heard = now
--- a/bulrushmembership/reach.go
+++ b/bulrushmembership/reach.go
@@ -16,7 +16,11 @@
 	// taken for one of the data centre.
 	probeAfter    = 1500 * bulrushchute.Millisecond
 	probeInterval = 500 * bulrushchute.Millisecond
-	probeCount    = 2
+	// ownEvidence is how long a doubtful node trusts an answer from a data
+	// centre more than the reports. When half of a small data centre fails at
+	// once, all holders of a bridge may be among them, and nobody suspects them.
+	ownEvidence = 15 * bulrushchute.Second
+	probeCount  = 2
 )
 
 // Each bridge reports in a record of its own, named "from>to/slot". A data
@@ -122,12 +126,12 @@
 
 // updateReach computes the reachability of all data centres from the reports.
 func (m *Membership) updateReach(now bulrushchute.Millis) {
-	if !m.reachChanged {
+	if !m.reachChanged && !m.doubtful {
 		return
 	}
 	m.reachChanged = false
 	for _, dc := range m.members.centreOrder {
-		unreachable := m.allSlotsDown(dc)
+		unreachable := m.allSlotsDown(dc) && !(m.doubtful && now-dc.heard < ownEvidence)
 		if unreachable == dc.unreachable {
 			continue
 		}
