Let a home that was taken over come back in a later epoch

Change: each home has an epoch that grows when it becomes a home anew; lease heartbeats carry it and promises cover it and earlier ones. Silent monitors are dropped when the lease cannot be renewed with them. A home in a data centre that is declared lost records no new keys. The simulation asserts that partitions find a home again once all faults have ended, and starts no node in a lost data centre.

--- a/bulrushkey/assign.go
+++ b/bulrushkey/assign.go
@@ -17,7 +17,10 @@
 	if len(homes) == 0 {
 		return KeyMap{}, false
 	}
-	m := KeyMap{Service: service, Homes: homes, Partitions: make([]Assignment, Partitions)}
+	for i := range homes {
+		homes[i].Epoch = 1
+	}
+	m := KeyMap{Service: service, Homes: homes, Partitions: make([]Assignment, Partitions), Epoch: 1}
 	held := make([]int, len(homes))
 	for p := range m.Partitions {
 		h := leastLoaded(p, homes, held)
--- a/bulrushkey/controller.go
+++ b/bulrushkey/controller.go
@@ -80,11 +80,14 @@
 	}
 	c.current, c.known = m, true
 	c.proposal.settle(m)
-	for id := range c.takeovers {
-		if _, named := m.Find(id); !named {
+	for id, t := range c.takeovers {
+		if home, named := m.Find(id); !named || home.Epoch != t.epoch {
 			delete(c.takeovers, id)
 		}
 	}
+	if home, named := m.Find(c.self); named {
+		c.lease.setEpoch(home.Epoch)
+	}
 }
 
 // Leave starts the handover of all partitions. It is final.
@@ -103,7 +106,7 @@
 func (c *Controller) Promised(now bulrushchute.Millis, from bulrushchute.InstanceID, promise bulrushchute.Promise) {
 	now = c.advance(now)
 	t, wanted := c.takeovers[promise.Home]
-	if !wanted || !promise.Granted {
+	if !wanted || !promise.Granted || promise.Epoch < t.epoch {
 		return
 	}
 	if _, known := t.promised[from]; !known {
@@ -133,6 +136,10 @@
 	}
 	permit.Home = true
 	permit.Since = assignment.Since
+	if _, lost := c.lost[home.DataCentre]; lost {
+		// Successors do not wait for this node's lease monitors.
+		return permit
+	}
 	permit.Lease = c.lease.held(now, home.Monitors) && c.holdsUnder(c.proposal.candidate, partition, now)
 	return permit
 }
--- a/bulrushkey/controller_test.go
+++ b/bulrushkey/controller_test.go
@@ -181,7 +181,7 @@
 				if i > 0 {
 					b.run(tc.between)
 				}
-				b.controller.Promised(b.now, from, bulrushchute.Promise{Home: "b", Granted: true})
+				b.controller.Promised(b.now, from, bulrushchute.Promise{Home: "b", Epoch: 1, Granted: true})
 			}
 			actions := b.run(tc.wait)
 			if !tc.want {
@@ -341,11 +341,15 @@
 			monitor := bulrushkey.NewMonitor(settings)
 			heartbeat := bulrushchute.Heartbeat{Sequence: 1, SentAt: 1, KeyLease: true}
 			assert.Assert(t, monitor.Heartbeat(tableNow-tc.heardAgo, "a", heartbeat).KeyLease)
+			later := heartbeat
+			later.KeyEpoch = 4
 			ask := bulrushchute.PromiseAsk{Service: "ledger", Home: "a", Epoch: 3}
 			assert.Equal(t, monitor.Ask(tableNow, ask, tc.dead).Granted, tc.granted)
 			assert.Equal(t, monitor.Heartbeat(tableNow+1, "a", heartbeat).KeyLease, !tc.granted)
 			assert.Equal(t, monitor.Ask(tableNow+2, ask, false).Granted, tc.granted)
 			assert.Assert(t, monitor.Heartbeat(tableNow+1, "b", heartbeat).KeyLease)
+			assert.Assert(t, monitor.Heartbeat(tableNow+1, "a", later).KeyLease, "a later epoch has its own lease")
+			assert.Equal(t, monitor.Heartbeat(tableNow+1, "a", heartbeat).KeyLease, !tc.granted)
 		})
 	}
 }
--- a/bulrushkey/lease.go
+++ b/bulrushkey/lease.go
@@ -11,6 +11,8 @@
 // monitor may have promised the lease away at any time after that.
 type lease struct {
 	settings Settings
+	// epoch is the home's epoch that heartbeats carry.
+	epoch    uint64
 	sequence uint64
 	nextBeat bulrushchute.Millis
 	// sent holds the send times of heartbeats that may still be acknowledged.
@@ -33,6 +35,16 @@
 	}
 }
 
+// setEpoch starts over with monitors that refused an earlier epoch.
+func (l *lease) setEpoch(epoch uint64) {
+	if epoch == l.epoch {
+		return
+	}
+	l.epoch = epoch
+	clear(l.refused)
+	clear(l.missed)
+}
+
 // beat returns the heartbeats that are due.
 func (l *lease) beat(now bulrushchute.Millis, targets []LeaseMonitor) []Action {
 	if now < l.nextBeat || len(targets) == 0 {
@@ -44,7 +56,7 @@
 	l.sent[l.sequence] = now
 	actions := make([]Action, 0, len(targets))
 	for _, target := range targets {
-		heartbeat := &bulrushchute.Heartbeat{Sequence: l.sequence, SentAt: now, KeyLease: true}
+		heartbeat := &bulrushchute.Heartbeat{Sequence: l.sequence, SentAt: now, KeyLease: true, KeyEpoch: l.epoch}
 		actions = append(actions, Action{To: target.ID, Heartbeat: heartbeat})
 		l.missed[target.ID]++
 	}
--- a/bulrushkey/map.go
+++ b/bulrushkey/map.go
@@ -28,6 +28,9 @@
 	ID         bulrushchute.InstanceID `json:"id" cbor:"1,keyasint"`
 	DataCentre bulrushchute.DataCentre `json:"data_centre" cbor:"2,keyasint"`
 	Monitors   []LeaseMonitor          `json:"monitors" cbor:"3,keyasint"`
+	// Epoch grows each time the node becomes a home anew. Promises of its lease
+	// monitors end one epoch, so a home that was taken over can come back later.
+	Epoch uint64 `json:"epoch" cbor:"4,keyasint"`
 }
 
 // Assignment gives one partition to a home.
@@ -49,6 +52,8 @@
 	Writer     string       `json:"writer" cbor:"2,keyasint"`
 	Homes      []Home       `json:"homes" cbor:"3,keyasint"`
 	Partitions []Assignment `json:"partitions" cbor:"4,keyasint"`
+	// Epoch is the highest epoch that a home has had.
+	Epoch uint64 `json:"epoch" cbor:"6,keyasint"`
 	// Version is the store's revision of the object.
 	Version uint64 `json:"-" cbor:"5,keyasint"`
 }
@@ -135,15 +140,6 @@
 	return partitions
 }
 
-// EpochOf returns the highest epoch among the partitions of a home.
-func (m KeyMap) EpochOf(id bulrushchute.InstanceID) uint64 {
-	var epoch uint64
-	for _, p := range m.PartitionsOf(id) {
-		epoch = max(epoch, m.Partitions[p].Epoch)
-	}
-	return epoch
-}
-
 // WithWriter returns a copy that names the write that stores it.
 func (m KeyMap) WithWriter(writer string) KeyMap {
 	m.Writer = writer
@@ -168,14 +164,16 @@
 }
 
 // WithHome returns a copy in which a home is assigned partitions, each in its
-// next epoch. A home that the map already names keeps its lease monitors. Homes
-// without partitions are dropped.
+// next epoch. A home that the map already names keeps its lease monitors and
+// epoch. Homes without partitions are dropped.
 func (m KeyMap) WithHome(home Home, since bulrushchute.Millis, partitions ...int) KeyMap {
 	m.Homes = slices.Clone(m.Homes)
 	m.Partitions = slices.Clone(m.Partitions)
 	index := slices.IndexFunc(m.Homes, func(h Home) bool { return h.ID == home.ID })
 	if index < 0 {
 		index = len(m.Homes)
+		m.Epoch++
+		home.Epoch = m.Epoch
 		m.Homes = append(m.Homes, home)
 	}
 	for _, p := range partitions {
--- a/bulrushkey/monitor.go
+++ b/bulrushkey/monitor.go
@@ -10,6 +10,7 @@
 type Monitor struct {
 	settings Settings
 	heard    map[bulrushchute.InstanceID]bulrushchute.Millis
+	// promised holds the last epoch of each home that was promised away.
 	promised map[bulrushchute.InstanceID]uint64
 	// pruneAt is the size of heard at which homes that fell silent are dropped.
 	pruneAt int
@@ -35,7 +36,7 @@
 	if !heartbeat.KeyLease {
 		return ack
 	}
-	if _, promised := m.promised[from]; promised {
+	if m.Promised(from, heartbeat.KeyEpoch) {
 		return ack
 	}
 	m.hear(now, from)
@@ -46,23 +47,23 @@
 // Ask answers a promise request. The promise is refused while the home still
 // renews its lease with this monitor, unless this node's membership holds the
 // home for dead. That keeps a node with a wrong view from ending a lease that
-// works. A promise once given is repeated to every successor that asks.
+// works. A promise once given is repeated to every successor that asks. It
+// covers the epoch and all earlier ones.
 func (m *Monitor) Ask(now bulrushchute.Millis, ask bulrushchute.PromiseAsk, dead bool) bulrushchute.Promise {
 	promise := bulrushchute.Promise{Home: ask.Home, Epoch: ask.Epoch}
-	epoch, promised := m.promised[ask.Home]
-	if !promised && !dead && m.hears(now, ask.Home) {
-		return promise
+	promise.Granted = m.Promised(ask.Home, ask.Epoch) || dead || !m.hears(now, ask.Home)
+	if promise.Granted && !m.Promised(ask.Home, ask.Epoch) {
+		m.promised[ask.Home] = ask.Epoch
+		delete(m.heard, ask.Home)
 	}
-	m.promised[ask.Home] = max(epoch, ask.Epoch)
-	delete(m.heard, ask.Home)
-	promise.Granted = true
 	return promise
 }
 
-// Promised reports whether the monitor has stopped extending the home's lease.
-func (m *Monitor) Promised(home bulrushchute.InstanceID) bool {
-	_, promised := m.promised[home]
-	return promised
+// Promised reports whether the monitor has stopped extending the lease of the
+// home's epoch.
+func (m *Monitor) Promised(home bulrushchute.InstanceID, epoch uint64) bool {
+	last, promised := m.promised[home]
+	return promised && epoch <= last
 }
 
 func (m *Monitor) hear(now bulrushchute.Millis, home bulrushchute.InstanceID) {
--- a/bulrushkey/once_test.go
+++ b/bulrushkey/once_test.go
@@ -21,10 +21,7 @@
 		for range rapid.IntRange(20, 100).Draw(t, "steps") {
 			s.step(rapid.IntRange(0, 99).Draw(t, "operation"))
 		}
-		for _, n := range s.nodes {
-			s.resume(n)
-		}
-		s.advance(2_000)
+		s.recover()
 		total.add(s.stats)
 	})
 	t.Logf("%+v", total)
@@ -36,6 +33,69 @@
 	}
 }
 
+// recover ends all faults and asserts that each partition finds a home again,
+// unless the nodes that would have to agree are gone.
+func (s *sim) recover() {
+	s.calm = true
+	for range 2 {
+		s.down = false
+		for _, n := range s.nodes {
+			n.cut, n.freezeOnAck = false, false
+			for _, other := range s.nodes {
+				n.dead[other.id] = other.crashed
+			}
+			n.neighbours = s.drawNeighbours(n)
+			s.resume(n)
+		}
+		s.advance(3_000)
+	}
+	s.advance(15_000)
+	if len(s.maps) == 0 || s.serving() < 2 {
+		return
+	}
+	newest := s.maps[len(s.maps)-1]
+	for _, home := range newest.Homes {
+		n := s.find(home.ID)
+		stuck := n.crashed && !s.mayTakeOver(home)
+		assert.Check(s.t, stuck || !n.crashed, "%s has crashed and is still a home", home.ID)
+		permit := bulrushkey.Permit{}
+		if n.controller != nil {
+			permit = n.controller.Permit(s.clock(n), newest.PartitionsOf(n.id)[0])
+		}
+		assert.Check(s.t, n.crashed || n.frozen || permit.Lease, "%s has no lease", home.ID)
+	}
+}
+
+func (s *sim) serving() int {
+	count := 0
+	for _, n := range s.nodes {
+		if n.controller != nil && !n.crashed && !n.leaving && !n.frozen {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *sim) find(id bulrushchute.InstanceID) *simNode {
+	for _, n := range s.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// mayTakeOver reports whether a majority of a home's monitors can still promise.
+func (s *sim) mayTakeOver(home bulrushkey.Home) bool {
+	alive := 0
+	for _, monitor := range home.Monitors {
+		if n := s.find(monitor.ID); !n.crashed && !n.frozen {
+			alive++
+		}
+	}
+	return 2*alive > len(home.Monitors)
+}
+
 func (st *simStats) add(other simStats) {
 	st.runs += other.runs
 	st.answered += other.answered
@@ -198,6 +258,10 @@
 
 // loseDataCentre ends all nodes of a data centre; then operators declare it lost.
 func (s *sim) loseDataCentre(dataCentre bulrushchute.DataCentre) {
+	if s.lost != "" {
+		return
+	}
+	s.lost = dataCentre
 	for _, n := range s.nodes {
 		if n.dataCentre == dataCentre {
 			n.crashed = true
--- a/bulrushkey/plan.go
+++ b/bulrushkey/plan.go
@@ -74,28 +74,30 @@
 }
 
 // planMonitors replaces lease monitors that have been silent, once others
-// acknowledge heartbeats.
+// acknowledge heartbeats, or drops them if there are no others.
 func (c *Controller) planMonitors(now bulrushchute.Millis) (KeyMap, bool) {
 	home, named := c.current.Find(c.self)
 	if !named || !c.wantsMonitors(home) {
 		return KeyMap{}, false
 	}
 	monitors := slices.DeleteFunc(slices.Clone(home.Monitors), c.silent)
-	before := len(monitors)
+	answering := len(monitors)
 	for _, candidate := range c.ownNeighbours() {
 		fresh := c.lease.extends(now, candidate.ID)
 		if fresh && len(monitors) < MaxMonitors && !slices.Contains(monitors, candidate) {
 			monitors = append(monitors, candidate)
 		}
 	}
-	if len(monitors) == before {
+	// Without a replacement, silent monitors are dropped only if the lease
+	// cannot be renewed with them.
+	if len(monitors) == answering && (answering == 0 || answering >= majority(len(home.Monitors))) {
 		return KeyMap{}, false
 	}
 	return c.current.WithMonitors(c.self, monitors), true
 }
 
 // wantsMonitors reports whether the home has fewer lease monitors that answer
-// than it could have.
+// than it needs or could have.
 func (c *Controller) wantsMonitors(home Home) bool {
 	answering := 0
 	for _, monitor := range home.Monitors {
@@ -103,7 +105,7 @@
 			answering++
 		}
 	}
-	return answering < min(MaxMonitors, len(c.ownNeighbours()))
+	return answering < max(majority(len(home.Monitors)), min(MaxMonitors, len(c.ownNeighbours())))
 }
 
 func (c *Controller) silent(monitor LeaseMonitor) bool {
@@ -142,7 +144,7 @@
 	for _, home := range c.current.Homes {
 		_, started := c.takeovers[home.ID]
 		if gone := c.isGone(home); gone && !started {
-			c.takeovers[home.ID] = newTakeover(now)
+			c.takeovers[home.ID] = newTakeover(now, home.Epoch)
 		} else if !gone && started {
 			delete(c.takeovers, home.ID)
 		}
@@ -167,7 +169,7 @@
 func (c *Controller) askPromises(now bulrushchute.Millis) []Action {
 	var actions []Action
 	for _, home := range c.dueHomes(now) {
-		ask := bulrushchute.PromiseAsk{Service: c.service, Home: home.ID, Epoch: c.current.EpochOf(home.ID)}
+		ask := bulrushchute.PromiseAsk{Service: c.service, Home: home.ID, Epoch: home.Epoch}
 		actions = append(actions, c.takeovers[home.ID].asks(now, ask, home.Monitors, c.settings)...)
 	}
 	return actions
--- a/bulrushkey/sim_test.go
+++ b/bulrushkey/sim_test.go
@@ -79,7 +79,11 @@
 	// stored is the object in the store and maps all its versions.
 	stored bulrushchute.Object
 	down   bool
-	maps   []bulrushkey.KeyMap
+	// calm ends the random faults of nodes, network and store.
+	calm bool
+	maps []bulrushkey.KeyMap
+	// lost is the data centre that operators declared lost, if any.
+	lost bulrushchute.DataCentre
 
 	keys     []bulrushkey.Key
 	ranFor   map[bulrushkey.Key]bulrushchute.AttemptID
@@ -110,7 +114,7 @@
 func (s *sim) addNode(member bool) *simNode {
 	n := &simNode{
 		id:         bulrushchute.InstanceID(fmt.Sprintf("n%d", len(s.nodes))),
-		dataCentre: bulrushchute.DataCentre(fmt.Sprintf("d%d", len(s.nodes)%3)),
+		dataCentre: s.nextDataCentre(),
 		offset:     s.drawOffset(),
 		dead:       make(map[bulrushchute.InstanceID]bool),
 		monitor:    bulrushkey.NewMonitor(simSettings),
@@ -124,6 +128,15 @@
 	return n
 }
 
+// nextDataCentre passes over the lost one: operators vouch that it is off for good.
+func (s *sim) nextDataCentre() bulrushchute.DataCentre {
+	for i := len(s.nodes); ; i++ {
+		if next := bulrushchute.DataCentre(fmt.Sprintf("d%d", i%3)); next != s.lost {
+			return next
+		}
+	}
+}
+
 // drawOffset keeps any two clocks within the skew of each other.
 func (s *sim) drawOffset() bulrushchute.Millis {
 	return s.upTo(simSettings.ClockSkew) - simSettings.ClockSkew/2
@@ -137,6 +150,10 @@
 	return s.random.IntN(100) < percent
 }
 
+func (s *sim) fault(percent int) bool {
+	return !s.calm && s.chance(percent)
+}
+
 func (s *sim) drawNeighbours(n *simNode) []bulrushkey.LeaseMonitor {
 	var neighbours []bulrushkey.LeaseMonitor
 	for _, i := range s.random.Perm(len(s.nodes)) {
@@ -159,7 +176,7 @@
 
 // delay is mostly short, and now and then longer than a lease and its wait.
 func (s *sim) delay() bulrushchute.Millis {
-	if s.chance(5) {
+	if s.fault(5) {
 		return s.upTo(4 * simSettings.Lease)
 	}
 	return s.upTo(10)
@@ -168,11 +185,11 @@
 // send delivers a message between nodes, or loses or doubles it.
 func (s *sim) send(from *simNode, to bulrushchute.InstanceID, deliver func(n *simNode)) {
 	for _, n := range s.nodes {
-		if n.id != to || n.cut || from.cut || s.chance(4) {
+		if n.id != to || n.cut || from.cut || s.fault(4) {
 			continue
 		}
 		s.after(n, s.delay(), func() { deliver(n) })
-		if s.chance(4) {
+		if s.fault(4) {
 			s.after(n, s.delay(), func() { deliver(n) })
 		}
 	}
@@ -213,7 +230,7 @@
 	case e.node.crashed:
 	case e.node.frozen:
 		e.node.inbox = append(e.node.inbox, e.run)
-	case s.random.IntN(2000) == 0:
+	case !s.calm && s.random.IntN(2000) == 0:
 		s.freeze(e.node)
 		e.node.inbox = append(e.node.inbox, e.run)
 	default:
@@ -320,12 +337,12 @@
 	s.after(n, simTimeout, func() {
 		answer(bulrushchute.Object{}, &bulrushchute.AmbiguousError{Operation: "call", Cause: errors.New("timeout")})
 	})
-	if s.chance(5) {
+	if s.fault(5) {
 		return
 	}
 	s.after(nil, s.delay(), func() {
 		object, err := call()
-		if !s.chance(10) {
+		if !s.fault(10) {
 			s.after(n, s.delay(), func() { answer(object, err) })
 		}
 	})
--- a/bulrushkey/takeover.go
+++ b/bulrushkey/takeover.go
@@ -8,16 +8,19 @@
 
 // takeover collects the promises of one home's lease monitors.
 type takeover struct {
+	// epoch is the home's epoch that is taken over.
+	epoch uint64
 	// goneSince is when this node first held the home for gone.
 	goneSince bulrushchute.Millis
 	nextAsk   bulrushchute.Millis
-	// promised holds when each monitor's promise arrived. A promise holds for
-	// good, so it stays valid if the home's list of monitors changes.
+	// promised holds when each monitor's promise arrived. A promise holds for the
+	// rest of the epoch, so it stays valid if the home's list of monitors changes.
 	promised map[bulrushchute.InstanceID]bulrushchute.Millis
 }
 
-func newTakeover(now bulrushchute.Millis) *takeover {
+func newTakeover(now bulrushchute.Millis, epoch uint64) *takeover {
 	return &takeover{
+		epoch:     epoch,
 		goneSince: now,
 		promised:  make(map[bulrushchute.InstanceID]bulrushchute.Millis),
 	}
--- a/message.go
+++ b/message.go
@@ -131,6 +131,9 @@
 	// KeyLease asks the receiver, as a monitor, to extend the sender's lease on
 	// its key partitions.
 	KeyLease bool `cbor:"4,keyasint,omitempty"`
+	// KeyEpoch is the sender's epoch as a home of keys. A monitor that promised
+	// this epoch away extends the lease again only for a later one.
+	KeyEpoch uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // HeartbeatAck answers a Heartbeat.
