--- a/bulrushkey/controller_test.go
+++ b/bulrushkey/controller_test.go
@@ -149,7 +149,10 @@
 		between bulrushchute.Millis
 		wait    bulrushchute.Millis
 		want    bool
+		// epochsBack is how far the promised epoch is behind the home's.
+		epochsBack uint64
 	}{
+		"promises of an earlier epoch":      {promises: []bulrushchute.InstanceID{"m0", "m1"}, wait: 60_000, epochsBack: 1},
 		"no promise":                        {wait: 60_000},
 		"one promise of three":              {promises: []bulrushchute.InstanceID{"m0"}, wait: 60_000},
 		"one promise, twice":                {promises: []bulrushchute.InstanceID{"m0", "m0"}, wait: 60_000},
@@ -181,7 +184,7 @@
 				if i > 0 {
 					b.run(tc.between)
 				}
-				b.controller.Promised(b.now, from, bulrushchute.Promise{Home: "b", Epoch: 1, Granted: true})
+				b.controller.Promised(b.now, from, bulrushchute.Promise{Home: "b", Epoch: 1 - tc.epochsBack, Granted: true})
 			}
 			actions := b.run(tc.wait)
 			if !tc.want {
