Measure what two nodes add to a call and cost at rest

Cause: the target of 1 ms added for 99 in 100 had no measurement. Change: bulrushbench overhead compares calls through an entry node and an admission node with direct calls in one run, and reads processor time and control bytes of a node at rest.

--- a/cmd/bulrushbench/commands.go
+++ b/cmd/bulrushbench/commands.go
@@ -31,10 +31,8 @@
 			if err != nil {
 				return err
 			}
-			encoder := json.NewEncoder(os.Stdout)
-			encoder.SetIndent("", "  ")
-			if err := encoder.Encode(result); err != nil {
-				return errors.Wrap(err, "write the report")
+			if err := writeReport(result); err != nil {
+				return err
 			}
 			if result.Failed() {
 				return errPromiseBroken
@@ -46,6 +44,32 @@
 	return command
 }
 
+func writeReport(result any) error {
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(result), "write the report")
+}
+
+func newOverheadCommand() *cobra.Command {
+	var node string
+	var calls int
+	command := &cobra.Command{
+		Use:   "overhead",
+		Short: "Compare calls through two nodes with direct calls",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			result, err := bulrushdemo.MeasureOverhead(command.Context(), node, calls)
+			if err != nil {
+				return err
+			}
+			return writeReport(result)
+		},
+	}
+	command.Flags().StringVar(&node, "node", "bin/bulrushd", "path of the node daemon")
+	command.Flags().IntVar(&calls, "calls", 20_000, "calls of each kind")
+	return command
+}
+
 func newStoreCommand() *cobra.Command {
 	var address string
 	command := &cobra.Command{
--- a/cmd/bulrushbench/main.go
+++ b/cmd/bulrushbench/main.go
@@ -30,6 +30,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	command.AddCommand(newDemoCommand(), newStoreCommand(), newBackendCommand())
+	command.AddCommand(newDemoCommand(), newOverheadCommand(), newStoreCommand(), newBackendCommand())
 	return command
 }
