Hand key partitions over without a range of refused keys

Cause: a leaving home gave its partitions away at once, and keys minted until two clock skews later got an unknown outcome from the new home although nobody had run them: 2 s of every planned replacement with the default skew. Change: the key map names the previous home, which goes on answering for keys minted before the handover; it needs no lease for them, because the ranges of mint times cannot overlap.

--- a/bulrushboard/board.go
+++ b/bulrushboard/board.go
@@ -69,6 +69,16 @@
 	return v.members[service]
 }
 
+// Member returns one instance of a service.
+func (v View) Member(service bulrushchute.Service, id bulrushchute.InstanceID) (bulrushchute.Instance, bool) {
+	for _, member := range v.members[service].Instances {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return bulrushchute.Instance{}, false
+}
+
 // KeyMap returns the key map of a service, false when there is none.
 func (v View) KeyMap(service bulrushchute.Service) (bulrushkey.KeyMap, bool) {
 	keyMap, exists := v.keyMaps[service]
--- a/bulrushkey/action.go
+++ b/bulrushkey/action.go
@@ -53,6 +53,8 @@
 	Lease bool
 	// Since is the earliest mint time that this home may run.
 	Since bulrushchute.Millis
+	// Until ends the mint times that this home may run, 0 for no end.
+	Until bulrushchute.Millis
 	// RetryAfter is the time after which a refused caller should try again.
 	RetryAfter bulrushchute.Millis
 }
--- a/bulrushkey/controller.go
+++ b/bulrushkey/controller.go
@@ -30,11 +30,23 @@
 	// missingSince is when the controller first needed a map and had none.
 	missingSince bulrushchute.Millis
 
+	// eras holds the partitions that this node handed over.
+	eras map[int]era
+
 	lease     *lease
 	takeovers map[bulrushchute.InstanceID]*takeover
 	proposal  proposal
 }
 
+// era is the range of mint times, without its end, whose keys only this node
+// may run although it has handed their partition over. No lease is needed for
+// them: the conditional update that began the next home's range has succeeded,
+// so no other home's range can overlap.
+type era struct {
+	since bulrushchute.Millis
+	until bulrushchute.Millis
+}
+
 // NewController returns a controller that knows no members and no key map. The
 // source of randomness spreads retries; the caller seeds it.
 func NewController(settings Settings, service bulrushchute.Service, self bulrushchute.InstanceID, random *rand.Rand) *Controller {
@@ -44,6 +56,7 @@
 		self:      self,
 		random:    random,
 		lost:      make(map[bulrushchute.DataCentre]bulrushchute.Millis),
+		eras:      make(map[int]era),
 		lease:     newLease(settings),
 		takeovers: make(map[bulrushchute.InstanceID]*takeover),
 	}
@@ -78,6 +91,7 @@
 	if c.known && m.Version <= c.current.Version {
 		return
 	}
+	c.keepEras(m)
 	c.current, c.known = m, true
 	c.proposal.settle(m)
 	for id, t := range c.takeovers {
@@ -90,6 +104,17 @@
 	}
 }
 
+// keepEras notes the partitions that a new map takes from this node by its own
+// handover.
+func (c *Controller) keepEras(next KeyMap) {
+	for p, assignment := range next.Partitions {
+		home, old, found := c.current.HomeOf(p)
+		if found && home.ID == c.self && assignment.Previous == c.self {
+			c.eras[p] = era{since: old.Since, until: assignment.Since}
+		}
+	}
+}
+
 // Leave starts the handover of all partitions. It is final.
 func (c *Controller) Leave(now bulrushchute.Millis) {
 	c.advance(now)
@@ -130,26 +155,36 @@
 func (c *Controller) Permit(now bulrushchute.Millis, partition int) Permit {
 	now = c.advance(now)
 	permit := Permit{At: now, RetryAfter: c.settings.Heartbeat}
+	if past, handedOver := c.eras[partition]; handedOver {
+		permit.Home, permit.Lease = true, true
+		permit.Since, permit.Until = past.since, past.until
+		return permit
+	}
 	home, assignment, found := c.current.HomeOf(partition)
 	if !found || home.ID != c.self {
 		return permit
 	}
 	permit.Home = true
 	permit.Since = assignment.Since
-	if _, lost := c.lost[home.DataCentre]; lost {
-		// Successors do not wait for this node's lease monitors.
-		return permit
-	}
-	permit.Lease = c.lease.held(now, home.Monitors) && c.holdsUnder(c.proposal.candidate, partition, now)
-	return permit
+	permit.Lease = c.lease.held(now, home.Monitors)
+	return c.restrict(permit, partition)
 }
 
-func (c *Controller) holdsUnder(candidate *KeyMap, partition int, now bulrushchute.Millis) bool {
-	if candidate == nil {
-		return true
+// restrict narrows a permit to what holds under the proposed map as well.
+func (c *Controller) restrict(permit Permit, partition int) Permit {
+	if c.proposal.candidate == nil {
+		return permit
 	}
-	home, _, found := candidate.HomeOf(partition)
-	return found && home.ID == c.self && c.lease.held(now, home.Monitors)
+	home, assignment, found := c.proposal.candidate.HomeOf(partition)
+	switch {
+	case found && home.ID == c.self:
+		permit.Lease = permit.Lease && c.lease.held(permit.At, home.Monitors)
+	case found && assignment.Previous == c.self:
+		permit.Until = assignment.Since
+	default:
+		permit.Lease = false
+	}
+	return permit
 }
 
 // Map returns the newest key map that the controller knows.
@@ -157,9 +192,15 @@
 	return c.current, c.known
 }
 
-// IsHome reports whether any partition is, or may be, assigned to this node.
-// A leaving node waits until it is false.
+// IsHome reports whether any partition is, or may be, assigned to this node,
+// or was until a moment ago. A leaving node waits until it is false.
 func (c *Controller) IsHome() bool {
+	for _, past := range c.eras {
+		// Callers' clocks count too, so their keys come a skew later.
+		if c.now < past.until+c.settings.ClockSkew {
+			return true
+		}
+	}
 	if _, named := c.current.Find(c.self); named {
 		return true
 	}
--- a/bulrushkey/map.go
+++ b/bulrushkey/map.go
@@ -41,6 +41,9 @@
 	Epoch uint64 `json:"epoch" cbor:"2,keyasint"`
 	// Since is the earliest mint time of keys that the home may run.
 	Since bulrushchute.Millis `json:"since" cbor:"3,keyasint"`
+	// Previous is the home that handed the partition over and still answers
+	// for keys minted before Since, empty if it had gone.
+	Previous bulrushchute.InstanceID `json:"previous,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // KeyMap assigns the partitions of one service to homes. It is immutable:
@@ -119,6 +122,26 @@
 	return m.Homes[assignment.Home], assignment, true
 }
 
+// HomeFor returns the node that answers for a key: the partition's home, or
+// the one that handed the partition over if the key was minted before that.
+func (m KeyMap) HomeFor(key Key) (bulrushchute.InstanceID, bool) {
+	home, assignment, found := m.HomeOf(key.Partition())
+	if found && key.Mint() < assignment.Since && assignment.Previous != "" {
+		return assignment.Previous, true
+	}
+	return home.ID, found
+}
+
+// withPrevious returns a copy in which partitions that moved from a home name
+// it as their previous one.
+func (m KeyMap) withPrevious(id bulrushchute.InstanceID, partitions []int) KeyMap {
+	m.Partitions = slices.Clone(m.Partitions)
+	for _, p := range partitions {
+		m.Partitions[p].Previous = id
+	}
+	return m
+}
+
 // Find returns the home with the given identity.
 func (m KeyMap) Find(id bulrushchute.InstanceID) (Home, bool) {
 	for _, home := range m.Homes {
--- a/bulrushkey/plan.go
+++ b/bulrushkey/plan.go
@@ -65,7 +65,11 @@
 	if len(successors) == 0 {
 		return KeyMap{}, false
 	}
-	return c.current.withSuccessors(c.self, successors, c.settings.since(now)), true
+	m := c.current.withSuccessors(c.self, successors, c.settings.since(now))
+	if c.leaving {
+		m = m.withPrevious(c.self, c.current.PartitionsOf(c.self))
+	}
+	return m, true
 }
 
 // successors returns the members that may become homes, without the excluded one.
--- a/bulrushkey/table.go
+++ b/bulrushkey/table.go
@@ -90,6 +90,9 @@
 	case mint < permit.Since:
 		// The key belongs to an earlier home, which may have run it.
 		return settled(unknown(bulrushchute.ReasonKeyTooOld))
+	case permit.Until != 0 && mint >= permit.Until:
+		// The key belongs to the home that this node hands the partition to.
+		return refusal(bulrushchute.ReasonKeyHome, permit.RetryAfter)
 	case mint > horizon:
 		// A later home could be given the partition from before this mint time.
 		return refusal(bulrushchute.ReasonKeyFromFuture, mint-horizon)
--- a/bulrushkey/table_test.go
+++ b/bulrushkey/table_test.go
@@ -20,6 +20,9 @@
 
 var fullPermit = bulrushkey.Permit{At: tableNow, Home: true, Lease: true, Since: tableNow - 1_000, RetryAfter: 1_000}
 
+// boundedPermit is that of a home that has handed its partition over.
+var boundedPermit = bulrushkey.Permit{At: tableNow, Home: true, Lease: true, Since: tableNow - 1_000, Until: tableNow, RetryAfter: 1_000}
+
 // earlierPermit was given before the node froze and read its clock again.
 var earlierPermit = bulrushkey.Permit{At: tableNow - 100, Home: true, Lease: true}
 
@@ -62,6 +65,8 @@
 		"new":                        {tableNow, fullPermit, "run"},
 		"minted at since":            {tableNow - 1_000, fullPermit, "run"},
 		"minted before since":        {tableNow - 1_001, fullPermit, "unknown key_too_old"},
+		"minted before until":        {tableNow - 1, boundedPermit, "run"},
+		"minted at until":            {tableNow, boundedPermit, "not run key_home_unavailable"},
 		"minted at the skew":         {tableNow + 250, fullPermit, "run"},
 		"minted after the skew":      {tableNow + 251, fullPermit, "not run key_from_future"},
 		"permit given earlier":       {tableNow + 200, earlierPermit, "not run key_from_future"},
--- a/bulrushnode/keys.go
+++ b/bulrushnode/keys.go
@@ -90,16 +90,17 @@
 	if !exists {
 		return bulrushchute.Instance{}, false
 	}
-	home, _, assigned := keyMap.HomeOf(key.Partition())
+	home, assigned := keyMap.HomeFor(key)
 	if !assigned {
 		return bulrushchute.Instance{}, false
 	}
-	for _, member := range view.Members(service).Instances {
-		if member.ID == home.ID {
-			return member, true
-		}
+	if member, known := view.Member(service, home); known {
+		return member, true
 	}
-	return bulrushchute.Instance{}, false
+	// A previous home that has gone leaves its keys to the present one, which
+	// answers that their outcome is unknown.
+	present, _, _ := keyMap.HomeOf(key.Partition())
+	return view.Member(service, present.ID)
 }
 
 // keyedResult turns the home's reply into the caller's result. There is one
