--- a/bulrushmembership/reach.go
+++ b/bulrushmembership/reach.go
@@ -131,7 +131,8 @@
 	}
 	m.reachChanged = false
 	for _, dc := range m.members.centreOrder {
-		unreachable := m.allSlotsDown(dc) && !(m.doubtful && now-dc.heard < ownEvidence)
+		answered := m.doubtful && now-dc.heard < ownEvidence
+		unreachable := m.allSlotsDown(dc) && !answered
 		if unreachable == dc.unreachable {
 			continue
 		}
