--- a/bulrushadmission/evidence.go
+++ b/bulrushadmission/evidence.go
@@ -241,7 +241,11 @@
 		c.noteFailedProbe()
 	} else {
 		c.failedProbes = 0
-		c.reportCold(fromProbe, report.Cold)
+		// Only the load endpoint reports coldness. Health probes in between
+		// would end it and each load probe begin the ramp again.
+		if report.Kind == ProbeLoad {
+			c.reportCold(fromProbe, report.Cold)
+		}
 	}
 	return c.finish(releases)
 }
--- a/bulrushadmission/rules_test.go
+++ b/bulrushadmission/rules_test.go
@@ -173,11 +173,17 @@
 			good(c, 101, 10)
 			bad(c, 1, Result{ElapsedMs: 10, Cold: true})
 		}, 1, true},
-		"reported cold by a probe": {func(c *Controller) { good(c, 101, 10); c.ObserveProbe(c.now, ProbeReport{Cold: true}) }, 1, true},
+		"reported cold by a probe": {func(c *Controller) { good(c, 101, 10); c.ObserveProbe(c.now, ProbeReport{Kind: ProbeLoad, Cold: true}) }, 1, true},
 		"stuck report of being cold": {func(c *Controller) {
-			c.ObserveProbe(c.now, ProbeReport{Cold: true})
+			c.ObserveProbe(c.now, ProbeReport{Kind: ProbeLoad, Cold: true})
 			good(c, 101, 10)
-			c.ObserveProbe(c.now, ProbeReport{Cold: true})
+			c.ObserveProbe(c.now, ProbeReport{Kind: ProbeLoad, Cold: true})
+		}, 10, false},
+		"stuck report with health probes in between": {func(c *Controller) {
+			c.ObserveProbe(c.now, ProbeReport{Kind: ProbeLoad, Cold: true})
+			good(c, 101, 10)
+			c.ObserveProbe(c.now, ProbeReport{Kind: ProbeHealth})
+			c.ObserveProbe(c.now, ProbeReport{Kind: ProbeLoad, Cold: true})
 		}, 10, false},
 		"long idle":       {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold) }, 1, true},
 		"short idle":      {func(c *Controller) { good(c, 101, 10); good(c, 1, DefaultIdleCold-1) }, 10, false},
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -50,6 +50,8 @@
 	// weightsChanged is set when the board's weights are out of date.
 	weightsChanged bool
 	draining       bool
+	// expire ends the node's run with an error.
+	expire func()
 }
 
 func newControl(n *Node, self bulrushchute.Instance) *control {
@@ -68,6 +70,7 @@
 		homes:      make(map[bulrushchute.InstanceID]bulrushchute.Service),
 		changed:    make(map[bulrushchute.Service]bool),
 		weights:    make(bulrushrouting.Weights),
+		expire:     func() {},
 	}
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
 		Self:         self,
@@ -245,6 +248,11 @@
 	klog.InfoS("membership status", "joined", status.Joined, "isolated", status.Isolated, "expired", status.Expired)
 	c.guard.setIsolated(status.Isolated)
 	c.updateState(status)
+	if status.Expired {
+		// Peers may have dropped records that this node still holds, so it must
+		// not go on under its identity.
+		c.expire()
+	}
 }
 
 // updateState derives the node's state from the membership and the catalogue.
--- a/bulrushnode/dispatch.go
+++ b/bulrushnode/dispatch.go
@@ -123,11 +123,11 @@
 	if len(body) > bulrushwire.MaxBodyBytes {
 		return nil, bulrushchute.ReasonTooLarge
 	}
-	answer := bulrushwire.Seal(bulrushchute.Answer{
-		Status: response.StatusCode,
-		Header: passedFields(response.Header),
-		Body:   body,
-	})
+	fields := passedFields(response.Header)
+	if response.Request.Method == http.MethodHead {
+		fields = keepLength(fields, response.Header)
+	}
+	answer := bulrushwire.Seal(bulrushchute.Answer{Status: response.StatusCode, Header: fields, Body: body})
 	return &answer, ""
 }
 
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -44,8 +44,9 @@
 	handover, cancelHandover := context.WithTimeout(ctx, keyHandover)
 	n.waitUntil(handover, func() bool { return !n.keys.isHome() })
 	cancelHandover()
-	n.control.do(ctx, n.control.membership.Leave)
-	pause(ctx, leaveNotice)
+	// The last record is spread even if the drain took too long.
+	n.control.do(n.context, n.control.membership.Leave)
+	pause(n.context, leaveNotice)
 	return firstError(err, n.stop(peers))
 }
 
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -94,7 +95,7 @@
 	}
 	prepared, err := e.describe(catalogueEntry, request)
 	if err != nil {
-		return call{}, "", &problem{status: http.StatusBadRequest, reason: bulrushchute.ReasonMalformed, cause: err}
+		return call{}, "", &problem{status: http.StatusBadRequest, reason: reasonOf(err), cause: err}
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, bulrushwire.MaxBodyBytes))
 	if err != nil {
@@ -104,6 +105,24 @@
 	return prepared, request.Header.Get(headerIdempotencyKey), nil
 }
 
+// depthError reports a call that is nested too deep, as in a cycle of services.
+type depthError struct {
+	depth int64
+}
+
+// Error implements error.
+func (e *depthError) Error() string {
+	return "depth " + strconv.FormatInt(e.depth, 10) + " is not below " + strconv.Itoa(bulrushchute.MaxDepth)
+}
+
+func reasonOf(err error) bulrushchute.Reason {
+	var tooDeep *depthError
+	if errors.As(err, &tooDeep) {
+		return bulrushchute.ReasonTooDeep
+	}
+	return bulrushchute.ReasonMalformed
+}
+
 func bodyProblem(err error) *problem {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -124,10 +143,13 @@
 	if err != nil {
 		return call{}, err
 	}
-	depth, err := parseCount(request.Header, headerDepth, bulrushchute.MaxDepth-1)
+	depth, err := parseCount(request.Header, headerDepth, math.MaxInt32)
 	if err != nil {
 		return call{}, err
 	}
+	if depth >= bulrushchute.MaxDepth {
+		return call{}, &depthError{depth: depth}
+	}
 	info := bulrushchute.RequestInfo{
 		Service:    catalogueEntry.Service,
 		Route:      resolved.Route,
@@ -176,7 +198,7 @@
 	}
 	now := e.clock.Now()
 	deadline := now + timeout
-	outer, err := parseCount(header, headerDeadline, int64(now)+maxTimeoutMs)
+	outer, err := parseCount(header, headerDeadline, math.MaxInt64)
 	if err != nil {
 		return 0, err
 	}
@@ -207,7 +229,9 @@
 	header.Set(headerOutcome, result.final.Outcome.String())
 	if result.final.Outcome == bulrushchute.OutcomeAnswered {
 		addFields(header, result.answer.Header)
-		header.Set("Content-Length", strconv.Itoa(len(result.answer.Body)))
+		if header.Get(headerLength) == "" {
+			header.Set(headerLength, strconv.Itoa(len(result.answer.Body)))
+		}
 		writer.WriteHeader(result.answer.Status)
 		_, _ = writer.Write(result.answer.Body)
 		return
@@ -226,7 +250,7 @@
 
 func statusOf(final bulrushattempt.Final) int {
 	switch {
-	case final.Outcome == bulrushchute.OutcomeNotRun && final.Reason == bulrushchute.ReasonKeyFormat:
+	case final.Reason == bulrushchute.ReasonKeyFormat || final.Reason == bulrushchute.ReasonMalformed:
 		return http.StatusBadRequest
 	case final.Outcome == bulrushchute.OutcomeNotRun:
 		return http.StatusServiceUnavailable
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -32,7 +32,10 @@
 	client     *backendClient
 	isolated   bool
 	healthy    bool
-	warmMs     bulrushchute.Millis
+	// draining is set for good when the node leaves; an announcement of its
+	// backend server does not end that.
+	draining bool
+	warmMs   bulrushchute.Millis
 	// observe takes note of each dispatch for the judgement of versions.
 	observe func(service bulrushchute.Service, sample bulrushmove.Sample)
 }
@@ -68,13 +71,15 @@
 	}
 	g.backend = announcement
 	g.healthy = true
-	if announcement.State == BackendDraining {
+	if announcement.State == BackendDraining || g.draining {
 		g.controller.Drain(now)
 	} else {
 		g.controller.Resume(now)
 	}
 }
 
+// replaceClient gives the connections the limit that is in force. Those of the
+// former client end with their requests.
 func (g *guard) replaceClient() {
 	if g.client != nil {
 		g.client.close()
@@ -93,7 +98,11 @@
 	defer g.mutex.Unlock()
 	settings := bulrushadmission.SettingsOf(entry)
 	g.warmMs = settings.Limits.WarmMs
+	before := g.controller.ConnectionLimit()
 	g.release(g.controller.SetSettings(g.clock.Now(), settings))
+	if g.client != nil && g.controller.ConnectionLimit() != before {
+		g.replaceClient()
+	}
 }
 
 func (g *guard) withdraw(withdrawn bool) {
@@ -111,6 +120,7 @@
 func (g *guard) drain() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.draining = true
 	g.controller.Drain(g.clock.Now())
 }
 
--- a/bulrushnode/header.go
+++ b/bulrushnode/header.go
@@ -21,6 +21,7 @@
 	headerOutcome        = "Bulrush-Outcome"
 	headerReason         = "Bulrush-Reason"
 	headerIdempotencyKey = "Idempotency-Key"
+	headerLength         = "Content-Length"
 
 	headerPrefix = "Bulrush-"
 	// hostSuffix ends the host names that carry the service's name.
@@ -77,6 +78,14 @@
 	}
 }
 
+// keepLength passes on the length that the answer to a HEAD request states.
+func keepLength(fields []bulrushchute.HeaderField, header http.Header) []bulrushchute.HeaderField {
+	if length := header.Get(headerLength); length != "" {
+		fields = append(fields, bulrushchute.HeaderField{Name: headerLength, Value: length})
+	}
+	return fields
+}
+
 // parseCount reads a header that holds a number in a range. An absent header is 0.
 func parseCount(header http.Header, name string, most int64) (int64, error) {
 	text := header.Get(name)
--- a/bulrushnode/keys.go
+++ b/bulrushnode/keys.go
@@ -77,6 +77,7 @@
 	attempt.ID = newAttemptID()
 	attempt.Target = home.ID
 	attempt.Key = text
+	attempt.Retry = prepared.info.Retry
 	attempt.Deadline = prepared.info.Deadline
 	attempt.Remaining = attempt.Deadline - now
 	ctx, cancel := context.WithTimeout(ctx, attempt.Remaining.Duration())
@@ -109,10 +110,7 @@
 	end := endOf(1, reply, err).end
 	switch end.Result {
 	case bulrushchute.ResultAnswered, bulrushchute.ResultServerError:
-		return callResult{
-			final:  bulrushattempt.Final{Outcome: bulrushchute.OutcomeAnswered, Attempt: 1},
-			answer: reply.Answer,
-		}
+		return callResult{final: answeredFinal(), answer: reply.Answer}
 	case bulrushchute.ResultNotRun:
 		return notRun(end.Reason, end.RetryAfter)
 	case bulrushchute.ResultNotSent:
@@ -122,6 +120,10 @@
 	}
 }
 
+func answeredFinal() bulrushattempt.Final {
+	return bulrushattempt.Final{Outcome: bulrushchute.OutcomeAnswered, Attempt: 1}
+}
+
 // serve runs a keyed request at the home of its key.
 func (k *keys) serve(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
 	key, err := bulrushkey.ParseKey(attempt.Key)
@@ -179,7 +181,7 @@
 		defer k.mutex.Unlock()
 		delete(k.waiting, id)
 		k.table.Abandon(key, id)
-		return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: bulrushchute.ReasonCancelled}}
+		return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: failureReason(ctx, ctx.Err())}}
 	}
 }
 
@@ -197,6 +199,7 @@
 			Tenant:   attempt.Tenant,
 			Class:    attempt.Class,
 			Deadline: deadline,
+			Retry:    attempt.Retry,
 			Depth:    attempt.Depth,
 		},
 		template: template,
--- a/bulrushnode/lane.go
+++ b/bulrushnode/lane.go
@@ -22,6 +22,8 @@
 	// The revisions of the view that the router knows.
 	members uint64
 	weights uint64
+	// subset is the entry's value for which the router was made.
+	subset int
 }
 
 // lanes holds a lane for each service that was called.
@@ -45,17 +47,18 @@
 	l.mutex.RLock()
 	found := l.byName[service]
 	l.mutex.RUnlock()
-	if found != nil {
+	if found != nil && found.subset == subset {
 		return found
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if found = l.byName[service]; found != nil {
+	if found = l.byName[service]; found != nil && found.subset == subset {
 		return found
 	}
 	settings := l.settings
 	settings.Subset = subset
 	found = &lane{
+		subset:   subset,
 		router:   bulrushrouting.NewRouter(settings, newRandom(string(settings.Self), string(service))),
 		budgets:  bulrushattempt.NewBudgets(l.clock.Now()),
 		splitter: bulrushmove.NewSplitter(newRandom(string(settings.Self), string(service), "split")),
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -267,7 +268,7 @@
 
 func (m *moves) tickControllers(now bulrushchute.Millis) {
 	view := m.board.Read()
-	for _, service := range view.Catalogue.Services() {
+	for _, service := range m.movingServices(view) {
 		entry, _ := view.Catalogue.Service(service)
 		until, held := m.leases[shardOf(service)].Until()
 		controller := m.controllers[service]
@@ -287,6 +288,22 @@
 	}
 }
 
+// movingServices returns the services with a move in the catalogue and those
+// with a controller, whose entry may have been deleted.
+func (m *moves) movingServices(view bulrushboard.View) []bulrushchute.Service {
+	var services []bulrushchute.Service
+	for _, service := range view.Catalogue.Services() {
+		if entry, _ := view.Catalogue.Service(service); entry.Move != nil && m.controllers[service] == nil {
+			services = append(services, service)
+		}
+	}
+	for service := range m.controllers {
+		services = append(services, service)
+	}
+	slices.Sort(services)
+	return services
+}
+
 func countServers(instances []bulrushchute.Instance, move bulrushcatalogue.Move) bulrushmove.Servers {
 	var servers bulrushmove.Servers
 	for _, instance := range instances {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -146,8 +146,23 @@
 	return n.client.Exchange(ctx, instance.Address, attempt)
 }
 
-// Run serves until the context ends, then drains and returns.
+// ExpiredError reports a node that was paused for so long that it has to start
+// again under a new identity.
+type ExpiredError struct {
+	Instance bulrushchute.InstanceID
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return "instance " + string(e.Instance) + " was paused too long and must be started again"
+}
+
+// Run serves until the context ends, then drains and returns. It returns an
+// *ExpiredError if the process has to be started again.
 func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	n.control.expire = func() { cancel(&ExpiredError{Instance: n.id}) }
 	callers, peers, err := n.listen(ctx)
 	if err != nil {
 		return err
@@ -171,7 +186,12 @@
 	n.tasks.Start(readers, "move leases", n.moves.runLeases)
 	<-ctx.Done()
 	stopReaders()
-	return n.drain(callerServer, peerServer)
+	err = n.drain(callerServer, peerServer)
+	var expired *ExpiredError
+	if errors.As(context.Cause(ctx), &expired) {
+		return expired
+	}
+	return err
 }
 
 func (n *Node) start(name string, run func(context.Context) error) {
--- a/instance.go
+++ b/instance.go
@@ -41,6 +41,22 @@
 	return "invalid"
 }
 
+// MarshalText writes the state's name, for JSON.
+func (is InstanceState) MarshalText() ([]byte, error) {
+	return []byte(is.String()), nil
+}
+
+// UnmarshalText reads a state's name.
+func (is *InstanceState) UnmarshalText(text []byte) error {
+	for state, name := range instanceStateNames {
+		if name == string(text) {
+			*is = InstanceState(state)
+			return nil
+		}
+	}
+	return &FieldError{Field: "state", Value: string(text), Allowed: "the name of an instance state"}
+}
+
 // TakesWork reports whether new work may be sent to an instance in this state.
 // A suspect instance keeps its work until the suspicion is confirmed, because
 // entry nodes notice unanswered attempts sooner than the failure detector does.
