Record who stored a catalogue entry

ServiceEntry and DataCentreEntry take an optional change object (writer, by, at_ms) that Diff leaves out and Resolve does not read. WithWriter puts the writer into a change object if the value has one and at the top level otherwise, and WriterOf reads it from there. A catalogue file may carry based_on, the store versions from which its entries were edited.

--- a/bulrushcatalogue/diff.go
+++ b/bulrushcatalogue/diff.go
@@ -50,10 +50,13 @@
 	return strings.Join(lines, "\n")
 }
 
+// lastChangeType is left out of comparisons: it differs after every write.
+var lastChangeType = reflect.TypeFor[*LastChange]()
+
 // Diff returns the fields that differ: first those of the old entry in the
 // order of its fields, then those that only the new one has. The order of
 // routes and tenants has no meaning, so it makes no difference. A zero entry
-// stands for one that does not exist.
+// stands for one that does not exist. The change field is left out.
 func Diff[E ServiceEntry | DataCentreEntry](old, changed E) Changes {
 	before := flatten(reflect.ValueOf(old))
 	after := flatten(reflect.ValueOf(changed))
@@ -108,6 +111,9 @@
 		if field.Kind() != reflect.Pointer && field.IsZero() {
 			continue
 		}
+		if field.Type() == lastChangeType {
+			continue
+		}
 		ff.addValue(join(path, jsonName(value.Type().Field(i))), field)
 	}
 }
--- a/bulrushcatalogue/entry.go
+++ b/bulrushcatalogue/entry.go
@@ -23,6 +23,18 @@
 	Routes  []Route       `json:"routes,omitempty" validate:"max=256,dive"`
 	Tenants []TenantShare `json:"tenants,omitempty" validate:"max=1000,dive"`
 	Move    *Move         `json:"move,omitempty" validate:"omitempty"`
+	// Change says who stored the entry. It has no effect on requests.
+	Change *LastChange `json:"change,omitempty" validate:"omitempty"`
+}
+
+// LastChange identifies the write that stored an entry, so that a lost answer
+// can be settled and the loser of a race be told who won it.
+type LastChange struct {
+	// Writer is an id that is used for one write only.
+	Writer string `json:"writer" validate:"required,max=200"`
+	// By is the name of the operator.
+	By   string              `json:"by" validate:"required,max=200"`
+	AtMs bulrushchute.Millis `json:"at_ms" validate:"min=1"`
 }
 
 // Limits bound what one backend server of the service receives.
@@ -94,6 +106,8 @@
 	State      DataCentreState         `json:"state" validate:"oneof=serving withdrawn lost"`
 	// ReturnRampMs is the time in which a returning data centre reaches its full share.
 	ReturnRampMs bulrushchute.Millis `json:"return_ramp_ms,omitempty" validate:"min=1,max=3600000"`
+	// Change says who stored the entry.
+	Change *LastChange `json:"change,omitempty" validate:"omitempty"`
 }
 
 // Defaults for fields that an entry leaves out.
--- a/bulrushcatalogue/parse.go
+++ b/bulrushcatalogue/parse.go
@@ -11,6 +11,31 @@
 type File struct {
 	Services    []ServiceEntry    `json:"services,omitempty"`
 	DataCentres []DataCentreEntry `json:"data_centres,omitempty"`
+	// BasedOn gives the store versions from which entries of the file were
+	// edited, at most one for each entry.
+	BasedOn []Base `json:"based_on,omitempty"`
+}
+
+// Base is the stored state on which an edited entry is based. The entry of
+// that state is optional; with it, a conflict can be told field by field.
+type Base struct {
+	// Kind is services or datacentres.
+	Kind bulrushchute.Kind `json:"kind"`
+	Name string            `json:"name"`
+	// Version is the store's version of the entry, 0 if there was none.
+	Version    uint64           `json:"version"`
+	Service    *ServiceEntry    `json:"service,omitempty"`
+	DataCentre *DataCentreEntry `json:"data_centre,omitempty"`
+}
+
+// Base returns the base of an entry, false if the file gives none.
+func (f File) Base(kind bulrushchute.Kind, name string) (Base, bool) {
+	for _, base := range f.BasedOn {
+		if base.Kind == kind && base.Name == name {
+			return base, true
+		}
+	}
+	return Base{}, false
 }
 
 // ParseService reads one service entry, applies the defaults and checks it.
@@ -73,6 +98,34 @@
 			return err
 		}
 	}
+	return f.checkBases()
+}
+
+func (f File) checkBases() error {
+	names := newUnique("an entry that occurs once")
+	for i, base := range f.BasedOn {
+		path := fmt.Sprintf("based_on[%d]", i)
+		if err := under(path, base.check()); err != nil {
+			return err
+		}
+		if err := names.add(path+".name", string(base.Kind)+"/"+base.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// check leaves the values in the base entry alone: it is only compared with.
+func (b Base) check() error {
+	if b.Kind != bulrushchute.KindServices && b.Kind != bulrushchute.KindDataCentres {
+		return refuse("kind", string(b.Kind), "services or datacentres")
+	}
+	if b.Service != nil && (b.Kind != bulrushchute.KindServices || string(b.Service.Service) != b.Name) {
+		return refuse("service.service", string(b.Service.Service), "the entry that kind and name give, "+string(b.Kind)+"/"+b.Name)
+	}
+	if b.DataCentre != nil && (b.Kind != bulrushchute.KindDataCentres || string(b.DataCentre.DataCentre) != b.Name) {
+		return refuse("data_centre.data_centre", string(b.DataCentre.DataCentre), "the entry that kind and name give, "+string(b.Kind)+"/"+b.Name)
+	}
 	return nil
 }
 
--- a/bulrushcatalogue/parse_test.go
+++ b/bulrushcatalogue/parse_test.go
@@ -126,6 +126,10 @@
 		"service twice":      {`{"services": [` + one + `, ` + one + `]}`, "services[1].service"},
 		"unknown field":      {`{"services": [{"x": 1}]}`, "services[0].x"},
 		"data centre state":  {`{"data_centres": [{"data_centre": "a", "region": "r", "state": "off"}]}`, "data_centres[0].state"},
+		"change":             {`{"services": [{"service": "a", "owner": "o", "change": {"writer": "w", "at_ms": 1}}]}`, "services[0].change.by"},
+		"base kind":          {`{"based_on": [{"kind": "moves", "name": "a", "version": 1}]}`, "based_on[0].kind"},
+		"base twice":         {`{"based_on": [{"kind": "services", "name": "a", "version": 1}, {"kind": "services", "name": "a", "version": 1}]}`, "based_on[1].name"},
+		"base of another":    {`{"based_on": [{"kind": "services", "name": "a", "version": 1, "service": {"service": "b", "owner": "o"}}]}`, "based_on[0].service.service"},
 		"data centre region": {`{"data_centres": [{"data_centre": "a", "state": "lost"}]}`, "data_centres[0].region"},
 	}
 	for name, tc := range cases {
@@ -138,6 +142,18 @@
 	}
 }
 
+// Guards against a change record that the parser refuses or that shows up as a
+// difference, since every write has another one.
+func TestChangeIsNoDifference(t *testing.T) {
+	plain, err := bulrushcatalogue.ParseService([]byte(service("")))
+	assert.NilError(t, err)
+	stored, err := bulrushcatalogue.ParseService([]byte(service(`, "change": {"writer": "w-1", "by": "ann", "at_ms": 5}`)))
+	assert.NilError(t, err)
+	assert.Equal(t, stored.Change.By, "ann")
+	assert.Equal(t, len(bulrushcatalogue.Diff(plain, stored)), 0)
+	assert.Equal(t, len(bulrushcatalogue.Diff(stored, plain)), 0)
+}
+
 // Guards against a generation that is used for two different moves.
 func TestCheckChange(t *testing.T) {
 	first := bulrushcatalogue.ServiceEntry{Service: "a", Move: &bulrushcatalogue.Move{Generation: 2, FromVersion: "1", ToVersion: "2", CompleteByMs: 9}}
--- a/bulrushcatalogue/set.go
+++ b/bulrushcatalogue/set.go
@@ -32,7 +32,7 @@
 
 // WithDataCentre returns a set that holds the entry at a store version.
 func (s Set) WithDataCentre(entry DataCentreEntry, version uint64) Set {
-	s.dataCentres = s.dataCentres.with(entry.DataCentre, versioned[DataCentreEntry]{entry: entry, version: version})
+	s.dataCentres = s.dataCentres.with(entry.DataCentre, versioned[DataCentreEntry]{entry: entry.clone(), version: version})
 	return s
 }
 
@@ -118,9 +118,23 @@
 		move := *se.Move
 		se.Move = &move
 	}
+	se.Change = se.Change.clone()
 	return se
 }
 
+func (de DataCentreEntry) clone() DataCentreEntry {
+	de.Change = de.Change.clone()
+	return de
+}
+
+func (lc *LastChange) clone() *LastChange {
+	if lc == nil {
+		return nil
+	}
+	copied := *lc
+	return &copied
+}
+
 func (r Route) clone() Route {
 	r.Methods = slices.Clone(r.Methods)
 	if r.Idempotent != nil {
--- a/bulrushstore/once.go
+++ b/bulrushstore/once.go
@@ -10,36 +10,67 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// WriterField is the top-level field of a value that identifies its write.
-const WriterField = "writer"
+// Fields of a value that identify its write. A catalogue entry has a
+// ChangeField, an object that holds the WriterField with the operator's name;
+// other values have the WriterField at the top level.
+const (
+	WriterField = "writer"
+	ChangeField = "change"
+)
 
 // maxAttempts bounds how often CreateOnce and UpdateObject start again. More
 // conflicts in a row mean that many writers compete, and the caller should wait.
 const maxAttempts = 5
 
-// WithWriter returns a JSON object with its WriterField set.
+// WithWriter returns a JSON object with its WriterField set. If the object has
+// a ChangeField, the WriterField is set inside it.
 func WithWriter(value []byte, writer string) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(value, &fields); err != nil || fields == nil {
-		return nil, &bulrushchute.FieldError{Field: "value", Value: shorten(value), Allowed: "a JSON object"}
+	fields, err := fieldsOf("value", value)
+	if err != nil {
+		return nil, err
 	}
 	text, err := json.Marshal(writer)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode writer")
 	}
-	fields[WriterField] = text
+	if change, found := fields[ChangeField]; found {
+		inner, err := fieldsOf(ChangeField, change)
+		if err != nil {
+			return nil, err
+		}
+		inner[WriterField] = text
+		if fields[ChangeField], err = encode(inner); err != nil {
+			return nil, err
+		}
+	} else {
+		fields[WriterField] = text
+	}
 	data, err := encode(fields)
 	return bytes.TrimSpace(data), err
 }
 
-// WriterOf returns the WriterField of a JSON object, or "" if it has none.
+func fieldsOf(name string, value []byte) (map[string]json.RawMessage, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(value, &fields); err != nil || fields == nil {
+		return nil, &bulrushchute.FieldError{Field: name, Value: shorten(value), Allowed: "a JSON object"}
+	}
+	return fields, nil
+}
+
+// WriterOf returns the writer that WithWriter has set, or "" if there is none.
 func WriterOf(value []byte) string {
 	var fields struct {
 		Writer string `json:"writer"`
+		Change *struct {
+			Writer string `json:"writer"`
+		} `json:"change"`
 	}
 	if json.Unmarshal(value, &fields) != nil {
 		return ""
 	}
+	if fields.Change != nil {
+		return fields.Change.Writer
+	}
 	return fields.Writer
 }
 
@@ -50,7 +81,7 @@
 
 // CreateOnce stores an object unless its name is in use, and reports whether
 // it was this writer that created it. The writer, an id that is used for this
-// object only, is put into the value's WriterField. When an answer is lost,
+// object only, is put into the value by WithWriter. When an answer is lost,
 // the object is read back; only if it is still absent is it created again,
 // which has no effect if the first try arrives meanwhile.
 func CreateOnce(ctx context.Context, store bulrushchute.Store, object bulrushchute.Object, writer string) (bulrushchute.Object, bool, error) {
@@ -101,7 +132,7 @@
 
 // UpdateObject reads an object, changes its value with mutate and stores it,
 // from the start again after a conflict. The writer, an id that is used for
-// this change only, is put into the value's WriterField. When an answer is
+// this change only, is put into the value by WithWriter. When an answer is
 // lost, the object is read back. The result is an *AmbiguousError if another
 // writer has changed the object since, because the change may then have been
 // in effect before; it is not applied a second time.
--- a/bulrushstore/once_test.go
+++ b/bulrushstore/once_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// Guards against a writer in a place that the catalogue's parser refuses, and
+// against one that is not found where it was put.
+func TestWithWriter(t *testing.T) {
+	cases := map[string]struct{ value, want string }{
+		"top level":       {`{"n":1}`, `{"n":1,"writer":"me"}`},
+		"replaced":        {`{"writer":"other"}`, `{"writer":"me"}`},
+		"catalogue entry": {`{"change":{"by":"ann","writer":"other"},"n":1}`, `{"change":{"by":"ann","writer":"me"},"n":1}`},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := bulrushstore.WithWriter([]byte(tc.value), "me")
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), tc.want)
+			assert.Equal(t, bulrushstore.WriterOf(got), "me")
+		})
+	}
+	for _, value := range []string{`[]`, `null`, `{"change":3}`} {
+		_, err := bulrushstore.WithWriter([]byte(value), "me")
+		assert.ErrorContains(t, err, "a JSON object")
+	}
+}
+
 type counter struct {
 	N      int    `json:"n"`
 	Writer string `json:"writer,omitempty"`
