Number moves past every version of their entry

bulrushctl gave a move the generation after the last one in the store. A move that was cancelled before a node began it left no trace, so that the next one had its generation and a holder could have mistaken one for the other.

The generation is now also higher than the version of the entry that the move replaces. A lost race shows the operator's own changes without the winner's. The tests of bulrushcommand pass.

--- a/cmd/bulrushctl/bulrushcommand/apply.go
+++ b/cmd/bulrushctl/bulrushcommand/apply.go
@@ -135,6 +135,10 @@
 			next.base = baseDocument(base)
 		}
 		next.err = next.check()
+		if next.err != nil && next.base.present() {
+			// The operator's own changes, without those of a race's winner.
+			next.changes = next.base.changesTo(edited)
+		}
 		steps = append(steps, next)
 	}
 	return steps, nil
--- a/cmd/bulrushctl/bulrushcommand/apply_test.go
+++ b/cmd/bulrushctl/bulrushcommand/apply_test.go
@@ -86,8 +86,8 @@
 	for _, command := range []string{"diff", "apply"} {
 		got = r.run("ann", command, edited)
 		assert.Equal(t, got.status, bulrushcommand.ExitLostRace)
-		for _, part := range []string{"version 2 was stored by bob at 2027-01-15T07:59:59Z", "fields that the other changed", "subset", "based on version 1"} {
-			assert.Assert(t, cmp.Contains(got.stdout, part))
+		for _, part := range []string{"version 2 was stored by bob at 2027-01-15T07:59:59Z", "fields that the other changed", "subset", "based on version 1", "the edit:\n    ~ timeout_ms: 1000 -> 2000\nb"} {
+			assert.Assert(t, cmp.Contains(got.stdout+got.stderr, part))
 		}
 	}
 	got = r.run("ann", "apply", "--json", r.file(t, `{"services": [`+ledgerEdited+`], "based_on": [{"kind": "services", "name": "ledger", "version": 1}]}`))
--- a/cmd/bulrushctl/bulrushcommand/edit_test.go
+++ b/cmd/bulrushctl/bulrushcommand/edit_test.go
@@ -84,8 +84,8 @@
 		from        bulrushchute.Version
 		generations uint64
 	}{
-		"first move":              {start, `"stable_version": "v1"`, "", bulrushcommand.ExitDone, "v1", "v1", 1},
-		"first from a flag":       {append(start, "--from", "v0"), `"subset": 4`, "", bulrushcommand.ExitDone, "v0", "v0", 1},
+		"first move":              {start, `"stable_version": "v1"`, "", bulrushcommand.ExitDone, "v1", "v1", 2},
+		"first from a flag":       {append(start, "--from", "v0"), `"subset": 4`, "", bulrushcommand.ExitDone, "v0", "v0", 2},
 		"after a completed one":   {start, `"stable_version": "v1", ` + moving, state(`, "outcome": "completed"`), bulrushcommand.ExitDone, "v2", "v2", 5},
 		"after a roll-back":       {start, `"stable_version": "v1", ` + moving, state(`, "outcome": "rolled-back"`), bulrushcommand.ExitDone, "v1", "v1", 5},
 		"after a cancellation":    {start, `"stable_version": "v1"`, state(`, "outcome": "cancelled"`), bulrushcommand.ExitDone, "v1", "v1", 5},
@@ -116,6 +116,21 @@
 	}
 }
 
+// Guards against a generation that is used for a second move when the first
+// was cancelled before any node began it.
+func TestMoveAfterEarlyCancellation(t *testing.T) {
+	r := newRig(t)
+	r.put(t, bulrushchute.KindServices, "ledger", `{"service": "ledger", "owner": "o", "stable_version": "v1"}`)
+	last := uint64(0)
+	for range 3 {
+		assert.Equal(t, r.run("ann", "move", "ledger", "--to", "v2", "--complete-in", "1h").status, bulrushcommand.ExitDone)
+		generation := r.service(t, "ledger").Move.Generation
+		assert.Assert(t, generation > last)
+		last = generation
+		assert.Equal(t, r.run("ann", "move", "cancel", "ledger").status, bulrushcommand.ExitDone)
+	}
+}
+
 // Guards against a move that starts although another operator changed the
 // version from which it was to start.
 func TestMoveLosesRace(t *testing.T) {
--- a/cmd/bulrushctl/bulrushcommand/move.go
+++ b/cmd/bulrushctl/bulrushcommand/move.go
@@ -41,8 +41,8 @@
 			if err := order.check(); err != nil {
 				return err
 			}
-			return s.editMove(command.Context(), arguments[0], func(state *bulrushmove.State, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error) {
-				return order.start(s.Clock.Now(), state, entry)
+			return s.editMove(command.Context(), arguments[0], func(state *bulrushmove.State, version uint64, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error) {
+				return order.start(s.Clock.Now(), state, version, entry)
 			})
 		},
 	}
@@ -75,9 +75,9 @@
 	return nil
 }
 
-// changeMove returns an entry with another move. The state is that of the
-// service's latest move, nil if there never was one.
-type changeMove func(state *bulrushmove.State, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error)
+// changeMove returns an entry, stored at a version, with another move. The
+// state is that of the service's latest move, nil if there never was one.
+type changeMove func(state *bulrushmove.State, version uint64, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error)
 
 func (s *session) editMove(ctx context.Context, service string, change changeMove) error {
 	store, err := s.editor()
@@ -93,7 +93,7 @@
 		name:    service,
 		guarded: guardedByMove,
 		change: func(current document) (document, error) {
-			entry, err := change(state, *current.service)
+			entry, err := change(state, current.version, *current.service)
 			current.service = &entry
 			return current, err
 		},
@@ -116,7 +116,7 @@
 
 // start returns the entry with a new move. Its stable version becomes the one
 // from which the move starts, so that a cancelled move leaves that in place.
-func (mo moveOrder) start(now bulrushchute.Millis, state *bulrushmove.State, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error) {
+func (mo moveOrder) start(now bulrushchute.Millis, state *bulrushmove.State, version uint64, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error) {
 	if underWay(state, entry.Move) {
 		return entry, errors.Errorf("services/%s: move %d from %s to %s is under way, cancel it first",
 			entry.Service, entry.Move.Generation, entry.Move.FromVersion, entry.Move.ToVersion)
@@ -130,7 +130,7 @@
 	}
 	entry.StableVersion = from
 	entry.Move = &bulrushcatalogue.Move{
-		Generation:   lastGeneration(state, entry.Move) + 1,
+		Generation:   max(lastGeneration(state, entry.Move), version) + 1,
 		FromVersion:  from,
 		ToVersion:    bulrushchute.Version(mo.to),
 		CompleteByMs: now + bulrushchute.MillisOf(mo.completeIn),
@@ -165,8 +165,10 @@
 	return state != nil && state.Generation == move.Generation && state.Outcome == bulrushmove.OutcomeCompleted
 }
 
-// lastGeneration is the highest generation that was ever used for the service.
-// A cancelled move is no longer in the entry but in the state.
+// lastGeneration is the highest generation that the store holds of the service.
+// A move that was cancelled before a node began it is in neither place. The
+// entry's version covers it: a generation is at most one more than the version
+// that it replaces, so every later version is as high.
 func lastGeneration(state *bulrushmove.State, move *bulrushcatalogue.Move) uint64 {
 	last := uint64(0)
 	if state != nil {
@@ -180,7 +182,7 @@
 
 // cancelMove returns the entry without its move. Without a stable version all
 // versions would get requests, so it becomes the one the move started from.
-func cancelMove(state *bulrushmove.State, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error) {
+func cancelMove(state *bulrushmove.State, _ uint64, entry bulrushcatalogue.ServiceEntry) (bulrushcatalogue.ServiceEntry, error) {
 	if entry.Move == nil {
 		return entry, errors.Errorf("services/%s has no move", entry.Service)
 	}
