--- a/cmd/bulrushctl/bulrushcommand/command.go
+++ b/cmd/bulrushctl/bulrushcommand/command.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"os"
 	"time"
+	"unicode/utf8"
 
 	"github.com/spf13/cobra"
 
@@ -142,7 +143,7 @@
 // editor returns the store and checks that the operator has a name.
 func (s *session) editor() (bulrushchute.Store, error) {
 	const longestName = 200
-	if s.operator == "" || len(s.operator) > longestName {
+	if s.operator == "" || utf8.RuneCountInString(s.operator) > longestName {
 		return nil, usage("--by", s.operator, "an operator's name of 1 to 200 characters, also taken from "+envOperator+" or "+envUser)
 	}
 	return s.store()
