Refuse the generation of an ended move in an apply

A file could bring back a move with a generation that a node had begun before. Nodes take such a move for ended and never begin it, and the operator was not told. The plan of an apply now reads the state of the last move and refuses the generation. The tests of bulrushcommand pass.

--- a/cmd/bulrushctl/bulrushcommand/apply.go
+++ b/cmd/bulrushctl/bulrushcommand/apply.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -134,7 +135,9 @@
 		if base, given := file.Base(edited.kind, edited.name); given {
 			next.base = baseDocument(base)
 		}
-		next.err = next.check()
+		if next.err = next.check(); next.err == nil {
+			next.err = next.checkGeneration(ctx, store)
+		}
 		if next.err != nil && next.base.present() {
 			// The operator's own changes, without those of a race's winner.
 			next.changes = next.base.changesTo(edited)
@@ -159,6 +162,26 @@
 	return errors.Wrap(st.current.checkChange(st.edited), st.edited.path())
 }
 
+// checkGeneration refuses a new move with the generation of an earlier one that
+// is no longer in the entry. Nodes would take it for ended and never begin it.
+func (st step) checkGeneration(ctx context.Context, store bulrushchute.Store) error {
+	if st.edited.service == nil || st.edited.service.Move == nil {
+		return nil
+	}
+	if st.current.service != nil && st.current.service.Move != nil {
+		return nil
+	}
+	state, err := readMove(ctx, store, st.edited.name)
+	if err != nil || state == nil || st.edited.service.Move.Generation > state.Generation {
+		return err
+	}
+	return &bulrushchute.FieldError{
+		Field:   st.edited.path() + " move.generation",
+		Value:   strconv.FormatUint(st.edited.service.Move.Generation, 10),
+		Allowed: fmt.Sprintf("more than %d, the generation of the service's last move", state.Generation),
+	}
+}
+
 func (st step) unchanged() bool {
 	return st.current.present() && len(st.changes) == 0
 }
--- a/cmd/bulrushctl/bulrushcommand/apply_test.go
+++ b/cmd/bulrushctl/bulrushcommand/apply_test.go
@@ -179,6 +179,7 @@
 		"unknown field":       {file(`{"services": [{"service": "a", "owner": "o", "slots": 3}]}`), bulrushcommand.ExitFailed, `field services[0].slots: value "slots" is not allowed, want one of the fields service`},
 		"value out of range":  {file(`{"services": [{"service": "a", "owner": "o", "subset": 1001}]}`), bulrushcommand.ExitFailed, `field services[0].subset: value "1001" is not allowed, want at most 1000`},
 		"generation reused":   {file(`{"services": [{"service": "moving", "owner": "o", "move": {"generation": 2, "from_version": "v1", "to_version": "v3", "complete_by_ms": 9}}]}`), bulrushcommand.ExitFailed, "move.generation"},
+		"generation ended":    {file(`{"services": [{"service": "ledger", "owner": "o", "move": {"generation": 7, "from_version": "v1", "to_version": "v3", "complete_by_ms": 9}}]}`), bulrushcommand.ExitFailed, "more than 7, the generation of"},
 		"base never stored":   {file(`{"services": [` + ledgerEdited + `], "based_on": [{"kind": "services", "name": "ledger", "version": 99}]}`), bulrushcommand.ExitFailed, `"99"`},
 		"no file":             {words("apply", "none.json"), bulrushcommand.ExitFailed, "none.json"},
 		"no such data centre": {words("withdraw", "none"), bulrushcommand.ExitFailed, "datacentres/none does not exist"},
@@ -203,10 +204,11 @@
 			r.put(t, bulrushchute.KindServices, "ledger", ledgerFirst)
 			r.put(t, bulrushchute.KindServices, "moving", `{"service": "moving", "owner": "o", "move": {"generation": 2, "from_version": "v1", "to_version": "v2", "complete_by_ms": 9}}`)
 			r.put(t, bulrushchute.KindDataCentres, "ub-1", centre)
+			r.put(t, bulrushchute.KindMoves, "ledger", `{"service": "ledger", "generation": 7, "outcome": "cancelled"}`)
 			got := r.run("ann", tc.arguments(t, r)...)
 			assert.Equal(t, got.status, tc.status, "%s%s", got.stdout, got.stderr)
 			assert.Assert(t, cmp.Contains(got.stdout+got.stderr, tc.says))
-			assert.Equal(t, r.memory.Revision(), uint64(3))
+			assert.Equal(t, r.memory.Revision(), uint64(4))
 		})
 	}
 }
