Check a connecting node's address against its certificate

Cause: the peer server took the address in Bulrush-Peer-Address as stated, and neither side told anyone about a refused connection.

Change: on a TLS connection the stated address must be an IP number of the verified client certificate; otherwise the answer is 403. Server and Client have an OnRefused hook. The client calls it only when TLS or the peer refused the dial, not when nobody listens.

--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -40,6 +40,9 @@
 	late    atomic.Int64
 	dropped atomic.Int64
 	tasks   *bulrushtask.Group
+	// OnRefused is told of each dial that TLS or the peer refused, if it is set
+	// before the first dial.
+	OnRefused func(to, reason string)
 }
 
 // NewClient returns a client of the node with the given peer address. A nil TLS
@@ -111,6 +114,9 @@
 		_ = response.Body.Close()
 	}
 	if err != nil {
+		if c.OnRefused != nil && isRefusal(err, response) {
+			c.OnRefused(string(address), err.Error())
+		}
 		return nil, errors.Wrap(err, "connect to peer")
 	}
 	return newConnection(socket), nil
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"sync"
 
 	"github.com/coder/websocket"
@@ -35,6 +34,9 @@
 	// context ends when the node stops; connections then end too.
 	context context.Context
 	tasks   *bulrushtask.Group
+	// OnRefused is told of each refused connection, if it is set before the
+	// first one.
+	OnRefused func(remote, reason string)
 }
 
 // NewServer returns a server whose connections last until the context ends.
@@ -43,10 +45,15 @@
 }
 
 // ServeHTTP upgrades the request to a WebSocket and serves it until it ends.
+// On a TLS connection the address that the peer states must be named in its
+// client certificate, which the listener has verified.
 func (s *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	peer := request.Header.Get(headerPeerAddress)
-	if _, err := netip.ParseAddrPort(peer); err != nil {
-		http.Error(writer, headerPeerAddress+" must hold an IP number and a port", http.StatusBadRequest)
+	if err := checkPeer(peer, request.TLS); err != nil {
+		if s.OnRefused != nil {
+			s.OnRefused(request.RemoteAddr, err.Error())
+		}
+		http.Error(writer, err.Error(), err.status)
 		return
 	}
 	socket, err := websocket.Accept(writer, request, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
--- a/bulrushwire/transport_test.go
+++ b/bulrushwire/transport_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -53,8 +55,12 @@
 }
 
 func newClient(t testing.TB) *bulrushwire.Client {
+	return newTLSClient(t, nil)
+}
+
+func newTLSClient(t testing.TB, config *tls.Config) *bulrushwire.Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := bulrushwire.NewClient(ctx, "127.0.0.1:1", nil)
+	client := bulrushwire.NewClient(ctx, "127.0.0.1:1", config)
 	t.Cleanup(func() {
 		cancel()
 		client.Wait()
@@ -218,7 +224,51 @@
 
 func BenchmarkExchange(b *testing.B) {
 	address, _ := startNode(b, &fakeNode{attempt: echo})
-	client := newClient(b)
+	benchmarkExchange(b, newClient(b), address)
+}
+
+// BenchmarkExchangeTLS shows what TLS with mutual authentication adds to an
+// attempt on an open connection.
+func BenchmarkExchangeTLS(b *testing.B) {
+	address, config := startTLSNode(b, &fakeNode{attempt: echo})
+	benchmarkExchange(b, newTLSClient(b, config), address)
+}
+
+// BenchmarkConnectTLS is the cost of a new connection, with both handshakes and
+// one attempt, which a restarted node pays for each of its peers.
+func BenchmarkConnectTLS(b *testing.B) {
+	address, config := startTLSNode(b, &fakeNode{attempt: echo})
+	b.ReportAllocs()
+	for b.Loop() {
+		ctx, cancel := context.WithCancel(context.Background())
+		client := bulrushwire.NewClient(ctx, "127.0.0.1:1", config)
+		_, err := client.Exchange(ctx, address, sampleAttempt())
+		cancel()
+		client.Wait()
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// startTLSNode also returns the configuration for its clients. The certificate
+// of httptest, which names 127.0.0.1, serves both sides.
+func startTLSNode(t testing.TB, node *fakeNode) (bulrushchute.Address, *tls.Config) {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := httptest.NewUnstartedServer(bulrushwire.NewServer(ctx, node))
+	server.TLS = &tls.Config{MinVersion: tls.VersionTLS13, ClientAuth: tls.RequireAnyClientCert}
+	server.StartTLS()
+	t.Cleanup(func() {
+		cancel()
+		server.Close()
+	})
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots, Certificates: server.TLS.Certificates}
+	return bulrushchute.Address(strings.TrimPrefix(server.URL, "https://")), config
+}
+
+func benchmarkExchange(b *testing.B, client *bulrushwire.Client, address bulrushchute.Address) {
 	b.ReportAllocs()
 	number := uint64(0)
 	for b.Loop() {
