Let the store client take a TLS configuration

Cause: an https store whose CA is not among the system's roots could be reached only with a whole transport from outside.

Change: ClientSettings.TLS is used by the client's own transport.

An https store is not tested in this commit.

--- a/bulrushstore/client.go
+++ b/bulrushstore/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -30,6 +31,9 @@
 	Timeout bulrushchute.Millis
 	// WatchIdle ends a watch on which nothing came, not even a bookmark.
 	WatchIdle bulrushchute.Millis
+	// TLS is used for an https URL by the client's own transport; nil means the
+	// system's roots.
+	TLS *tls.Config
 	// Transport carries all calls; nil means a transport of the client's own.
 	Transport http.RoundTripper
 }
@@ -53,7 +57,7 @@
 		settings.WatchIdle = DefaultWatchIdle
 	}
 	if settings.Transport == nil {
-		settings.Transport = newTransport(settings.Timeout)
+		settings.Transport = newTransport(settings.Timeout, settings.TLS)
 	}
 	return &Client{settings: settings, http: &http.Client{
 		Transport: settings.Transport,
@@ -62,9 +66,10 @@
 	}}
 }
 
-func newTransport(timeout bulrushchute.Millis) *http.Transport {
+func newTransport(timeout bulrushchute.Millis, config *tls.Config) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout.Duration()}).DialContext,
+		TLSClientConfig:     config,
 		TLSHandshakeTimeout: timeout.Duration(),
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     bulrushchute.Minute.Duration(),
