Add TLS with mutual authentication to the node's settings

Cause: nodes and callers spoke plain HTTP, so a tenant was whatever a caller stated and any process could act as a node.

Change: the optional tls object in the settings switches on TLS 1.3 for peers and for callers, each with required and verified client certificates, and gives the CA of an https store. Callers get their tenant from the CommonName. Refused connections are logged as one line each, at most one a second after a burst of five, with the number of lines left out. PEM text has a type that formatted output does not show, because a key can be given in the wrong field.

--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"net"
 	"net/http"
@@ -35,6 +36,9 @@
 // Node is one process of the load balancer.
 type Node struct {
 	settings Settings
+	// tls is built from the settings; tlsError is why it could not be.
+	tls      tlsConfigs
+	tlsError error
 	clock    bulrushchute.Clock
 	id       bulrushchute.InstanceID
 	self     bulrushchute.Instance
@@ -55,7 +59,8 @@
 	cancel  context.CancelFunc
 }
 
-// New returns a node that uses the given store and clock. Run starts it.
+// New returns a node that uses the given store and clock. Run starts it, and
+// reports settings that ParseSettings would have refused.
 func New(settings Settings, store bulrushchute.Store, clock bulrushchute.Clock) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
@@ -75,8 +80,11 @@
 		DataCentre: settings.DataCentre,
 		StartedAt:  clock.Now(),
 	}
-	n.client = bulrushwire.NewClient(ctx, settings.PeerAddress, nil)
+	n.tls, n.tlsError = settings.parseTLS()
+	n.client = bulrushwire.NewClient(ctx, settings.PeerAddress, n.tls.peerClient)
+	n.client.OnRefused = newRefusalLog(clock, "connection to peer refused", "none").refused
 	n.server = bulrushwire.NewServer(ctx, n)
+	n.server.OnRefused = newRefusalLog(clock, "connection refused", "peers").refused
 	n.guard = newGuard(ctx, clock, settings.ClockSkewMs)
 	n.caller = &caller{
 		clock:    clock,
@@ -98,7 +106,7 @@
 		caller:            n.caller,
 		keys:              n.keys,
 		recorder:          n.recorder,
-		trustTenantHeader: settings.TrustTenantHeader,
+		trustTenantHeader: settings.TrustTenantHeader && n.tls.caller == nil,
 	}
 	return n
 }
@@ -148,16 +156,19 @@
 
 // Run serves until the context ends, then drains and returns.
 func (n *Node) Run(ctx context.Context) error {
+	if n.tlsError != nil {
+		return n.tlsError
+	}
 	callers, peers, err := n.listen(ctx)
 	if err != nil {
 		return err
 	}
 	klog.InfoS("node started", "instance", n.id, "data_centre", n.settings.DataCentre,
 		"caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress)
-	callerServer := &http.Server{Handler: n.entry, ReadHeaderTimeout: readHeaderTimeout}
+	callerServer := n.newHTTPServer("callers", n.entry)
 	peerMux := http.NewServeMux()
 	peerMux.Handle(bulrushwire.PeerPath, n.server)
-	peerServer := &http.Server{Handler: peerMux, ReadHeaderTimeout: readHeaderTimeout}
+	peerServer := n.newHTTPServer("peers", peerMux)
 	n.start("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callers)) })
 	n.start("peers", func(context.Context) error { return ignoreClosed(peerServer.Serve(peers)) })
 	n.start("control", n.control.run)
@@ -185,6 +196,14 @@
 	return err
 }
 
+func (n *Node) newHTTPServer(listener string, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog:          newRefusalLog(n.clock, "connection refused", listener).logger(),
+	}
+}
+
 func (n *Node) listen(ctx context.Context) (net.Listener, net.Listener, error) {
 	var listening net.ListenConfig
 	callers, err := listening.Listen(ctx, "tcp", string(n.settings.CallerAddress))
@@ -196,7 +215,15 @@
 		_ = callers.Close()
 		return nil, nil, errors.Wrap(err, "listen for peers")
 	}
-	return callers, peers, nil
+	return secured(callers, n.tls.caller), secured(peers, n.tls.peerServer), nil
+}
+
+// secured puts TLS on a listener if it is configured.
+func secured(listener net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return listener
+	}
+	return tls.NewListener(listener, config)
 }
 
 // Announce takes the announcement of the backend server beside this node.
--- /dev/null
+++ b/bulrushnode/refusal.go
@@ -0,0 +1,79 @@
+package bulrushnode
+
+import (
+	"log"
+	"strings"
+	"sync"
+
+	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const (
+	// refusalsPerSecond and refusalBurst bound the log lines about refused
+	// connections, because anyone who reaches a listener can cause them.
+	refusalsPerSecond = 1
+	refusalBurst      = 5
+	// handshakePrefix begins net/http's message about a failed handshake.
+	handshakePrefix = "http: TLS handshake error from "
+)
+
+// refusalLog logs refused connections of one kind, and counts those that it
+// leaves out.
+type refusalLog struct {
+	clock      bulrushchute.Clock
+	message    string
+	listener   string
+	limiter    *rate.Limiter
+	mutex      sync.Mutex
+	suppressed int
+}
+
+func newRefusalLog(clock bulrushchute.Clock, message, listener string) *refusalLog {
+	return &refusalLog{
+		clock:    clock,
+		message:  message,
+		listener: listener,
+		limiter:  rate.NewLimiter(refusalsPerSecond, refusalBurst),
+	}
+}
+
+// refused logs one refusal, with the number of those left out before it.
+func (l *refusalLog) refused(remote, reason string) {
+	suppressed, allowed := l.allow()
+	if allowed {
+		klog.InfoS(l.message, "listener", l.listener, "remote", remote, "reason", reason, "suppressed", suppressed)
+	}
+}
+
+func (l *refusalLog) allow() (int, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.limiter.AllowN(l.clock.Now().Time(), 1) {
+		l.suppressed++
+		return 0, false
+	}
+	suppressed := l.suppressed
+	l.suppressed = 0
+	return suppressed, true
+}
+
+// Write implements io.Writer for the errors of an http.Server, which reports
+// failed handshakes only there.
+func (l *refusalLog) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line))
+	detail, handshake := strings.CutPrefix(text, handshakePrefix)
+	if !handshake {
+		klog.ErrorS(nil, "http server error", "listener", l.listener, "error", text)
+		return len(line), nil
+	}
+	remote, reason, _ := strings.Cut(detail, ": ")
+	l.refused(remote, reason)
+	return len(line), nil
+}
+
+func (l *refusalLog) logger() *log.Logger {
+	return log.New(l, "", 0)
+}
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -34,6 +34,8 @@
 	// TrustTenantHeader takes a caller's tenant from the Bulrush-Tenant header.
 	// Without it the tenant comes from the caller's TLS certificate.
 	TrustTenantHeader bool `json:"trust_tenant_header,omitempty"`
+	// TLS switches on TLS with mutual authentication.
+	TLS TLSSettings `json:"tls,omitzero"`
 }
 
 // DefaultClockSkewMs is used when the settings leave clock_skew_ms out.
@@ -66,7 +68,11 @@
 	if s.ClockSkewMs < 0 || s.ClockSkewMs > maxClockSkewMs {
 		return &bulrushchute.FieldError{Field: "clock_skew_ms", Value: strconv.Itoa(int(s.ClockSkewMs)), Allowed: "1 to 10000"}
 	}
-	return s.checkAddresses()
+	if err := s.checkAddresses(); err != nil {
+		return err
+	}
+	_, err := s.parseTLS()
+	return err
 }
 
 func (s Settings) checkAddresses() error {
--- /dev/null
+++ b/bulrushnode/tls_test.go
@@ -0,0 +1,324 @@
+package bulrushnode
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushwire"
+)
+
+// authority issues the certificates of one test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pem         PEMText
+}
+
+type issued struct {
+	certificate PEMText
+	key         PEMText
+}
+
+func newAuthority(t testing.TB) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := testTemplate("test CA", time.Hour)
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &authority{certificate: certificate, key: key, pem: pemText("CERTIFICATE", der)}
+}
+
+func testTemplate(name string, lasts time.Duration) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-2 * time.Hour),
+		NotAfter:     time.Now().Add(lasts),
+	}
+}
+
+func pemText(kind string, der []byte) PEMText {
+	return PEMText(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+}
+
+func (a *authority) issue(t testing.TB, name, address string, lasts time.Duration) issued {
+	template := testTemplate(name, lasts)
+	template.IPAddresses = []net.IP{net.ParseIP(address)}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, key.Public(), a.key)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	return issued{pemText("CERTIFICATE", der), pemText("PRIVATE KEY", keyDER)}
+}
+
+// clientConfig presents a certificate, if it is not empty, and trusts the authority.
+func (a *authority) clientConfig(t testing.TB, own issued) *tls.Config {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	config := &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}
+	if own.certificate != "" {
+		pair, err := tls.X509KeyPair([]byte(own.certificate), []byte(own.key))
+		assert.NilError(t, err)
+		// A configured certificate is left out if the server's list of CAs does not
+		// fit; this presents it to see the server refuse it.
+		config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &pair, nil }
+	}
+	return config
+}
+
+func peerSettings(a *authority, own issued) Settings {
+	return Settings{PeerAddress: "127.0.0.1:7001", TLS: TLSSettings{PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: own.key}}
+}
+
+// echoNode answers every attempt with its body.
+type echoNode struct{}
+
+func (echoNode) HandleAttempt(_ context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
+	answer := bulrushwire.Seal(bulrushchute.Answer{Status: http.StatusOK, Body: attempt.Body})
+	return bulrushchute.Reply{Answer: &answer}
+}
+
+func (echoNode) HandleControl(bulrushchute.Address, bulrushchute.Control) {}
+
+// serveOn serves a handler as Run does, and passes on the refusals.
+func serveOn(t *testing.T, config *tls.Config, handler http.Handler, refusals io.Writer) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := httptest.NewUnstartedServer(handler)
+	assert.NilError(t, server.Listener.Close())
+	server.Listener = secured(listener, config)
+	server.Config.ErrorLog = newRefusalLog(bulrushchute.NewManualClock(0), "", "").logger()
+	server.Config.ErrorLog.SetOutput(refusals)
+	server.Start()
+	t.Cleanup(server.Close)
+	return listener.Addr().String()
+}
+
+// refusalWriter passes on the server's messages.
+type refusalWriter chan string
+
+func (w refusalWriter) Write(line []byte) (int, error) {
+	w <- string(line)
+	return len(line), nil
+}
+
+func servePeers(t *testing.T, config *tls.Config) (bulrushchute.Address, refusalWriter) {
+	ctx, cancel := context.WithCancel(context.Background())
+	refusals := make(refusalWriter, 16)
+	server := bulrushwire.NewServer(ctx, echoNode{})
+	server.OnRefused = func(_, reason string) { refusals <- reason }
+	address := serveOn(t, config, server, refusals)
+	t.Cleanup(cancel)
+	return bulrushchute.Address(address), refusals
+}
+
+// Guards against nodes that accept a peer without a valid certificate for the
+// address that it states, and against refusals that operators cannot see.
+func TestPeerTLS(t *testing.T) {
+	trusted, foreign := newAuthority(t), newAuthority(t)
+	good := trusted.issue(t, "node", "127.0.0.1", time.Hour)
+	expired := trusted.issue(t, "node", "127.0.0.1", -time.Hour)
+	elsewhere := trusted.issue(t, "node", "127.0.0.2", time.Hour)
+	server, client, err := peerSettings(trusted, good).parsePeerTLS()
+	assert.NilError(t, err)
+	present := func(a *authority, certificate issued) *tls.Config { return a.clientConfig(t, certificate) }
+	old := present(trusted, good)
+	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+	const here = "127.0.0.1:7001"
+	cases := map[string]struct {
+		server *tls.Config
+		client *tls.Config
+		self   bulrushchute.Address
+		// want is part of what the accepting node reports.
+		want string
+		// wantDialer is part of what the dialing node reports.
+		wantDialer string
+	}{
+		"good":                       {server, client, here, "", ""},
+		"no certificate":             {server, present(trusted, issued{}), here, "didn't provide a certificate", ""},
+		"other CA":                   {server, present(trusted, foreign.issue(t, "node", "127.0.0.1", time.Hour)), here, "unknown authority", ""},
+		"expired":                    {server, present(trusted, expired), here, "expired", ""},
+		"wrong IP":                   {server, present(trusted, elsewhere), here, "not an IP number of the client certificate", "403"},
+		"states another node":        {server, client, "127.0.0.2:7001", "not an IP number of the client certificate", "403"},
+		"TLS 1.2":                    {server, old, here, "unsupported versions", "protocol version"},
+		"plain ws to a TLS listener": {server, nil, here, "HTTP request to an HTTPS server", "400"},
+		"TLS to a plain listener":    {nil, client, here, "", "HTTP response to HTTPS client"},
+		"accepting node of other CA": {server, present(foreign, good), here, "bad certificate", "unknown authority"},
+		"accepting node of wrong IP": {serverWith(t, server, elsewhere), client, here, "bad certificate", "127.0.0.1"},
+		"accepting node is expired":  {serverWith(t, server, expired), client, here, "", "expired"},
+		"IPv4 address in IPv6 form":  {server, client, "[::ffff:127.0.0.1]:7001", "", ""},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, refusals := servePeers(t, tc.server)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			dialer := bulrushwire.NewClient(ctx, tc.self, tc.client)
+			dialed := make(refusalWriter, 16)
+			dialer.OnRefused = func(_, reason string) { dialed <- reason }
+			reply, err := dialer.Exchange(ctx, address, bulrushchute.Attempt{Service: "board", Method: "GET", Body: []byte("x")})
+			if tc.want == "" && tc.wantDialer == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, string(reply.Answer.Body), "x")
+				return
+			}
+			var notSent *bulrushchute.NotSentError
+			assert.Assert(t, errors.As(err, &notSent), "got %v", err)
+			if tc.want != "" {
+				assert.Assert(t, is.Contains(<-refusals, tc.want))
+			}
+			if tc.wantDialer != "" {
+				assert.Assert(t, is.Contains(<-dialed, tc.wantDialer))
+			}
+		})
+	}
+}
+
+func serverWith(t *testing.T, config *tls.Config, certificate issued) *tls.Config {
+	pair, err := tls.X509KeyPair([]byte(certificate.certificate), []byte(certificate.key))
+	assert.NilError(t, err)
+	changed := config.Clone()
+	changed.Certificates = []tls.Certificate{pair}
+	return changed
+}
+
+// Guards against a tenant that a caller chooses itself.
+func TestCallerTLS(t *testing.T) {
+	trusted, foreign := newAuthority(t), newAuthority(t)
+	own := trusted.issue(t, "entry", "127.0.0.1", time.Hour)
+	settings := Settings{TLS: TLSSettings{CallerCA: trusted.pem, CallerCertificate: own.certificate, CallerKey: own.key}}
+	config, err := settings.parseCallerTLS()
+	assert.NilError(t, err)
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = fmt.Fprintf(writer, "%s %s", (&entry{}).tenantOf(request), request.Proto)
+	})
+	refusals := make(refusalWriter, 16)
+	address := serveOn(t, config, handler, refusals)
+	payouts := trusted.issue(t, "payouts", "127.0.0.9", time.Hour)
+	cases := map[string]struct {
+		client issued
+		header string
+		want   string
+		// wantRefusal is part of what the node reports.
+		wantRefusal string
+	}{
+		"tenant from certificate":    {payouts, "", "payouts HTTP/1.1", ""},
+		"forged Bulrush-Tenant":      {payouts, "inventory", "payouts HTTP/1.1", ""},
+		"no certificate":             {issued{}, "payouts", "", "didn't provide a certificate"},
+		"other CA":                   {foreign.issue(t, "payouts", "127.0.0.9", time.Hour), "", "", "unknown authority"},
+		"expired":                    {trusted.issue(t, "payouts", "127.0.0.9", -time.Hour), "", "", "expired"},
+		"certificate without a name": {trusted.issue(t, "", "127.0.0.9", time.Hour), "", "", "no CommonName"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			transport := &http.Transport{TLSClientConfig: trusted.clientConfig(t, tc.client), ForceAttemptHTTP2: true}
+			defer transport.CloseIdleConnections()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+address, nil)
+			assert.NilError(t, err)
+			request.Header.Set(headerTenant, tc.header)
+			response, err := transport.RoundTrip(request)
+			if tc.wantRefusal != "" {
+				assert.Assert(t, err != nil)
+				assert.Assert(t, is.Contains(<-refusals, tc.wantRefusal))
+				return
+			}
+			assert.NilError(t, err)
+			body, err := io.ReadAll(response.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, string(body), tc.want)
+		})
+	}
+}
+
+// Guards against TLS settings that are accepted in part, and against errors
+// that do not name the field or that print a key.
+func TestTLSSettings(t *testing.T) {
+	a := newAuthority(t)
+	own := a.issue(t, "node", "10.0.0.1", time.Hour)
+	other := a.issue(t, "node", "10.0.0.2", time.Hour)
+	expired := a.issue(t, "node", "10.0.0.1", -time.Hour)
+	cases := map[string]struct {
+		tls       TLSSettings
+		extra     string
+		wantField string
+	}{
+		"none":               {TLSSettings{}, "", ""},
+		"peer":               {TLSSettings{PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: own.key}, "", ""},
+		"caller":             {TLSSettings{CallerCA: a.pem + a.pem, CallerCertificate: other.certificate, CallerKey: other.key}, "", ""},
+		"store":              {TLSSettings{StoreCA: a.pem}, `,"store_url":"https://10.0.0.9"`, ""},
+		"no peer CA":         {TLSSettings{PeerCertificate: own.certificate, PeerKey: own.key}, "", "tls.peer_ca"},
+		"no certificate":     {TLSSettings{PeerCA: a.pem, PeerKey: own.key}, "", "tls.peer_certificate"},
+		"no key":             {TLSSettings{PeerCA: a.pem, PeerCertificate: own.certificate}, "", "tls.peer_key"},
+		"key of another":     {TLSSettings{PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: other.key}, "", "tls.peer_key"},
+		"key as CA":          {TLSSettings{CallerCA: own.key, CallerCertificate: own.certificate, CallerKey: own.key}, "", "tls.caller_ca"},
+		"text after CA":      {TLSSettings{CallerCA: a.pem + "x", CallerCertificate: own.certificate, CallerKey: own.key}, "", "tls.caller_ca"},
+		"other address":      {TLSSettings{PeerCA: a.pem, PeerCertificate: other.certificate, PeerKey: other.key}, "", "tls.peer_certificate"},
+		"expired":            {TLSSettings{PeerCA: a.pem, PeerCertificate: expired.certificate, PeerKey: expired.key}, "", "tls.peer_certificate"},
+		"not of the peer CA": {TLSSettings{PeerCA: newAuthority(t).pem, PeerCertificate: own.certificate, PeerKey: own.key}, "", "tls.peer_certificate"},
+		"trusted header":     {TLSSettings{CallerCA: a.pem, CallerCertificate: own.certificate, CallerKey: own.key}, `,"trust_tenant_header":true`, "trust_tenant_header"},
+		"plain store":        {TLSSettings{StoreCA: a.pem}, "", "tls.store_ca"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			text, err := json.Marshal(tc.tls)
+			assert.NilError(t, err)
+			settings, err := ParseSettings([]byte(goodSettings + tc.extra + `,"tls":` + string(text) + `}`))
+			printed := fmt.Sprintf("%v %+v %#v %v", settings, settings, settings, err)
+			assert.Assert(t, !strings.Contains(printed, "PRIVATE KEY"), "a key is printed")
+			if tc.wantField == "" {
+				assert.NilError(t, err)
+				return
+			}
+			var field *bulrushchute.FieldError
+			assert.Assert(t, errors.As(err, &field), "got %v", err)
+			assert.Equal(t, field.Field, tc.wantField)
+		})
+	}
+}
+
+// Guards against a log that anyone who reaches a listener can fill.
+func TestRefusalLogIsBounded(t *testing.T) {
+	clock := bulrushchute.NewManualClock(1_000_000)
+	refusals := newRefusalLog(clock, "connection refused", "peers")
+	logged := 0
+	for range 1000 {
+		if _, allowed := refusals.allow(); allowed {
+			logged++
+		}
+	}
+	assert.Equal(t, logged, refusalBurst)
+	clock.Advance(bulrushchute.Second)
+	suppressed, allowed := refusals.allow()
+	assert.Assert(t, allowed)
+	assert.Equal(t, suppressed, 1000-refusalBurst)
+}
--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -58,7 +58,11 @@
 	if err != nil {
 		return err
 	}
-	store := bulrushstore.NewClient(bulrushstore.ClientSettings{BaseURL: settings.StoreURL})
+	storeTLS, err := settings.StoreTLS()
+	if err != nil {
+		return err
+	}
+	store := bulrushstore.NewClient(bulrushstore.ClientSettings{BaseURL: settings.StoreURL, TLS: storeTLS})
 	node := bulrushnode.New(settings, store, bulrushchute.WallClock{})
 	node.PublishMetrics()
 	handler, err := bulrushoperator.NewHandler(node)
