Test two nodes, a restart and an https store over TLS

Cause: the tables cover single connections only, not a node that runs with the settings, is restarted with them, or reaches a store with a CA of its own.

Change: one test runs two nodes with peer and caller TLS, restarts one with the same settings and calls the caller listener over HTTPS and HTTP. One runs a node whose settings were never checked. The store client's table has the CA of the store, another CA and the system's roots.

A write that a failed handshake stopped is reported as having no effect.

--- /dev/null
+++ b/bulrushnode/tls_node_test.go
@@ -0,0 +1,112 @@
+package bulrushnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushstore"
+)
+
+// runningNode is a node of which a test sees the end.
+type runningNode struct {
+	*Node
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func runNode(settings Settings, store bulrushchute.Store) runningNode {
+	ctx, cancel := context.WithCancel(context.Background())
+	running := runningNode{New(settings, store, bulrushchute.WallClock{}), cancel, make(chan error, 1)}
+	go func() { running.ended <- running.Run(ctx) }()
+	return running
+}
+
+// waitForMember returns when the node knows another; go test's timeout bounds it.
+func (r runningNode) waitForMember(t *testing.T, id bulrushchute.InstanceID) {
+	for {
+		for _, member := range r.Members(t.Context()).Members {
+			if member.ID == id {
+				return
+			}
+		}
+		select {
+		case err := <-r.ended:
+			t.Fatalf("node ended: %v", err)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func freeAddress(t *testing.T) bulrushchute.Address {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return bulrushchute.Address(listener.Addr().String())
+}
+
+func tlsNodeSettings(t *testing.T, a *authority, seeds ...bulrushchute.Address) Settings {
+	own := a.issue(t, "node", "127.0.0.1", time.Hour)
+	return Settings{
+		DataCentre:    "ub-1",
+		CallerAddress: freeAddress(t),
+		PeerAddress:   freeAddress(t),
+		SeedAddresses: seeds,
+		ClockSkewMs:   DefaultClockSkewMs,
+		TLS: TLSSettings{
+			PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: own.key,
+			CallerCA: a.pem, CallerCertificate: own.certificate, CallerKey: own.key,
+		},
+	}
+}
+
+// Guards against nodes that do not find each other over TLS, again after one
+// is restarted with the same settings, and against a caller listener that
+// still takes plain requests.
+func TestNodesOverTLS(t *testing.T) {
+	a := newAuthority(t)
+	store := bulrushstore.NewMemory()
+	firstSettings := tlsNodeSettings(t, a)
+	secondSettings := tlsNodeSettings(t, a, firstSettings.PeerAddress)
+	first, second := runNode(firstSettings, store), runNode(secondSettings, store)
+	first.waitForMember(t, second.id)
+	second.waitForMember(t, first.id)
+	second.stop()
+	assert.NilError(t, <-second.ended)
+	restarted := runNode(secondSettings, store)
+	first.waitForMember(t, restarted.id)
+	restarted.waitForMember(t, first.id)
+
+	caller := a.clientConfig(t, a.issue(t, "payouts", "127.0.0.9", time.Hour))
+	assert.Equal(t, getStatus(t, "https", firstSettings.CallerAddress, &http.Transport{TLSClientConfig: caller}), http.StatusServiceUnavailable)
+	assert.Equal(t, getStatus(t, "http", firstSettings.CallerAddress, &http.Transport{}), http.StatusBadRequest)
+	first.stop()
+	restarted.stop()
+	assert.NilError(t, <-first.ended)
+	assert.NilError(t, <-restarted.ended)
+}
+
+func getStatus(t *testing.T, scheme string, address bulrushchute.Address, transport *http.Transport) int {
+	defer transport.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, scheme+"://"+string(address)+"/", nil)
+	assert.NilError(t, err)
+	request.Header.Set(headerService, "board")
+	response, err := transport.RoundTrip(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+// Guards against a node that runs without TLS because its settings were never
+// checked.
+func TestRunRefusesUncheckedTLS(t *testing.T) {
+	settings := tlsNodeSettings(t, newAuthority(t))
+	settings.TLS.PeerKey = ""
+	n := New(settings, bulrushstore.NewMemory(), bulrushchute.WallClock{})
+	assert.ErrorContains(t, n.Run(t.Context()), "tls.peer_key")
+}
--- a/bulrushstore/client_test.go
+++ b/bulrushstore/client_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -86,6 +90,34 @@
 	}
 }
 
+// Guards against a store that is trusted without its CA, and against "may be in
+// effect" for a write that a failed handshake kept from being sent.
+func TestClientTLS(t *testing.T) {
+	handler := bulrushstore.NewHandler(bulrushstore.NewMemory(), bulrushstore.HandlerSettings{})
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	defer server.Close()
+	roots := x509.NewCertPool()
+	roots.AddCert(server.Certificate())
+	cases := map[string]struct {
+		config *tls.Config
+		class  string
+	}{
+		"store's CA":     {&tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots}, "ok"},
+		"other CA":       {&tls.Config{MinVersion: tls.VersionTLS13, RootCAs: x509.NewCertPool()}, "unavailable"},
+		"system's roots": {nil, "unavailable"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			client := bulrushstore.NewClient(bulrushstore.ClientSettings{BaseURL: server.URL, TLS: tc.config})
+			defer client.Close()
+			_, err := client.Create(t.Context(), bulrushchute.Object{Kind: "services", Name: "a", Value: []byte("1")})
+			assert.Equal(t, classOf(err), tc.class, "got %v", err)
+		})
+	}
+}
+
 // Guards against a watch that hangs on a connection that is no longer served.
 func TestWatchIdle(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
