--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -82,7 +82,7 @@
 	}
 	n.tls, n.tlsError = settings.parseTLS()
 	n.client = bulrushwire.NewClient(ctx, settings.PeerAddress, n.tls.peerClient)
-	n.client.OnRefused = newRefusalLog(clock, "connection to peer refused", "none").refused
+	n.client.OnRefused = newRefusalLog(clock, "connection to peer refused", "").refused
 	n.server = bulrushwire.NewServer(ctx, n)
 	n.server.OnRefused = newRefusalLog(clock, "connection refused", "peers").refused
 	n.guard = newGuard(ctx, clock, settings.ClockSkewMs)
--- a/bulrushnode/refusal.go
+++ b/bulrushnode/refusal.go
@@ -23,8 +23,9 @@
 // refusalLog logs refused connections of one kind, and counts those that it
 // leaves out.
 type refusalLog struct {
-	clock      bulrushchute.Clock
-	message    string
+	clock   bulrushchute.Clock
+	message string
+	// listener is empty for connections that this node dials.
 	listener   string
 	limiter    *rate.Limiter
 	mutex      sync.Mutex
@@ -43,9 +44,14 @@
 // refused logs one refusal, with the number of those left out before it.
 func (l *refusalLog) refused(remote, reason string) {
 	suppressed, allowed := l.allow()
-	if allowed {
-		klog.InfoS(l.message, "listener", l.listener, "remote", remote, "reason", reason, "suppressed", suppressed)
+	if !allowed {
+		return
 	}
+	fields := []any{"remote", remote, "reason", reason, "suppressed", suppressed}
+	if l.listener != "" {
+		fields = append([]any{"listener", l.listener}, fields...)
+	}
+	klog.InfoS(l.message, fields...)
 }
 
 func (l *refusalLog) allow() (int, bool) {
--- a/bulrushnode/tls_node_test.go
+++ b/bulrushnode/tls_node_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -43,11 +45,21 @@
 	}
 }
 
+// nextPort is below the range from which the system takes the ports of outgoing
+// connections, since a restarted node needs the same port again.
+var nextPort = 20000 + os.Getpid()*20%12000
+
 func freeAddress(t *testing.T) bulrushchute.Address {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return bulrushchute.Address(listener.Addr().String())
+	for range 1000 {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort))
+		nextPort++
+		if listener, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, listener.Close())
+			return bulrushchute.Address(address)
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 func tlsNodeSettings(t *testing.T, a *authority, seeds ...bulrushchute.Address) Settings {
