--- a/cmd/bulrushbench/bulrushdemo/fault_test.go
+++ b/cmd/bulrushbench/bulrushdemo/fault_test.go
@@ -113,7 +113,8 @@
 	fault()
 	stop()
 	result := bulrushload.Compare(profiles, <-told, fleet.Reports())
-	t.Logf("requests=%d answered=%d not_run=%d unknown=%d reasons=%v", result.Requests, result.Answered, result.NotRun, result.Unknown, result.Reasons)
+	t.Logf("requests=%d answered=%d not_run=%d unknown=%d reasons=%v unsettled=%q",
+		result.Requests, result.Answered, result.NotRun, result.Unknown, result.Reasons, result.Unsettled)
 	assert.Equal(t, result.Faults(), 0, "%+v", result)
 	assert.Assert(t, result.Answered > 0)
 	return result
--- a/cmd/bulrushbench/bulrushload/check.go
+++ b/cmd/bulrushbench/bulrushload/check.go
@@ -13,6 +13,8 @@
 	lowestMicros  = 1
 	highestMicros = 120_000_000
 	digits        = 3
+	// maxUnsettled bounds the requests that a result describes one by one.
+	maxUnsettled = 10
 )
 
 // ClassResult is what the callers of one profile saw.
@@ -46,6 +48,8 @@
 	ProbesMost      int                    `json:"probes_most_per_s"`
 	Classes         map[string]ClassResult `json:"classes"`
 	Reasons         map[string]int         `json:"reasons"`
+	// Unsettled lists what was told about the first requests with an unknown outcome.
+	Unsettled []string `json:"unsettled,omitempty"`
 }
 
 // Faults returns the number of broken promises.
@@ -103,6 +107,9 @@
 	default:
 		class.Unknown++
 		r.Unknown++
+		if len(r.Unsettled) < maxUnsettled {
+			r.Unsettled = append(r.Unsettled, told.String())
+		}
 	}
 	if told.Crossed {
 		r.Crossed++
--- a/cmd/bulrushbench/bulrushload/load.go
+++ b/cmd/bulrushbench/bulrushload/load.go
@@ -54,6 +54,16 @@
 	Latency time.Duration
 	Version string
 	DueAt   time.Time
+	// Node is the address that the request was sent to.
+	Node string
+	// Problem is the error that the caller met, if any.
+	Problem string
+}
+
+// String describes the request in one line.
+func (t Told) String() string {
+	return fmt.Sprintf("id=%s outcome=%s reason=%s status=%d node=%s due=%s latency_ms=%d problem=%q",
+		t.ID, t.Outcome, t.Reason, t.Status, t.Node, t.DueAt.Format("15:04:05.000"), t.Latency.Milliseconds(), t.Problem)
 }
 
 // Outcomes that the load tool adds to those of the nodes.
@@ -197,20 +207,22 @@
 	defer cancel()
 	told := Told{Profile: index, ID: id, Outcome: OutcomeRefused}
 	for _, address := range g.targets.pick(choice) {
+		told.Node = address
 		response, err := g.client.Do(newRequest(ctx, address, profile, id, key))
 		if err == nil {
 			defer func() { _ = response.Body.Close() }()
 			return read(told, response)
 		}
 		if !isDialError(err) {
-			return failed(ctx, told)
+			return failed(ctx, told, err)
 		}
 	}
 	return told
 }
 
-func failed(ctx context.Context, told Told) Told {
+func failed(ctx context.Context, told Told, err error) Told {
 	told.Outcome = OutcomeCut
+	told.Problem = err.Error()
 	if ctx.Err() != nil {
 		told.Outcome = OutcomeHung
 	}
@@ -247,6 +259,7 @@
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		told.Outcome = OutcomeCut
+		told.Problem = err.Error()
 		return told
 	}
 	told.Status = response.StatusCode
