Answer every request that arrives while a node leaves

Change: a leaving node closes its listener first, waits until no request has arrived for 0.5 s, and only then shuts the server down. The test now also demands that no keyed request ends with an unknown outcome; the fleet waits for the first key maps. Ruled out: the drain of the admission side and the key handover, since the cut requests were views on fresh connections that ended with EOF after 0 ms.

--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -23,11 +24,14 @@
 	// leaveNotice is the time in which the last member record is spread.
 	leaveNotice = time.Second
 	drainPoll   = 20 * time.Millisecond
+	// quietTime is how long no request may have arrived before connections of
+	// callers are closed.
+	quietTime = 500 * time.Millisecond
 )
 
 // drain ends the node without cutting a request: peers are told first, then
 // everything that is in flight ends, then connections are closed.
-func (n *Node) drain(callers, peers *http.Server) error {
+func (n *Node) drain(callers *callerEndpoint, peers *http.Server) error {
 	klog.InfoS("node draining", "instance", n.id)
 	ctx, cancel := context.WithTimeout(n.context, drainLimit)
 	defer cancel()
@@ -39,7 +43,7 @@
 	})
 	pause(ctx, drainNotice)
 	n.guard.drain()
-	err := errors.Wrap(callers.Shutdown(ctx), "callers still connected")
+	err := callers.close(ctx)
 	n.waitUntil(ctx, n.guard.empty)
 	handover, cancelHandover := context.WithTimeout(ctx, keyHandover)
 	n.waitUntil(handover, func() bool { return !n.keys.isHome() })
@@ -50,6 +54,29 @@
 	return firstError(err, n.stop(peers))
 }
 
+// callerEndpoint is the listener and the server for callers.
+type callerEndpoint struct {
+	listener net.Listener
+	server   *http.Server
+	entry    *entry
+}
+
+// close stops accepting connections, waits until requests that have arrived
+// are answered, and closes the connections. The server's own shutdown comes
+// last, because from its call on net/http drops requests that it reads on
+// connections it has already accepted.
+func (ce *callerEndpoint) close(ctx context.Context) error {
+	err := errors.Wrap(ce.listener.Close(), "close the listener for callers")
+	quietSince := time.Now()
+	for ctx.Err() == nil && time.Since(quietSince) < quietTime {
+		pause(ctx, drainPoll)
+		if ce.entry.busy() {
+			quietSince = time.Now()
+		}
+	}
+	return firstError(err, errors.Wrap(ce.server.Shutdown(ctx), "callers still connected"))
+}
+
 // stop ends all goroutines and waits for them.
 func (n *Node) stop(peers *http.Server) error {
 	n.caller.tasks.Wait()
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,12 @@
 	caller   *caller
 	keys     *keys
 	recorder *bulrushmetric.Recorder
+	// active counts the requests that are being served and arrived all that
+	// have come.
+	active  atomic.Int64
+	arrived atomic.Int64
+	// seen is the value of arrived at the last call of busy.
+	seen int64
 	// trustTenantHeader takes the tenant from a header instead of the
 	// caller's certificate.
 	trustTenantHeader bool
@@ -40,8 +47,20 @@
 	cause  error
 }
 
+// busy reports whether a request is being served or has come since the last
+// call. It is for one goroutine only.
+func (e *entry) busy() bool {
+	arrived := e.arrived.Load()
+	fresh := arrived != e.seen
+	e.seen = arrived
+	return fresh || e.active.Load() > 0
+}
+
 // ServeHTTP answers one request of a caller.
 func (e *entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	e.arrived.Add(1)
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	begin := time.Now()
 	view := e.board.Read()
 	if view.State == bulrushboard.NodeDraining {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -82,9 +82,9 @@
 	}
 	n.tls, n.tlsError = settings.parseTLS()
 	n.client = bulrushwire.NewClient(ctx, settings.PeerAddress, n.tls.peerClient)
-	n.client.OnRefused = newRefusalLog(clock, "connection to peer refused", "").refused
+	n.client.OnRefused = newRefusalLog(clock, "").refused
 	n.server = bulrushwire.NewServer(ctx, n)
-	n.server.OnRefused = newRefusalLog(clock, "connection refused", "peers").refused
+	n.server.OnRefused = newRefusalLog(clock, "peers").refused
 	n.guard = newGuard(ctx, clock, settings.ClockSkewMs)
 	n.caller = &caller{
 		clock:    clock,
@@ -197,7 +197,7 @@
 	n.tasks.Start(readers, "move leases", n.moves.runLeases)
 	<-ctx.Done()
 	stopReaders()
-	err = n.drain(callerServer, peerServer)
+	err = n.drain(&callerEndpoint{listener: callers, server: callerServer, entry: n.entry}, peerServer)
 	var expired *ExpiredError
 	if errors.As(context.Cause(ctx), &expired) {
 		return expired
@@ -210,7 +210,7 @@
 }
 
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -220,7 +220,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
-		ErrorLog:          newRefusalLog(n.clock, "connection refused", listener).logger(),
+		ErrorLog:          newRefusalLog(n.clock, listener).logger(),
 	}
 }
 
--- a/bulrushnode/refusal.go
+++ b/bulrushnode/refusal.go
@@ -23,8 +23,7 @@
 // refusalLog logs refused connections of one kind, and counts those that it
 // leaves out.
 type refusalLog struct {
-	clock   bulrushchute.Clock
-	message string
+	clock bulrushchute.Clock
 	// listener is empty for connections that this node dials.
 	listener   string
 	limiter    *rate.Limiter
@@ -32,10 +31,9 @@
 	suppressed int
 }
 
-func newRefusalLog(clock bulrushchute.Clock, message, listener string) *refusalLog {
+func newRefusalLog(clock bulrushchute.Clock, listener string) *refusalLog {
 	return &refusalLog{
 		clock:    clock,
-		message:  message,
 		listener: listener,
 		limiter:  rate.NewLimiter(refusalsPerSecond, refusalBurst),
 	}
@@ -48,10 +46,11 @@
 		return
 	}
 	fields := []any{"remote", remote, "reason", reason, "suppressed", suppressed}
-	if l.listener != "" {
-		fields = append([]any{"listener", l.listener}, fields...)
+	if l.listener == "" {
+		klog.InfoS("connection to peer refused", fields...)
+		return
 	}
-	klog.InfoS(l.message, fields...)
+	klog.InfoS("connection refused", append([]any{"listener", l.listener}, fields...)...)
 }
 
 func (l *refusalLog) allow() (int, bool) {
--- a/bulrushnode/tls_test.go
+++ b/bulrushnode/tls_test.go
@@ -116,7 +116,7 @@
 	server := httptest.NewUnstartedServer(handler)
 	assert.NilError(t, server.Listener.Close())
 	server.Listener = secured(listener, config)
-	server.Config.ErrorLog = newRefusalLog(bulrushchute.NewManualClock(0), "", "").logger()
+	server.Config.ErrorLog = newRefusalLog(bulrushchute.NewManualClock(0), "").logger()
 	server.Config.ErrorLog.SetOutput(refusals)
 	server.Start()
 	t.Cleanup(server.Close)
@@ -309,7 +309,7 @@
 // Guards against a log that anyone who reaches a listener can fill.
 func TestRefusalLogIsBounded(t *testing.T) {
 	clock := bulrushchute.NewManualClock(1_000_000)
-	refusals := newRefusalLog(clock, "connection refused", "peers")
+	refusals := newRefusalLog(clock, "peers")
 	logged := 0
 	for range 1000 {
 		if _, allowed := refusals.allow(); allowed {
--- a/cmd/bulrushbench/bulrushdemo/fault_test.go
+++ b/cmd/bulrushbench/bulrushdemo/fault_test.go
@@ -181,8 +181,6 @@
 		}
 	})
 	for name, class := range result.Classes {
-		if name != "keyed" {
-			assert.Equal(t, class.Unknown, 0, "%s must not be cut", name)
-		}
+		assert.Equal(t, class.Unknown, 0, "%s must not be cut", name)
 	}
 }
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -221,7 +221,8 @@
 	return status, errors.Wrap(json.NewDecoder(response.Body).Decode(&status), "parse status")
 }
 
-// WaitReady waits until every instance is ready and knows all others.
+// WaitReady waits until every instance is ready and knows all others, and
+// until every service has a key map that is valid for keys minted now.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -234,7 +235,38 @@
 			}
 		}
 	}
-	return nil
+	return f.waitKeyMaps(ctx)
+}
+
+// waitKeyMaps waits for the first key map of each service, which a node makes
+// some seconds after it has joined. Keys minted before it have no home.
+func (f *Fleet) waitKeyMaps(ctx context.Context) error {
+	services := make(map[string]bool)
+	for _, instance := range f.all {
+		services[instance.Config.Backend.Service] = true
+	}
+	for {
+		maps, _, err := f.Store.List(ctx, bulrushchute.KindKeyMaps)
+		if err != nil {
+			return err
+		}
+		if len(maps) >= len(services) {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("a service has no key map")
+		case <-time.After(readyPoll):
+		}
+	}
+	// The map reaches all nodes and its first mint time passes meanwhile.
+	pause := 3*clockSkewMs.Duration() + time.Second
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(pause):
+		return nil
+	}
 }
 
 // WaitJoined waits until one instance is ready.
