--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -378,10 +378,11 @@
 	}
 }
 
-// rank returns this node's place by hash among the members of a data centre,
-// or of all when it is empty. Every node computes the same places from the
-// members that it knows.
-func (c *control) rank(purpose string, dataCentre bulrushchute.DataCentre) int {
+// isCandidate reports whether this node is among the first few by hash of the
+// members of a data centre, or of all when it is empty. Every node computes the
+// same order from the members that it knows. Most nodes meet enough members
+// before them after a few dozen, so the check is cheap in a large fleet.
+func (c *control) isCandidate(purpose string, dataCentre bulrushchute.DataCentre, places int) bool {
 	own := rankHash(purpose, c.self)
 	rank := 0
 	c.membership.Range(func(member bulrushchute.Instance) bool {
@@ -389,9 +390,9 @@
 		if counted && member.ID != c.self && rankHash(purpose, member.ID) < own {
 			rank++
 		}
-		return true
+		return rank < places
 	})
-	return rank
+	return rank < places
 }
 
 func rankHash(purpose string, id bulrushchute.InstanceID) uint64 {
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -432,7 +432,7 @@
 	var shards []int
 	m.control.do(ctx, func(bulrushchute.Millis) {
 		for shard := range wanted {
-			if m.control.rank(shardName(shard), "") < moveCandidates {
+			if m.control.isCandidate(shardName(shard), "", moveCandidates) {
 				shards = append(shards, shard)
 			}
 		}
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -80,7 +80,7 @@
 func (r *reader) candidate(ctx context.Context) bool {
 	candidate := false
 	r.node.control.do(ctx, func(bulrushchute.Millis) {
-		candidate = r.node.control.rank(r.name(), r.node.settings.DataCentre) < readerCandidates
+		candidate = r.node.control.isCandidate(r.name(), r.node.settings.DataCentre, readerCandidates)
 	})
 	return candidate
 }
