--- a/bulrushstore/handler.go
+++ b/bulrushstore/handler.go
@@ -267,12 +267,15 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	ended := make(chan error, 1)
-	go func() {
-		ended <- h.memory.Watch(ctx, kind, revision, stream.send)
-	}()
+	go h.follow(ctx, kind, revision, stream, ended)
 	h.bookmark(ctx, stream, kind, ended)
 }
 
+// follow sends the changes of a kind and reports on the channel why it ended.
+func (h *Handler) follow(ctx context.Context, kind bulrushchute.Kind, revision uint64, stream *eventStream, ended chan<- error) {
+	ended <- h.memory.Watch(ctx, kind, revision, stream.send)
+}
+
 // bookmark keeps an idle watch alive until the watch itself has ended.
 func (h *Handler) bookmark(ctx context.Context, stream *eventStream, kind bulrushchute.Kind, ended <-chan error) {
 	ticker := time.NewTicker(h.settings.Bookmark.Duration())
