Check in the demo that a leaving instance gets no new work after 2 s

Cause: the bound for a leaving backend server had no check with real processes, and the notice of 2 s let a request arrive just after the bound.

--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -14,8 +14,9 @@
 
 const (
 	// drainNotice is the time in which callers and peers learn that the node
-	// leaves. Requests that arrive within it are still served.
-	drainNotice = 2 * time.Second
+	// leaves. Requests that arrive within it are still served, so it is below
+	// the 2 s after which a leaving backend server must get no new work.
+	drainNotice = 1500 * time.Millisecond
 	// drainLimit bounds the whole drain. It is above the longest timeout that
 	// the catalogue gives by default.
 	drainLimit = 60 * time.Second
--- a/cmd/bulrushbench/bulrushdemo/demo.go
+++ b/cmd/bulrushbench/bulrushdemo/demo.go
@@ -16,15 +16,20 @@
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushstandin"
 )
 
-// withdrawalBound is the time after which a withdrawn data centre receives no
-// new work.
-const withdrawalBound = 4 * time.Second
+// Times after which a withdrawn data centre and a leaving backend server
+// receive no new work.
+const (
+	withdrawalBound = 4 * time.Second
+	leavingBound    = 2 * time.Second
+)
 
 // Result is the demo's final JSON object.
 type Result struct {
 	bulrushload.Result
 	// LateWork counts withdrawals after which new work arrived later than the bound.
 	LateWork int `json:"work_after_withdrawal"`
+	// WorkAfterLeaving counts leaving instances that got new work after the bound.
+	WorkAfterLeaving int `json:"work_after_leaving"`
 	// WorkAfterReturn is set when the returned data centre received work again.
 	WorkAfterReturn bool `json:"work_after_return"`
 	// The good version's move has to be completed in time and the bad one's
@@ -41,7 +46,7 @@
 // Failed reports whether a promise was broken.
 func (r Result) Failed() bool {
 	moved := r.GoodMove == string(bulrushmove.OutcomeCompleted) && r.BadMove == string(bulrushmove.OutcomeRolledBack)
-	return r.Faults()+r.LateWork > 0 || !r.WorkAfterReturn || !moved
+	return r.Faults()+r.LateWork+r.WorkAfterLeaving > 0 || !r.WorkAfterReturn || !moved
 }
 
 // step is one event of the demo's schedule.
@@ -59,6 +64,8 @@
 	result    Result
 	// returnedAt is when the withdrawn data centre came back.
 	returnedAt time.Time
+	// leftAt is when the leaving instance was told to.
+	leftAt time.Time
 }
 
 const (
@@ -264,6 +271,7 @@
 			return nil
 		}},
 		{23 * time.Second, "one instance drains", func(context.Context) error {
+			d.leftAt = time.Now()
 			return d.fleet.Leave(d.instances[ledger][0])
 		}},
 	}
@@ -308,12 +316,17 @@
 	}
 }
 
+// checkReturn looks for work on the returned data centre and on the instance
+// that left.
 func (d *demo) checkReturn() {
 	for _, instance := range d.in(dataCentreB) {
 		if instance.Backend.Report().LastWorkAt.After(d.returnedAt) {
 			d.result.WorkAfterReturn = true
 		}
 	}
+	if d.instances[ledger][0].Backend.Report().LastWorkAt.After(d.leftAt.Add(leavingBound)) {
+		d.result.WorkAfterLeaving++
+	}
 }
 
 func (d *demo) in(dataCentre string) []*Instance {
