Replace lease monitors that leave before the lease they support ends

Change: a monitor that is no longer a neighbour is replaced after two silent heartbeats, and its replacement gets heartbeats while it still answers; leaving nodes are no candidates. Gossip counters have snake-case names in JSON.

--- a/bulrushkey/controller_test.go
+++ b/bulrushkey/controller_test.go
@@ -323,6 +323,24 @@
 	assert.Assert(t, !b.controller.IsHome())
 }
 
+// Guards against a home without a lease for several seconds after monitors
+// have left as planned: they are replaced before the lease that they support ends.
+func TestMonitorsThatLeftAreReplacedInTime(t *testing.T) {
+	members := smallFleet()
+	b := newBench(t, "a", members)
+	b.run(5_000, "m0", "m1", "m2")
+	assert.Assert(t, b.lease("a"))
+	members[0].Monitors = monitorsNamed("m2", "n1", "n2")
+	b.controller.SetMembers(b.now, members, nil)
+	var actions []bulrushkey.Action
+	for len(actions) == 0 {
+		assert.Assert(t, b.lease("a"), "the lease ended before the monitors were replaced")
+		actions = b.run(100, "m2", "n1", "n2")
+	}
+	home, _ := b.written(actions).Find("a")
+	assert.DeepEqual(t, home.Monitors, monitorsNamed("m2", "n1", "n2"))
+}
+
 // Guards against a home that counts only one of two lists of monitors while it
 // does not know which of them its successor would ask.
 func TestMonitorsAreReplaced(t *testing.T) {
--- a/bulrushkey/plan.go
+++ b/bulrushkey/plan.go
@@ -12,6 +12,10 @@
 // default length spans, so that a monitor that only lost contact briefly stays.
 const silentBeats = 6
 
+// goneBeats is the same for a monitor that is no longer among this node's
+// neighbours, so that it is replaced before the lease that it supported ends.
+const goneBeats = 2
+
 // plan returns the change of the key map that this node should make now.
 func (c *Controller) plan(now bulrushchute.Millis) (KeyMap, bool) {
 	if !c.known {
@@ -113,7 +117,13 @@
 }
 
 func (c *Controller) silent(monitor LeaseMonitor) bool {
-	return c.lease.missed[monitor.ID] >= silentBeats
+	missed := c.lease.missed[monitor.ID]
+	return missed >= silentBeats || missed >= goneBeats && c.departing(monitor)
+}
+
+// departing reports whether a monitor is no longer among this node's neighbours.
+func (c *Controller) departing(monitor LeaseMonitor) bool {
+	return !slices.Contains(c.ownNeighbours(), monitor)
 }
 
 func (c *Controller) ownNeighbours() []LeaseMonitor {
@@ -125,14 +135,15 @@
 }
 
 // beatTargets returns the monitors that get lease heartbeats: those of the
-// map, and those that may replace silent ones.
+// map, and those that may replace silent ones. Once a monitor is no longer a
+// neighbour it is about to go, so its replacement is prepared while it answers.
 func (c *Controller) beatTargets() []LeaseMonitor {
 	home, named := c.current.Find(c.self)
 	if !named {
 		return nil
 	}
 	targets := slices.Clone(home.Monitors)
-	if !c.wantsMonitors(home) {
+	if !c.wantsMonitors(home) && !slices.ContainsFunc(home.Monitors, c.departing) {
 		return targets
 	}
 	for _, neighbour := range c.ownNeighbours() {
--- a/bulrushnode/keys.go
+++ b/bulrushnode/keys.go
@@ -303,6 +303,9 @@
 func (k *keys) monitorsOf(instance bulrushchute.Instance) []bulrushkey.LeaseMonitor {
 	var monitors []bulrushkey.LeaseMonitor
 	for _, id := range k.control.membership.NeighboursOf(instance.ID) {
+		if neighbour, _ := k.control.membership.Member(id); neighbour.State == bulrushchute.StateLeaving {
+			continue
+		}
 		monitors = append(monitors, bulrushkey.LeaseMonitor{ID: id, DataCentre: instance.DataCentre})
 	}
 	return monitors
--- a/bulrushspread/api.go
+++ b/bulrushspread/api.go
@@ -48,12 +48,12 @@
 
 // Stats counts what a Table sent and refused since it was made.
 type Stats struct {
-	Records       int
-	SentMessages  uint64
-	SentBytes     uint64
-	BulkBytes     uint64
-	ChargedBytes  uint64
-	RefusedInput  uint64
-	RetriedWants  uint64
-	DroppedQueued uint64
+	Records       int    `json:"records"`
+	SentMessages  uint64 `json:"sent_messages"`
+	SentBytes     uint64 `json:"sent_bytes"`
+	BulkBytes     uint64 `json:"bulk_bytes"`
+	ChargedBytes  uint64 `json:"charged_bytes"`
+	RefusedInput  uint64 `json:"refused_input"`
+	RetriedWants  uint64 `json:"retried_wants"`
+	DroppedQueued uint64 `json:"dropped_queued"`
 }
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -354,6 +354,13 @@
 	return errors.Wrap(os.RemoveAll(f.folder), "remove logs")
 }
 
+// KillAll ends all nodes at once. Those that have ended already are left out.
+func (f *Fleet) KillAll() {
+	for _, instance := range f.all {
+		_ = instance.command.Process.Kill()
+	}
+}
+
 // Stop ends all nodes and stand-ins that are still running. The logs stay.
 func (f *Fleet) Stop() error {
 	var first error
