Test that a node joins through its peers while the store is down

Cause: the promise for starts during an outage had no test with real processes. Change: a process test with seed addresses in the settings; callers use only the node that started during the outage.

--- a/cmd/bulrushbench/bulrushdemo/fault_test.go
+++ b/cmd/bulrushbench/bulrushdemo/fault_test.go
@@ -168,6 +168,18 @@
 	}
 }
 
+// Guards against a node that needs the store to start: during an outage it
+// takes members and catalogue from the peers that its settings name.
+func TestNodeJoinsThroughPeersWhileTheStoreIsDown(t *testing.T) {
+	fleet, instances := newFleet(t)
+	fleet.Memory.SetDown(true)
+	fleet.Seeds = []bulrushchute.Address{instances[0].Settings.PeerAddress, instances[5].Settings.PeerAddress}
+	late := startInstance(t, fleet, 1)
+	assert.NilError(t, fleet.WaitJoined(context.Background(), late))
+	result := underLoad(t, fleet, []string{string(late.Settings.CallerAddress)}, func() { time.Sleep(time.Second) })
+	assert.Assert(t, result.Classes["view"].Answered > 0)
+}
+
 // Guards against requests that are cut when every node is replaced in turn.
 // Callers use nodes that stay, and nodes that leave while connections are open.
 func TestRollingReplacementCutsNothing(t *testing.T) {
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -62,6 +62,8 @@
 	Memory  *bulrushstore.Memory
 	Handler *bulrushstore.Handler
 	Store   *bulrushstore.Client
+	// Seeds are the peer addresses that nodes started from now on may join through.
+	Seeds   []bulrushchute.Address
 	binary  string
 	folder  string
 	url     string
@@ -119,6 +121,7 @@
 		DataCentre:        bulrushchute.DataCentre(config.DataCentre),
 		BackendAddress:    bulrushchute.Address(backend.Address()),
 		StoreURL:          f.url,
+		SeedAddresses:     f.Seeds,
 		ClockSkewMs:       clockSkewMs,
 		TrustTenantHeader: true,
 	}
