--- a/bulrushboard/board.go
+++ b/bulrushboard/board.go
@@ -85,11 +85,6 @@
 	return keyMap, exists
 }
 
-// Services returns how many services have members.
-func (v View) Services() int {
-	return len(v.members)
-}
-
 // WithState returns a copy with another node state.
 func (v View) WithState(state NodeState) View {
 	v.State = state
--- a/bulrushcatalogue/set.go
+++ b/bulrushcatalogue/set.go
@@ -68,6 +68,16 @@
 	return s.services.names()
 }
 
+// HasServices reports whether any service is not deleted.
+func (s Set) HasServices() bool {
+	for _, item := range s.services {
+		if !item.deleted {
+			return true
+		}
+	}
+	return false
+}
+
 // DataCentres returns the names of all data centres that are not deleted, in order.
 func (s Set) DataCentres() []bulrushchute.DataCentre {
 	return s.dataCentres.names()
--- a/bulrushcatalogue/set_test.go
+++ b/bulrushcatalogue/set_test.go
@@ -90,3 +90,12 @@
 	assert.DeepEqual(t, set.DataCentres(), []bulrushchute.DataCentre{"d"})
 	assert.Equal(t, set.DataCentreVersion("d"), uint64(4))
 }
+
+// Guards against a node that counts as ready with a catalogue of deleted entries only.
+func TestHasServices(t *testing.T) {
+	set := bulrushcatalogue.Set{}
+	assert.Assert(t, !set.HasServices())
+	set = set.WithService(bulrushcatalogue.ServiceEntry{Service: "board"}, 1)
+	assert.Assert(t, set.HasServices())
+	assert.Assert(t, !set.WithoutService("board", 2).HasServices())
+}
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -268,7 +268,7 @@
 		return bulrushboard.NodeDraining
 	case status.Isolated:
 		return bulrushboard.NodeIsolated
-	case !status.Joined || len(catalogue.Services()) == 0:
+	case !status.Joined || !catalogue.HasServices():
 		return bulrushboard.NodeStarting
 	default:
 		return bulrushboard.NodeReady
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -288,12 +288,22 @@
 	}
 }
 
+func servicesWithMove(catalogue bulrushcatalogue.Set) []bulrushchute.Service {
+	var services []bulrushchute.Service
+	for _, service := range catalogue.Services() {
+		if entry, _ := catalogue.Service(service); entry.Move != nil {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // movingServices returns the services with a move in the catalogue and those
 // with a controller, whose entry may have been deleted.
 func (m *moves) movingServices(view bulrushboard.View) []bulrushchute.Service {
 	var services []bulrushchute.Service
-	for _, service := range view.Catalogue.Services() {
-		if entry, _ := view.Catalogue.Service(service); entry.Move != nil && m.controllers[service] == nil {
+	for _, service := range servicesWithMove(view.Catalogue) {
+		if m.controllers[service] == nil {
 			services = append(services, service)
 		}
 	}
@@ -424,10 +434,8 @@
 func (m *moves) wantedShards(ctx context.Context) []int {
 	wanted := make(map[int]bool)
 	view := m.board.Read()
-	for _, service := range view.Catalogue.Services() {
-		if entry, _ := view.Catalogue.Service(service); entry.Move != nil {
-			wanted[shardOf(service)] = true
-		}
+	for _, service := range servicesWithMove(view.Catalogue) {
+		wanted[shardOf(service)] = true
 	}
 	var shards []int
 	m.control.do(ctx, func(bulrushchute.Millis) {
--- a/bulrushstore/lease.go
+++ b/bulrushstore/lease.go
@@ -88,12 +88,25 @@
 func (l *Lease) Held() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.epoch == 0 || l.clock.Now() >= l.until {
+	if !l.heldNow() {
 		return 0, false
 	}
 	return l.epoch, true
 }
 
+// Until returns the instant at which the lease ends unless it is renewed, and
+// whether it is held now.
+func (l *Lease) Until() (bulrushchute.Millis, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.until, l.heldNow()
+}
+
+// heldNow is Held for a caller that has the lock.
+func (l *Lease) heldNow() bool {
+	return l.epoch != 0 && l.clock.Now() < l.until
+}
+
 // Step makes one attempt to acquire or renew the lease and reports whether it
 // is held. An error says why nothing changed; the lease may still be held.
 func (l *Lease) Step(ctx context.Context) (bool, error) {
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -105,11 +105,6 @@
 	return f, nil
 }
 
-// URL returns the store's base URL.
-func (f *Fleet) URL() string {
-	return f.url
-}
-
 // Start starts a backend server and its node.
 func (f *Fleet) Start(config InstanceConfig) (*Instance, error) {
 	backend, err := bulrushstandin.Start(f.context, loopback+":0", config.Backend)
--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -76,7 +76,6 @@
 	behaviour   Behaviour
 	random      *rand.Rand
 	startedAt   time.Time
-	draining    bool
 	inFlight    int
 	connections int
 	probeSecond int64
@@ -139,20 +138,6 @@
 	b.behaviour = behaviour
 }
 
-// Drain makes the load report say that the backend server is leaving.
-func (b *Backend) Drain() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.draining = true
-}
-
-// Chill makes the backend server cold again without a restart.
-func (b *Backend) Chill() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.startedAt = time.Now()
-}
-
 // Report returns a copy of the records.
 func (b *Backend) Report() Report {
 	b.mutex.Lock()
@@ -183,7 +168,6 @@
 	InFlight int  `json:"in_flight"`
 	Slots    int  `json:"slots"`
 	Cold     bool `json:"cold"`
-	Draining bool `json:"draining"`
 }
 
 func (b *Backend) serveProbe(writer http.ResponseWriter, _ *http.Request) {
@@ -196,7 +180,7 @@
 	b.probesNow++
 	b.report.Probes++
 	b.report.ProbesMost = max(b.report.ProbesMost, b.probesNow)
-	load := loadReport{InFlight: b.inFlight, Slots: b.config.Slots, Cold: b.bearable() < b.config.Slots, Draining: b.draining}
+	load := loadReport{InFlight: b.inFlight, Slots: b.config.Slots, Cold: b.bearable() < b.config.Slots}
 	b.mutex.Unlock()
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(load)
