--- a/bulrushcatalogue/entry.go
+++ b/bulrushcatalogue/entry.go
@@ -48,6 +48,9 @@
 	ColdSlots int                 `json:"cold_slots,omitempty" validate:"min=1,max=100000"`
 	// WarmMs is the shortest time in which a cold backend server may reach Slots.
 	WarmMs bulrushchute.Millis `json:"warm_ms,omitempty" validate:"min=1,max=3600000"`
+	// ColdPerS bounds the requests that a cold backend server receives in any
+	// second. 0 means that only ColdSlots bounds them.
+	ColdPerS float64 `json:"cold_per_s,omitempty" validate:"min=0,max=100000"`
 }
 
 // Probe bounds and directs the measuring of one backend server.
--- a/bulrushcatalogue/resolve.go
+++ b/bulrushcatalogue/resolve.go
@@ -13,6 +13,10 @@
 	Idempotent bool
 	Class      bulrushchute.Class
 	TimeoutMs  bulrushchute.Millis
+	// ObjectiveMs is the time within which an answer is worth most, 0 if unknown.
+	ObjectiveMs bulrushchute.Millis
+	// Attempts bounds the attempts of one request, 0 for the node's own bound.
+	Attempts int
 }
 
 // Resolve finds the route of a request. The longest prefix that ends on a path
--- /dev/null
+++ b/bulrushcatalogue/routing.go
@@ -0,0 +1,213 @@
+package bulrushcatalogue
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// RoutingName is the name of the one routing table of a deployment.
+const RoutingName = "main"
+
+// RoutingTable maps hosts and paths to services. It is one object, so that a
+// change of several routes and services takes effect at once.
+type RoutingTable struct {
+	// Label is the operators' own name for this version of the table.
+	Label  string      `json:"label" validate:"max=200"`
+	Routes []HostRoute `json:"routes" validate:"max=20000,dive"`
+	// Services are the entries of the services that the routes name.
+	Services []ServiceEntry `json:"services" validate:"max=5000"`
+	Callers  CallerLimits   `json:"callers,omitzero"`
+}
+
+// HostRoute sends the requests of a host whose path has a prefix to services.
+type HostRoute struct {
+	Name string `json:"name" validate:"required,max=200"`
+	Host string `json:"host" validate:"required,max=253"`
+	// Prefix begins and ends with a slash.
+	Prefix     string `json:"prefix" validate:"required,max=2000,startswith=/,endswith=/"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	// TimeoutMs is the longest time that a request is kept waiting.
+	TimeoutMs bulrushchute.Millis `json:"timeout_ms" validate:"min=1,max=3600000"`
+	// ObjectiveMs is the time within which an answer is worth most.
+	ObjectiveMs bulrushchute.Millis `json:"objective_ms,omitempty" validate:"min=0,max=3600000"`
+	// Rank orders routes by importance; 0 is the highest.
+	Rank int `json:"rank,omitempty" validate:"min=0,max=1000"`
+	// Attempts bounds the backend servers that one request is sent to.
+	Attempts int      `json:"attempts,omitempty" validate:"min=0,max=100"`
+	Targets  []Target `json:"targets" validate:"min=1,max=100,dive"`
+}
+
+// Target is a service that receives a share of a route's requests.
+type Target struct {
+	Service bulrushchute.Service `json:"service" validate:"label"`
+	// Weight is the target's share in proportion to the other targets.
+	Weight float64 `json:"weight" validate:"min=0,max=1000000"`
+}
+
+// CallerLimits bound what callers may send to a node. Fields that are zero
+// leave the node's own bounds in force.
+type CallerLimits struct {
+	HeaderBytes     int                 `json:"header_bytes,omitempty" validate:"min=0"`
+	BodyBytes       int64               `json:"body_bytes,omitempty" validate:"min=0"`
+	HeaderTimeoutMs bulrushchute.Millis `json:"header_timeout_ms,omitempty" validate:"min=0"`
+	IdleTimeoutMs   bulrushchute.Millis `json:"idle_timeout_ms,omitempty" validate:"min=0"`
+}
+
+// ParseRouting reads a routing table, applies the defaults of its service
+// entries and checks it. Unknown and repeated fields are refused. Errors are
+// *bulrushchute.FieldError.
+func ParseRouting(document []byte) (RoutingTable, error) {
+	table, err := decode[RoutingTable](document)
+	if err != nil {
+		return RoutingTable{}, err
+	}
+	for i := range table.Services {
+		table.Services[i] = table.Services[i].WithDefaults()
+	}
+	return table, table.Validate()
+}
+
+// Validate checks the table and that each target has a service entry.
+func (rt RoutingTable) Validate() error {
+	if err := checkTags(rt); err != nil {
+		return err
+	}
+	services := newUnique("a service that occurs once")
+	known := make(map[bulrushchute.Service]bool, len(rt.Services))
+	for i, entry := range rt.Services {
+		path := fmt.Sprintf("services[%d]", i)
+		if err := under(path, entry.Validate()); err != nil {
+			return err
+		}
+		if err := services.add(path+".service", string(entry.Service)); err != nil {
+			return err
+		}
+		known[entry.Service] = true
+	}
+	return rt.checkTargets(known)
+}
+
+func (rt RoutingTable) checkTargets(known map[bulrushchute.Service]bool) error {
+	for i, route := range rt.Routes {
+		total := 0.0
+		for j, target := range route.Targets {
+			field := fmt.Sprintf("routes[%d].targets[%d].service", i, j)
+			if !known[target.Service] {
+				return refuse(field, string(target.Service), "a service of the table")
+			}
+			total += target.Weight
+		}
+		if total <= 0 {
+			return refuse(fmt.Sprintf("routes[%d].targets", i), strconv.FormatFloat(total, 'g', -1, 64), "weights with a sum above 0")
+		}
+	}
+	return nil
+}
+
+// Encode returns the table as a JSON document.
+func (rt RoutingTable) Encode() ([]byte, error) {
+	return json.Marshal(rt)
+}
+
+// Class ranks the route's requests among those of a service.
+func (hr HostRoute) Class() bulrushchute.Class {
+	return bulrushchute.Class(min(hr.Rank, bulrushchute.ClassCount-1))
+}
+
+// Resolved returns what the route says about its requests.
+func (hr HostRoute) Resolved() Resolved {
+	return Resolved{
+		Route:       hr.Name,
+		Idempotent:  hr.Idempotent,
+		Class:       hr.Class(),
+		TimeoutMs:   hr.TimeoutMs,
+		ObjectiveMs: hr.ObjectiveMs,
+		Attempts:    hr.Attempts,
+	}
+}
+
+// Routing is a routing table that is in force. It must not be changed. The
+// zero value matches nothing.
+type Routing struct {
+	Label   string
+	Version uint64
+	Callers CallerLimits
+	// byHost holds the routes of each host, longest prefix first.
+	byHost map[string][]*HostRoute
+	count  int
+}
+
+func newRouting(table RoutingTable, version uint64) Routing {
+	byHost := make(map[string][]*HostRoute)
+	for i := range table.Routes {
+		route := &table.Routes[i]
+		host := strings.ToLower(route.Host)
+		byHost[host] = append(byHost[host], route)
+	}
+	for _, routes := range byHost {
+		slices.SortStableFunc(routes, func(a, b *HostRoute) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return Routing{Label: table.Label, Version: version, Callers: table.Callers, byHost: byHost, count: len(table.Routes)}
+}
+
+// Known reports whether a routing table is in force.
+func (r Routing) Known() bool {
+	return r.Version > 0
+}
+
+// Routes returns the number of routes.
+func (r Routing) Routes() int {
+	return r.count
+}
+
+// Match returns the route of a request, or nil. The path carries no query.
+func (r Routing) Match(host, path string) *HostRoute {
+	host = strings.ToLower(host)
+	routes, found := r.byHost[host]
+	if !found {
+		name, _, _ := strings.Cut(host, ":")
+		routes = r.byHost[name]
+	}
+	for _, route := range routes {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Routing returns the routing table in force.
+func (s Set) Routing() Routing {
+	return s.routing
+}
+
+// WithRouting returns a set that holds the table and its service entries at a
+// store version. Services that only the former table held are deleted. A
+// version that is not newer than the known one changes nothing.
+func (s Set) WithRouting(table RoutingTable, version uint64) Set {
+	if version <= s.routing.Version {
+		return s
+	}
+	services := maps.Clone(s.services)
+	if services == nil {
+		services = make(map[bulrushchute.Service]versioned[ServiceEntry])
+	}
+	for name := range s.routed {
+		services[name] = versioned[ServiceEntry]{version: version, deleted: true}
+	}
+	routed := make(map[bulrushchute.Service]bool, len(table.Services))
+	for _, entry := range table.Services {
+		services[entry.Service] = versioned[ServiceEntry]{entry: entry.clone(), version: version}
+		routed[entry.Service] = true
+	}
+	s.services = services
+	s.routed = routed
+	s.routing = newRouting(table, version)
+	return s
+}
--- a/bulrushcatalogue/set.go
+++ b/bulrushcatalogue/set.go
@@ -15,6 +15,9 @@
 type Set struct {
 	services    table[bulrushchute.Service, ServiceEntry]
 	dataCentres table[bulrushchute.DataCentre, DataCentreEntry]
+	routing     Routing
+	// routed holds the services whose entries came with the routing table.
+	routed map[bulrushchute.Service]bool
 }
 
 // WithService returns a set that holds the entry at a store version. A version
--- a/bulrushnode/announcement.go
+++ b/bulrushnode/announcement.go
@@ -28,7 +28,12 @@
 	Slots       int                  `json:"slots"`
 	Connections int                  `json:"connections"`
 	Cold        bool                 `json:"cold"`
-	State       BackendState         `json:"state"`
+	// ColdMs is how much longer the server stays cold, by its own estimate.
+	ColdMs bulrushchute.Millis `json:"cold_ms,omitempty"`
+	// Server is the server's own identity. A request that names it is not run
+	// by any other server.
+	Server string       `json:"server,omitempty"`
+	State  BackendState `json:"state"`
 	// StartedAtMs tells one life of the backend server from the next at the
 	// same address.
 	StartedAtMs bulrushchute.Millis `json:"started_at_ms"`
@@ -86,5 +91,5 @@
 
 func (a Announcement) sameLife(other Announcement) bool {
 	return a.Service == other.Service && a.Version == other.Version &&
-		a.Address == other.Address && a.StartedAtMs == other.StartedAtMs
+		a.Address == other.Address && a.StartedAtMs == other.StartedAtMs && a.Server == other.Server
 }
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -18,6 +18,9 @@
 func (n *Node) bootstrap(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if n.alone(ctx) {
+			if err := n.writeSeeds(ctx); err != nil && ctx.Err() == nil {
+				klog.V(1).InfoS("seeds not written", "error", err)
+			}
 			n.joinStrangers(ctx)
 		}
 		pause(ctx, bootstrapEvery)
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -39,6 +39,7 @@
 	// template is the attempt without what differs between attempts.
 	template bulrushchute.Attempt
 	subset   int
+	arrived  bulrushchute.Millis
 }
 
 // callResult is the end of a call. Answer is set for OutcomeAnswered.
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -324,6 +324,9 @@
 		c.applyDataCentre(now, before, after, bulrushchute.DataCentre(name))
 		return
 	}
+	if bulrushchute.Kind(kind) == bulrushchute.KindRouting {
+		name = string(c.guard.announced().Service)
+	}
 	c.applyService(after, bulrushchute.Service(name))
 }
 
@@ -335,13 +338,18 @@
 	case kind == bulrushchute.KindServices:
 		entry, err := bulrushcatalogue.ParseService(record.Value)
 		return set.WithService(entry, version), err
+	case kind == bulrushchute.KindRouting && record.Deleted:
+		return set, nil
+	case kind == bulrushchute.KindRouting:
+		routing, err := bulrushcatalogue.ParseRouting(record.Value)
+		return set.WithRouting(routing, version), err
 	case kind == bulrushchute.KindDataCentres && record.Deleted:
 		return set.WithoutDataCentre(bulrushchute.DataCentre(name), version), nil
 	case kind == bulrushchute.KindDataCentres:
 		entry, err := bulrushcatalogue.ParseDataCentre(record.Value)
 		return set.WithDataCentre(entry, version), err
 	}
-	return set, &bulrushchute.FieldError{Field: "kind", Value: string(kind), Allowed: "services or datacentres"}
+	return set, &bulrushchute.FieldError{Field: "kind", Value: string(kind), Allowed: "services, datacentres or routing"}
 }
 
 // applyDataCentre changes a data centre's weight when operators withdraw or return it.
@@ -383,16 +391,22 @@
 // same order from the members that it knows. Most nodes meet enough members
 // before them after a few dozen, so the check is cheap in a large fleet.
 func (c *control) isCandidate(purpose string, dataCentre bulrushchute.DataCentre, places int) bool {
+	return c.rank(purpose, dataCentre, places) < places
+}
+
+// rank returns how many members come before this node by hash, counted up to a limit.
+func (c *control) rank(purpose string, dataCentre bulrushchute.DataCentre, limit int) int {
 	own := rankHash(purpose, c.self)
 	rank := 0
 	c.membership.Range(func(member bulrushchute.Instance) bool {
 		counted := dataCentre == "" || member.DataCentre == dataCentre
+		counted = counted && member.State != bulrushchute.StateLeaving && member.State != bulrushchute.StateSuspect
 		if counted && member.ID != c.self && rankHash(purpose, member.ID) < own {
 			rank++
 		}
-		return rank < places
+		return rank < limit
 	})
-	return rank < places
+	return rank
 }
 
 func rankHash(purpose string, id bulrushchute.InstanceID) uint64 {
@@ -415,7 +429,7 @@
 
 func recordKeyOf(object bulrushchute.Object) (bulrushchute.RecordKey, bool) {
 	switch object.Kind {
-	case bulrushchute.KindServices, bulrushchute.KindDataCentres:
+	case bulrushchute.KindServices, bulrushchute.KindDataCentres, bulrushchute.KindRouting:
 		return bulrushchute.RecordKey{Topic: bulrushchute.TopicCatalogue, Name: string(object.Kind) + "/" + object.Name}, true
 	case bulrushchute.KindKeyMaps:
 		return bulrushchute.RecordKey{Topic: bulrushchute.TopicKeyMap, Name: object.Name}, true
--- a/bulrushnode/dispatch.go
+++ b/bulrushnode/dispatch.go
@@ -1,140 +1,92 @@
 package bulrushnode
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushbackend"
 	"bulrushchute.example/bulrushchute/bulrushwire"
 )
 
-// backendConnectTimeout bounds opening a connection to the backend server on
-// the same instance, which takes about a millisecond.
-const backendConnectTimeout = 500 * time.Millisecond
-
 // dispatchResult is the end of one dispatch to the backend server. Answer is
 // nil when there is no whole answer.
 type dispatchResult struct {
 	answer *bulrushchute.Answer
-	// started is false only if no byte can have reached the backend server.
+	// started is false only if the backend server certainly did not run the request.
 	started bool
 	reason  bulrushchute.Reason
+	// full is set when the backend server itself refused the request.
+	full   bool
+	report bulrushchute.BackendReport
 }
 
 // backendClient sends requests to the backend server beside this node.
 type backendClient struct {
-	transport *http.Transport
-}
-
-func newBackendClient(connections int) *backendClient {
-	dialer := &net.Dialer{Timeout: backendConnectTimeout}
-	return &backendClient{transport: &http.Transport{
-		Proxy:               nil,
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}
+	client  *bulrushbackend.Client
+	dialect dialect
 }
 
-func (bc *backendClient) close() {
-	bc.transport.CloseIdleConnections()
-}
-
-// dispatch sends one attempt and reads the whole answer.
-func (bc *backendClient) dispatch(ctx context.Context, address bulrushchute.Address, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) dispatchResult {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := backendRequest(ctx, address, attempt, deadline)
-	if err != nil {
-		return dispatchResult{reason: bulrushchute.ReasonMalformed}
-	}
-	response, err := bc.transport.RoundTrip(request)
-	if err != nil {
-		return dispatchResult{started: connected.Load(), reason: failureReason(ctx, err)}
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, reason := readAnswer(response)
-	return dispatchResult{answer: answer, started: true, reason: reason}
+// dialect is how the node speaks HTTP to callers and to its backend server.
+type dialect struct {
+	callers bulrushchute.CallerProtocol
+	backend bulrushchute.BackendProtocol
 }
 
-func failureReason(ctx context.Context, err error) bulrushchute.Reason {
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		return bulrushchute.ReasonDeadline
-	case ctx.Err() != nil:
-		return bulrushchute.ReasonCancelled
-	default:
-		return bulrushchute.ReasonConnectionLost
-	}
+func newBackendClient(address bulrushchute.Address, connections int, dialect dialect) *backendClient {
+	return &backendClient{dialect: dialect, client: bulrushbackend.NewClient(bulrushbackend.Settings{
+		Address:      address,
+		Connections:  connections,
+		MaxBodyBytes: bulrushwire.MaxBodyBytes,
+		Protocol:     dialect.backend,
+	})}
 }
 
-// onceBody is a request body that net/http cannot rewind. The transport
-// repeats a request on its own when it takes it for replayable, and an
-// Idempotency-Key header alone makes it do so; without a way to rewind the
-// body it never sends a request twice.
-type onceBody struct {
-	io.Reader
+func (bc *backendClient) close() {
+	bc.client.Close()
 }
 
-func (onceBody) Close() error { return nil }
-
-func backendRequest(ctx context.Context, address bulrushchute.Address, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) (*http.Request, error) {
-	request, err := http.NewRequestWithContext(ctx, attempt.Method, "http://"+string(address)+attempt.Path, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "build the backend server's request")
+// dispatch sends one attempt and reads the whole answer.
+func (bc *backendClient) dispatch(ctx context.Context, dispatch bulrushchute.Dispatch) dispatchResult {
+	answer, err := bc.client.Do(ctx, bc.exchange(dispatch))
+	var failed *bulrushbackend.Error
+	if errors.As(err, &failed) {
+		return dispatchResult{started: failed.Sent, reason: failed.Reason}
 	}
-	if len(attempt.Body) > 0 || !attempt.Idempotent {
-		request.Body = onceBody{bytes.NewReader(attempt.Body)}
-		request.ContentLength = int64(len(attempt.Body))
+	if answer.Report.NotRun || answer.Report.Replaced {
+		reason := bulrushchute.ReasonBusy
+		if answer.Report.Replaced {
+			reason = bulrushchute.ReasonWrongService
+		}
+		return dispatchResult{reason: reason, full: answer.Report.NotRun, report: answer.Report}
 	}
-	addFields(request.Header, attempt.Header)
-	request.Header.Set(headerDeadline, strconv.FormatInt(int64(deadline), 10))
-	request.Header.Set(headerDepth, strconv.Itoa(attempt.Depth))
-	if attempt.Retry {
-		request.Header.Set(headerRetry, "1")
+	fields := passedFields(answer.Header, bc.dialect.callers.Reserved)
+	if dispatch.Attempt.Method == http.MethodHead {
+		fields = keepLength(fields, answer.Header)
 	}
-	request.Header.Set(headerTenant, string(attempt.Tenant))
-	return request, nil
+	sealed := bulrushwire.Seal(bulrushchute.Answer{Status: answer.Status, Header: fields, Body: answer.Body})
+	return dispatchResult{answer: &sealed, started: true, report: answer.Report}
 }
 
-// readAnswer reads the body to its end. A body that ends only because the
-// connection does cannot be told from a truncated one and is not accepted.
-func readAnswer(response *http.Response) (*bulrushchute.Answer, bulrushchute.Reason) {
-	if endsWithConnection(response) {
-		return nil, bulrushchute.ReasonTruncated
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, bulrushwire.MaxBodyBytes+1))
-	if err != nil {
-		return nil, bulrushchute.ReasonTruncated
+func (bc *backendClient) exchange(dispatch bulrushchute.Dispatch) bulrushbackend.Exchange {
+	attempt := dispatch.Attempt
+	header := make(http.Header, len(attempt.Header)+8)
+	addFields(header, attempt.Header)
+	bc.dialect.backend.WriteHeader(header, dispatch)
+	host := attempt.Host
+	if host == "" {
+		host = string(attempt.Service)
 	}
-	if len(body) > bulrushwire.MaxBodyBytes {
-		return nil, bulrushchute.ReasonTooLarge
-	}
-	fields := passedFields(response.Header)
-	if response.Request.Method == http.MethodHead {
-		fields = keepLength(fields, response.Header)
-	}
-	answer := bulrushwire.Seal(bulrushchute.Answer{Status: response.StatusCode, Header: fields, Body: body})
-	return &answer, ""
-}
-
-func endsWithConnection(response *http.Response) bool {
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
-		return false
+	return bulrushbackend.Exchange{
+		Method:     attempt.Method,
+		Target:     attempt.Path,
+		Host:       host,
+		Header:     header,
+		Body:       attempt.Body,
+		HasBody:    len(attempt.Body) > 0 || !attempt.Idempotent,
+		Idempotent: attempt.Idempotent,
+		Attempt:    &attempt,
 	}
-	bodyless := response.StatusCode == http.StatusNoContent || response.StatusCode == http.StatusNotModified
-	return !bodyless && response.Request.Method != http.MethodHead
 }
--- a/bulrushnode/dispatch_test.go
+++ b/bulrushnode/dispatch_test.go
@@ -65,11 +65,11 @@
 }
 
 func dispatchTo(address bulrushchute.Address, attempt bulrushchute.Attempt) dispatchResult {
-	client := newBackendClient(4)
+	client := newBackendClient(address, 4, Options{}.dialect())
 	defer client.close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	return client.dispatch(ctx, address, attempt, 0)
+	return client.dispatch(ctx, bulrushchute.Dispatch{Attempt: attempt})
 }
 
 func filing() bulrushchute.Attempt {
@@ -137,11 +137,11 @@
 	}))
 	defer server.Close()
 	address := bulrushchute.Address(strings.TrimPrefix(server.URL, "http://"))
-	client := newBackendClient(1)
+	client := newBackendClient(address, 1, Options{}.dialect())
 	defer client.close()
-	first := client.dispatch(context.Background(), address, filing(), 0)
+	first := client.dispatch(context.Background(), bulrushchute.Dispatch{Attempt: filing()})
 	assert.Assert(t, first.answer != nil)
-	second := client.dispatch(context.Background(), address, filing(), 0)
+	second := client.dispatch(context.Background(), bulrushchute.Dispatch{Attempt: filing()})
 	assert.Assert(t, second.answer == nil && second.started)
 	assert.Equal(t, runs.Load(), int64(2), "the second request must run once")
 }
@@ -157,6 +157,6 @@
 		"Upgrade":         {"websocket"},
 		"Accept":          {"a", "b"},
 	}
-	fields := passedFields(header)
+	fields := passedFields(header, nativeProtocol{}.Reserved)
 	assert.DeepEqual(t, fields, []bulrushchute.HeaderField{{Name: "Accept", Value: "a"}, {Name: "Accept", Value: "b"}})
 }
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +29,10 @@
 	caller   *caller
 	keys     *keys
 	recorder *bulrushmetric.Recorder
+	protocol bulrushchute.CallerProtocol
+	targets  *targets
+	// ownService returns the service beside this node.
+	ownService func() bulrushchute.Service
 	// active counts the requests that are being served and arrived all that
 	// have come.
 	active  atomic.Int64
@@ -68,11 +72,11 @@
 	}
 	prepared, key, problem := e.prepare(view, request)
 	if problem != nil {
-		writeProblem(writer, problem)
+		e.writeProblem(writer, problem)
 		return
 	}
 	result := e.serve(request.Context(), view, prepared, key)
-	writeResult(writer, result)
+	e.writeResult(writer, result)
 	e.recorder.Record(bulrushmetric.Measurement{
 		Service:   prepared.info.Service,
 		Tenant:    prepared.info.Tenant,
@@ -90,7 +94,7 @@
 	case bulrushboard.NodeIsolated:
 		return notRun(bulrushchute.ReasonIsolated, retryAfterDefault)
 	}
-	if key == "" || prepared.info.Idempotent {
+	if key == "" || prepared.info.Idempotent || e.keys.disabled {
 		return e.caller.run(ctx, prepared)
 	}
 	return e.keys.call(ctx, view, prepared, key)
@@ -106,40 +110,52 @@
 
 // prepare reads and checks a request.
 func (e *entry) prepare(view bulrushboard.View, request *http.Request) (call, string, *problem) {
-	service := serviceOf(request)
-	catalogueEntry, exists := view.Catalogue.Service(service)
-	if !exists && view.State != bulrushboard.NodeStarting {
-		cause := &bulrushchute.FieldError{Field: headerService, Value: string(service), Allowed: "a service of the catalogue"}
-		return call{}, "", &problem{status: http.StatusNotFound, reason: bulrushchute.ReasonUnknownService, cause: cause}
+	said, err := e.protocol.ReadRequest(request)
+	if err != nil {
+		return call{}, "", &problem{status: http.StatusBadRequest, reason: bulrushchute.ReasonMalformed, cause: err}
+	}
+	if said.Depth >= bulrushchute.MaxDepth {
+		cause := &depthError{depth: said.Depth}
+		return call{}, "", &problem{status: http.StatusBadRequest, reason: bulrushchute.ReasonTooDeep, cause: cause}
+	}
+	chosen, found := e.resolve(view.Catalogue, said, request)
+	if !found && view.State != bulrushboard.NodeStarting {
+		return call{}, "", unknownRoute(said, request)
 	}
-	prepared, err := e.describe(catalogueEntry, request)
+	prepared, err := e.describe(chosen, said, request)
 	if err != nil {
-		return call{}, "", &problem{status: http.StatusBadRequest, reason: reasonOf(err), cause: err}
+		return call{}, "", &problem{status: http.StatusBadRequest, reason: bulrushchute.ReasonMalformed, cause: err}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, bulrushwire.MaxBodyBytes))
+	most := int64(bulrushwire.MaxBodyBytes)
+	if limit := view.Catalogue.Routing().Callers.BodyBytes; limit > 0 {
+		most = min(most, limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, most))
 	if err != nil {
 		return call{}, "", bodyProblem(err)
 	}
 	prepared.template.Body = body
-	return prepared, request.Header.Get(headerIdempotencyKey), nil
+	return prepared, said.Key, nil
+}
+
+func unknownRoute(said bulrushchute.CallerRequest, request *http.Request) *problem {
+	problem := &problem{status: http.StatusNotFound, reason: bulrushchute.ReasonUnknownService}
+	if said.Service != "" {
+		problem.cause = &bulrushchute.FieldError{Field: headerService, Value: string(said.Service), Allowed: "a service of the catalogue"}
+	} else {
+		problem.cause = &bulrushchute.FieldError{Field: "host and path", Value: request.Host + request.URL.Path, Allowed: "a route of the catalogue"}
+	}
+	return problem
 }
 
 // depthError reports a call that is nested too deep, as in a cycle of services.
 type depthError struct {
-	depth int64
+	depth int
 }
 
 // Error implements error.
 func (e *depthError) Error() string {
-	return "depth " + strconv.FormatInt(e.depth, 10) + " is not below " + strconv.Itoa(bulrushchute.MaxDepth)
-}
-
-func reasonOf(err error) bulrushchute.Reason {
-	var tooDeep *depthError
-	if errors.As(err, &tooDeep) {
-		return bulrushchute.ReasonTooDeep
-	}
-	return bulrushchute.ReasonMalformed
+	return "depth " + strconv.Itoa(e.depth) + " is not below " + strconv.Itoa(bulrushchute.MaxDepth)
 }
 
 func bodyProblem(err error) *problem {
@@ -150,47 +166,72 @@
 	return &problem{status: http.StatusBadRequest, reason: bulrushchute.ReasonMalformed, cause: err}
 }
 
-// describe builds the call from the request's line and headers.
-func (e *entry) describe(catalogueEntry bulrushcatalogue.ServiceEntry, request *http.Request) (call, error) {
-	path := request.URL.RequestURI()
-	resolved := bulrushcatalogue.Resolve(catalogueEntry, request.Method, path)
-	class, err := lowerClass(resolved.Class, request.Header.Get(headerClass))
-	if err != nil {
-		return call{}, err
+// resolution is the service and the route of one request.
+type resolution struct {
+	entry    bulrushcatalogue.ServiceEntry
+	resolved bulrushcatalogue.Resolved
+}
+
+// resolve finds the service of a request: the one that it names, or the one to
+// which the routing table sends its host and path.
+func (e *entry) resolve(catalogue bulrushcatalogue.Set, said bulrushchute.CallerRequest, request *http.Request) (resolution, bool) {
+	if said.Service != "" {
+		entry, exists := catalogue.Service(said.Service)
+		return resolution{entry: entry, resolved: bulrushcatalogue.Resolve(entry, request.Method, targetOf(request))}, exists
 	}
-	deadline, err := e.deadline(resolved.TimeoutMs, request.Header)
-	if err != nil {
-		return call{}, err
+	path, _, _ := strings.Cut(targetOf(request), "?")
+	route := catalogue.Routing().Match(request.Host, path)
+	if route == nil {
+		return resolution{}, false
+	}
+	entry, exists := catalogue.Service(e.targets.next(route))
+	return resolution{entry: entry, resolved: route.Resolved()}, exists
+}
+
+// targetOf returns the path and query as the caller spelled them.
+func targetOf(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
 	}
-	depth, err := parseCount(request.Header, headerDepth, math.MaxInt32)
+	return request.URL.RequestURI()
+}
+
+// describe builds the call from the request's line and headers.
+func (e *entry) describe(chosen resolution, said bulrushchute.CallerRequest, request *http.Request) (call, error) {
+	resolved := chosen.resolved
+	class, err := lowerClass(resolved.Class, said.ClassName)
 	if err != nil {
 		return call{}, err
 	}
-	if depth >= bulrushchute.MaxDepth {
-		return call{}, &depthError{depth: depth}
-	}
+	now := e.clock.Now()
 	info := bulrushchute.RequestInfo{
-		Service:    catalogueEntry.Service,
+		Service:    chosen.entry.Service,
 		Route:      resolved.Route,
 		Tenant:     e.tenantOf(request),
 		Class:      class,
-		Deadline:   deadline,
+		Deadline:   deadlineOf(now, resolved.TimeoutMs, said),
+		Objective:  resolved.ObjectiveMs,
+		Attempts:   resolved.Attempts,
 		Idempotent: resolved.Idempotent,
-		Retry:      request.Header.Get(headerRetry) != "",
-		Depth:      int(depth) + 1,
+		Retry:      said.Retry,
+		Depth:      said.Depth + 1,
 	}
 	template := bulrushchute.Attempt{
 		Service:    info.Service,
 		Route:      info.Route,
 		Method:     request.Method,
-		Path:       path,
-		Header:     passedFields(request.Header),
+		Path:       targetOf(request),
+		Host:       request.Host,
+		Header:     passedFields(request.Header, e.protocol.Reserved),
 		Tenant:     info.Tenant,
 		Class:      info.Class,
 		Depth:      info.Depth,
 		Idempotent: info.Idempotent,
+		RequestID:  said.ID,
+		Caller:     e.ownService(),
+		Objective:  info.Objective,
 	}
-	return call{info: info, template: template, subset: catalogueEntry.Subset}, nil
+	return call{info: info, template: template, subset: chosen.entry.Subset, arrived: now}, nil
 }
 
 // lowerClass lets a caller lower the class of its request but not raise it.
@@ -205,26 +246,17 @@
 	return max(class, asked), nil
 }
 
-// deadline is the earliest of the route's timeout, the caller's timeout and
+// deadlineOf is the earliest of the route's timeout, the caller's timeout and
 // the deadline of the call that this one is nested in.
-func (e *entry) deadline(timeout bulrushchute.Millis, header http.Header) (bulrushchute.Millis, error) {
-	asked, err := parseCount(header, headerTimeout, maxTimeoutMs)
-	if err != nil {
-		return 0, err
+func deadlineOf(now, timeout bulrushchute.Millis, said bulrushchute.CallerRequest) bulrushchute.Millis {
+	if said.Timeout > 0 {
+		timeout = min(timeout, said.Timeout)
 	}
-	if asked > 0 {
-		timeout = min(timeout, bulrushchute.Millis(asked))
-	}
-	now := e.clock.Now()
 	deadline := now + timeout
-	outer, err := parseCount(header, headerDeadline, math.MaxInt64)
-	if err != nil {
-		return 0, err
-	}
-	if outer > 0 {
-		deadline = min(deadline, bulrushchute.Millis(outer))
+	if said.Deadline > 0 {
+		deadline = min(deadline, said.Deadline)
 	}
-	return deadline, nil
+	return deadline
 }
 
 func (e *entry) tenantOf(request *http.Request) bulrushchute.Tenant {
@@ -237,16 +269,15 @@
 	return bulrushchute.Tenant(request.TLS.PeerCertificates[0].Subject.CommonName)
 }
 
-func writeProblem(writer http.ResponseWriter, problem *problem) {
-	writer.Header().Set(headerOutcome, bulrushchute.OutcomeNotRun.String())
-	writer.Header().Set(headerReason, string(problem.reason))
+func (e *entry) writeProblem(writer http.ResponseWriter, problem *problem) {
+	e.protocol.WriteOutcome(writer.Header(), bulrushchute.NodeAnswer{Outcome: bulrushchute.OutcomeNotRun, Reason: problem.reason})
 	http.Error(writer, problem.cause.Error(), problem.status)
 }
 
-func writeResult(writer http.ResponseWriter, result callResult) {
+func (e *entry) writeResult(writer http.ResponseWriter, result callResult) {
 	header := writer.Header()
-	header.Set(headerOutcome, result.final.Outcome.String())
 	if result.final.Outcome == bulrushchute.OutcomeAnswered {
+		e.protocol.WriteOutcome(header, bulrushchute.NodeAnswer{Outcome: bulrushchute.OutcomeAnswered})
 		addFields(header, result.answer.Header)
 		if header.Get(headerLength) == "" {
 			header.Set(headerLength, strconv.Itoa(len(result.answer.Body)))
@@ -255,18 +286,14 @@
 		_, _ = writer.Write(result.answer.Body)
 		return
 	}
-	header.Set(headerReason, string(result.final.Reason))
-	if result.final.RetryAfter > 0 {
-		header.Set("Retry-After", retryAfterSeconds(result.final.RetryAfter))
-	}
+	e.protocol.WriteOutcome(header, bulrushchute.NodeAnswer{
+		Outcome:    result.final.Outcome,
+		Reason:     result.final.Reason,
+		RetryAfter: result.final.RetryAfter,
+	})
 	http.Error(writer, string(result.final.Reason), statusOf(result.final))
 }
 
-// retryAfterSeconds rounds up, since the header has whole seconds.
-func retryAfterSeconds(span bulrushchute.Millis) string {
-	return strconv.FormatInt(int64((span+bulrushchute.Second-1)/bulrushchute.Second), 10)
-}
-
 func statusOf(final bulrushattempt.Final) int {
 	switch {
 	case final.Reason == bulrushchute.ReasonKeyFormat || final.Reason == bulrushchute.ReasonMalformed:
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -21,6 +21,7 @@
 type guard struct {
 	clock     bulrushchute.Clock
 	clockSkew bulrushchute.Millis
+	dialect   dialect
 	tasks     *bulrushtask.Group
 	// context ends when the node has stopped, after all requests.
 	context context.Context
@@ -40,10 +41,11 @@
 	observe func(service bulrushchute.Service, sample bulrushmove.Sample)
 }
 
-func newGuard(ctx context.Context, clock bulrushchute.Clock, clockSkew bulrushchute.Millis) *guard {
+func newGuard(ctx context.Context, clock bulrushchute.Clock, clockSkew bulrushchute.Millis, dialect dialect) *guard {
 	return &guard{
 		clock:      clock,
 		clockSkew:  clockSkew,
+		dialect:    dialect,
 		context:    ctx,
 		tasks:      bulrushtask.NewGroup(nil),
 		controller: bulrushadmission.New(clock.Now(), bulrushadmission.Settings{}),
@@ -67,7 +69,7 @@
 		g.release(g.controller.Announce(now, limits))
 	} else {
 		g.release(g.controller.BackendStarted(now, limits))
-		g.replaceClient()
+		g.replaceClient(announcement.Address)
 	}
 	g.backend = announcement
 	g.healthy = true
@@ -80,11 +82,11 @@
 
 // replaceClient gives the connections the limit that is in force. Those of the
 // former client end with their requests.
-func (g *guard) replaceClient() {
+func (g *guard) replaceClient(address bulrushchute.Address) {
 	if g.client != nil {
 		g.client.close()
 	}
-	g.client = newBackendClient(g.controller.ConnectionLimit())
+	g.client = newBackendClient(address, g.controller.ConnectionLimit(), g.dialect)
 }
 
 func (g *guard) announced() Announcement {
@@ -101,7 +103,7 @@
 	before := g.controller.ConnectionLimit()
 	g.release(g.controller.SetSettings(g.clock.Now(), settings))
 	if g.client != nil && g.controller.ConnectionLimit() != before {
-		g.replaceClient()
+		g.replaceClient(g.backend.Address)
 	}
 }
 
@@ -311,7 +313,12 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
 	defer cancel()
 	begin := time.Now()
-	result := client.dispatch(ctx, backend.Address, attempt, deadline)
+	result := client.dispatch(ctx, bulrushchute.Dispatch{
+		Attempt:   attempt,
+		Server:    backend.Server,
+		Deadline:  deadline,
+		Remaining: remaining,
+	})
 	elapsed := time.Since(begin)
 	g.finish(attempt, result, elapsed)
 	g.report(attempt, backend, result, elapsed)
@@ -381,11 +388,18 @@
 		return bulrushchute.Reply{Answer: result.answer}
 	}
 	if !result.started {
-		return refused(bulrushchute.ReasonUnreachable, retryAfterDefault)
+		return refused(refusalReason(result), retryAfterDefault)
 	}
 	return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: result.reason}}
 }
 
+func refusalReason(result dispatchResult) bulrushchute.Reason {
+	if result.full || result.report.Replaced {
+		return result.reason
+	}
+	return bulrushchute.ReasonUnreachable
+}
+
 func refused(reason bulrushchute.Reason, retryAfter bulrushchute.Millis) bulrushchute.Reply {
 	return bulrushchute.Reply{Refusal: &bulrushchute.Refusal{Reason: reason, RetryAfter: retryAfter}}
 }
--- a/bulrushnode/guard_test.go
+++ b/bulrushnode/guard_test.go
@@ -22,7 +22,7 @@
 	clock := bulrushchute.NewManualClock(1_000_000)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	g := newGuard(ctx, clock, DefaultClockSkewMs)
+	g := newGuard(ctx, clock, DefaultClockSkewMs, Options{}.dialect())
 	announcement := Announcement{
 		Service: "board", Version: "v1", Slots: 2, Connections: 10, State: BackendServing,
 		Address: bulrushchute.Address(strings.TrimPrefix(server.URL, "http://")),
@@ -130,8 +130,8 @@
 func TestConnectionLimitFollowsTheCatalogue(t *testing.T) {
 	g, _, _ := newTestGuard(t, answerOK)
 	g.configure(bulrushcatalogue.ServiceEntry{Service: "board", Limits: bulrushcatalogue.Limits{Slots: 2, Connections: 3}})
-	assert.Equal(t, g.client.transport.MaxConnsPerHost, g.controller.ConnectionLimit())
-	assert.Assert(t, g.client.transport.MaxConnsPerHost <= 3)
+	assert.Equal(t, g.client.client.Connections(), g.controller.ConnectionLimit())
+	assert.Assert(t, g.client.client.Connections() <= 3)
 }
 
 // Guards against a HEAD answer that states the length of its empty body.
@@ -144,6 +144,6 @@
 	reply := g.serve(context.Background(), attempt)
 	assert.Assert(t, reply.Answer != nil)
 	recorder := httptest.NewRecorder()
-	writeResult(recorder, callResult{final: answeredFinal(), answer: reply.Answer})
+	(&entry{protocol: nativeProtocol{}}).writeResult(recorder, callResult{final: answeredFinal(), answer: reply.Answer})
 	assert.Equal(t, recorder.Header().Get("Content-Length"), "1234")
 }
--- a/bulrushnode/header.go
+++ b/bulrushnode/header.go
@@ -22,6 +22,7 @@
 	headerReason         = "Bulrush-Reason"
 	headerIdempotencyKey = "Idempotency-Key"
 	headerLength         = "Content-Length"
+	headerRetryAfter     = "Retry-After"
 
 	headerPrefix = "Bulrush-"
 	// hostSuffix ends the host names that carry the service's name.
@@ -42,14 +43,14 @@
 	"Content-Length":      true,
 }
 
-// passedFields returns the header lines that are passed on. Lines of our own
-// protocol are removed, so that neither a caller nor a backend server can
-// forge an outcome, and so are lines that the Connection header names.
-func passedFields(header http.Header) []bulrushchute.HeaderField {
+// passedFields returns the header lines that are passed on. Lines that the
+// protocol reserves are removed, so that neither a caller nor a backend server
+// can forge an outcome, and so are lines that the Connection header names.
+func passedFields(header http.Header, reserved func(name string) bool) []bulrushchute.HeaderField {
 	named := connectionNames(header)
 	fields := make([]bulrushchute.HeaderField, 0, len(header))
 	for name, values := range header {
-		if hopHeaders[name] || named[name] || strings.HasPrefix(name, headerPrefix) {
+		if hopHeaders[name] || named[name] || reserved(name) {
 			continue
 		}
 		for _, value := range values {
--- a/bulrushnode/keys.go
+++ b/bulrushnode/keys.go
@@ -28,7 +28,9 @@
 	exchange  exchanger
 	self      bulrushchute.InstanceID
 	settings  bulrushkey.Settings
-	tasks     *bulrushtask.Group
+	// disabled is set when this deployment has no homes of keys.
+	disabled bool
+	tasks    *bulrushtask.Group
 	// context ends when the node has stopped.
 	context context.Context
 	// control is set before any goroutine uses it.
@@ -54,6 +56,7 @@
 		exchange:  n.exchange,
 		self:      self,
 		settings:  settings,
+		disabled:  n.settings.WithoutKeys,
 		tasks:     bulrushtask.NewGroup(nil),
 		context:   n.context,
 		table:     bulrushkey.NewTable(settings),
@@ -181,10 +184,18 @@
 		defer k.mutex.Unlock()
 		delete(k.waiting, id)
 		k.table.Abandon(key, id)
-		return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: failureReason(ctx, ctx.Err())}}
+		return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: endReason(ctx)}}
 	}
 }
 
+// endReason says why a context ended.
+func endReason(ctx context.Context) bulrushchute.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return bulrushchute.ReasonDeadline
+	}
+	return bulrushchute.ReasonCancelled
+}
+
 // run runs a recorded key. It goes on when the caller has gone, because the
 // caller may ask for the result with a repeat.
 func (k *keys) run(key bulrushkey.Key, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
@@ -248,6 +259,9 @@
 
 // join starts the node's part in the key map of its service.
 func (k *keys) join(now bulrushchute.Millis, service bulrushchute.Service) {
+	if k.disabled {
+		return
+	}
 	k.mutex.Lock()
 	if k.service == service {
 		k.mutex.Unlock()
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -54,14 +54,41 @@
 	entry    *entry
 	recorder *bulrushmetric.Recorder
 	tasks    *bulrushtask.Group
+	// kinds are the kinds of objects that readers follow in the store.
+	kinds []bulrushchute.Kind
 	// context ends when everything has stopped, after the drain.
 	context context.Context
 	cancel  context.CancelFunc
 }
 
+// Options replace parts of a node. Fields that are nil keep the node's own.
+type Options struct {
+	// Kinds are the kinds of objects that hold the catalogue in the store.
+	Kinds   []bulrushchute.Kind
+	Callers bulrushchute.CallerProtocol
+	Backend bulrushchute.BackendProtocol
+}
+
+func (o Options) dialect() dialect {
+	chosen := dialect{callers: o.Callers, backend: o.Backend}
+	if chosen.callers == nil {
+		chosen.callers = nativeProtocol{}
+	}
+	if chosen.backend == nil {
+		chosen.backend = nativeProtocol{}
+	}
+	return chosen
+}
+
 // New returns a node that uses the given store and clock. Run starts it, and
 // reports settings that ParseSettings would have refused.
 func New(settings Settings, store bulrushchute.Store, clock bulrushchute.Clock) *Node {
+	return NewWith(settings, store, clock, Options{})
+}
+
+// NewWith is New with some parts replaced.
+func NewWith(settings Settings, store bulrushchute.Store, clock bulrushchute.Clock, options Options) *Node {
+	dialect := options.dialect()
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		settings: settings,
@@ -74,6 +101,10 @@
 		context:  ctx,
 		cancel:   cancel,
 	}
+	n.kinds = options.Kinds
+	if n.kinds == nil {
+		n.kinds = defaultKinds
+	}
 	n.self = bulrushchute.Instance{
 		ID:         n.id,
 		Address:    settings.PeerAddress,
@@ -85,7 +116,7 @@
 	n.client.OnRefused = newRefusalLog(clock, "").refused
 	n.server = bulrushwire.NewServer(ctx, n)
 	n.server.OnRefused = newRefusalLog(clock, "peers").refused
-	n.guard = newGuard(ctx, clock, settings.ClockSkewMs)
+	n.guard = newGuard(ctx, clock, settings.ClockSkewMs, dialect)
 	n.caller = &caller{
 		clock:    clock,
 		board:    n.board,
@@ -106,6 +137,9 @@
 		caller:            n.caller,
 		keys:              n.keys,
 		recorder:          n.recorder,
+		protocol:          dialect.callers,
+		targets:           newTargets(newRandom(string(n.id), "targets")),
+		ownService:        n.ownService,
 		trustTenantHeader: settings.TrustTenantHeader && n.tls.caller == nil,
 	}
 	return n
@@ -117,6 +151,14 @@
 	}
 }
 
+// ownService returns the service of the backend server beside this node.
+func (n *Node) ownService() bulrushchute.Service {
+	if announced := n.guard.announced().Service; announced != "" {
+		return announced
+	}
+	return n.settings.Service
+}
+
 // newInstanceID returns an identity that is never used again: the address
 // makes it readable, the random part unique.
 func newInstanceID(address bulrushchute.Address) bulrushchute.InstanceID {
@@ -191,9 +233,7 @@
 	n.start("prober", newProber(n.guard, n.probeSettings).run)
 	n.start("bootstrap", n.bootstrap)
 	readers, stopReaders := context.WithCancel(n.context)
-	for slot := range readersPerDataCentre {
-		n.tasks.Start(readers, "reader", func(ctx context.Context) error { return n.runReader(ctx, slot) })
-	}
+	n.tasks.Start(readers, "reader", (&reader{node: n, kinds: n.kinds}).run)
 	n.tasks.Start(readers, "move leases", n.moves.runLeases)
 	<-ctx.Done()
 	stopReaders()
--- /dev/null
+++ b/bulrushnode/protocol.go
@@ -0,0 +1,88 @@
+package bulrushnode
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// nativeProtocol is the node's own dialect, with headers that begin with
+// Bulrush-, towards callers and backend servers.
+type nativeProtocol struct{}
+
+var (
+	_ bulrushchute.CallerProtocol  = nativeProtocol{}
+	_ bulrushchute.BackendProtocol = nativeProtocol{}
+)
+
+// ReadRequest implements bulrushchute.CallerProtocol.
+func (nativeProtocol) ReadRequest(request *http.Request) (bulrushchute.CallerRequest, error) {
+	header := request.Header
+	timeout, err := parseCount(header, headerTimeout, maxTimeoutMs)
+	if err != nil {
+		return bulrushchute.CallerRequest{}, err
+	}
+	deadline, err := parseCount(header, headerDeadline, math.MaxInt64)
+	if err != nil {
+		return bulrushchute.CallerRequest{}, err
+	}
+	depth, err := parseCount(header, headerDepth, math.MaxInt32)
+	if err != nil {
+		return bulrushchute.CallerRequest{}, err
+	}
+	return bulrushchute.CallerRequest{
+		Service:   serviceOf(request),
+		ClassName: header.Get(headerClass),
+		Timeout:   bulrushchute.Millis(timeout),
+		Deadline:  bulrushchute.Millis(deadline),
+		Depth:     int(depth),
+		Retry:     header.Get(headerRetry) != "",
+		Key:       header.Get(headerIdempotencyKey),
+	}, nil
+}
+
+// Reserved implements bulrushchute.CallerProtocol.
+func (nativeProtocol) Reserved(name string) bool {
+	return strings.HasPrefix(name, headerPrefix)
+}
+
+// WriteOutcome implements bulrushchute.CallerProtocol.
+func (nativeProtocol) WriteOutcome(header http.Header, answer bulrushchute.NodeAnswer) {
+	header.Set(headerOutcome, answer.Outcome.String())
+	if answer.Reason != "" {
+		header.Set(headerReason, string(answer.Reason))
+	}
+	if answer.RetryAfter > 0 {
+		header.Set(headerRetryAfter, retryAfterSeconds(answer.RetryAfter))
+	}
+}
+
+// retryAfterSeconds rounds up, since the header has whole seconds.
+func retryAfterSeconds(span bulrushchute.Millis) string {
+	return strconv.FormatInt(int64((span+bulrushchute.Second-1)/bulrushchute.Second), 10)
+}
+
+// WriteHeader implements bulrushchute.BackendProtocol.
+func (nativeProtocol) WriteHeader(header http.Header, dispatch bulrushchute.Dispatch) {
+	header.Set(headerDeadline, strconv.FormatInt(int64(dispatch.Deadline), 10))
+	header.Set(headerDepth, strconv.Itoa(dispatch.Attempt.Depth))
+	if dispatch.Attempt.Retry {
+		header.Set(headerRetry, "1")
+	}
+	header.Set(headerTenant, string(dispatch.Attempt.Tenant))
+}
+
+// AcceptsUnframed implements bulrushchute.BackendProtocol. A body that ends
+// only because the connection does cannot be told from a truncated one.
+func (nativeProtocol) AcceptsUnframed() bool {
+	return false
+}
+
+// ReadReport implements bulrushchute.BackendProtocol. Answers of this dialect
+// report nothing besides their status.
+func (nativeProtocol) ReadReport(*bulrushchute.Attempt, int, http.Header) bulrushchute.BackendReport {
+	return bulrushchute.BackendReport{}
+}
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushstore"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
@@ -18,143 +18,144 @@
 // Timings and sizes of the catalogue readers.
 const (
 	// readersPerDataCentre keeps the store's waiting watches independent of the
-	// number of nodes, and one reader in reserve.
-	readersPerDataCentre = 2
-	// readerCandidates bounds the nodes that try to acquire a reader's lease.
-	readerCandidates = 3
-
-	readerLease      = 10 * bulrushchute.Second
-	readerRenewEvery = 3 * bulrushchute.Second
-	readerMargin     = bulrushchute.Second
-
-	// candidacyEvery is how often a contender checks that it still is a candidate.
-	candidacyEvery = 30 * time.Second
-
-	// watchRetry is the pause after a watch or list failed.
-	watchRetry = time.Second
-	// seedsEvery is how often a reader refreshes the list of addresses through
-	// which new nodes join.
+	// number of nodes. The others are in reserve, since a reader may be cut off
+	// from the store without noticing it at once.
+	readersPerDataCentre = 3
+	// rankEvery is how often a node checks whether it is among the readers.
+	rankEvery = time.Second
+	// watchRetry is the pause after a watch or list failed, watchRetryMax the
+	// longest after several failures in a row.
+	watchRetry    = 100 * time.Millisecond
+	watchRetryMax = time.Second
+	// seedsEvery is how often the first reader refreshes the list of addresses
+	// through which new nodes join.
 	seedsEvery = 10 * time.Second
 	seedCount  = 8
 )
 
-// watchedKinds are the kinds of objects that readers spread.
-var watchedKinds = []bulrushchute.Kind{
+// defaultKinds are the kinds of objects that readers spread.
+var defaultKinds = []bulrushchute.Kind{
 	bulrushchute.KindServices,
 	bulrushchute.KindDataCentres,
 	bulrushchute.KindKeyMaps,
 }
 
-// reader watches the store for its data centre while it holds a lease.
+// reader follows the store for its data centre while this node is among the
+// readers. Reading needs no lease: nodes that disagree on the ranks for a while
+// cost a few calls, and an older version is ignored everywhere.
 type reader struct {
 	node *Node
-	slot int
+	// kinds are the kinds of objects to follow.
+	kinds []bulrushchute.Kind
 }
 
-// runReader tries to hold the lease of one reader slot.
-func (n *Node) runReader(ctx context.Context, slot int) error {
-	r := &reader{node: n, slot: slot}
-	lease := bulrushstore.NewLease(n.store, n.clock, bulrushstore.LeaseSettings{
-		Name:       r.name(),
-		Holder:     n.id,
-		Duration:   readerLease,
-		RenewEvery: readerRenewEvery,
-		Margin:     readerMargin,
-	})
+// run follows the store whenever this node is among the readers.
+func (r *reader) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !r.candidate(ctx) {
-			pause(ctx, readerRenewEvery.Duration())
-			continue
+		if r.rank(ctx) < readersPerDataCentre {
+			r.readWhileRanked(ctx)
 		}
-		r.contend(ctx, lease)
+		pause(ctx, rankEvery)
 	}
 	return nil
 }
 
-func (r *reader) name() string {
-	return "reader-" + string(r.node.settings.DataCentre) + "-" + strconv.Itoa(r.slot)
-}
-
-// candidate reports whether this node is among the few that may hold the
-// lease. Every node computes the same ranks from the members it knows.
-func (r *reader) candidate(ctx context.Context) bool {
-	candidate := false
+// rank returns the number of nodes of this data centre that come before this
+// one. Every node computes the same ranks from the members that it knows.
+func (r *reader) rank(ctx context.Context) int {
+	rank := 0
 	r.node.control.do(ctx, func(bulrushchute.Millis) {
-		candidate = r.node.control.isCandidate(r.name(), r.node.settings.DataCentre, readerCandidates)
+		rank = r.node.control.rank(r.name(), r.node.settings.DataCentre, readersPerDataCentre)
 	})
-	return candidate
+	return rank
 }
 
-// contend acquires or renews the lease for some time, and watches while it is held.
-func (r *reader) contend(ctx context.Context, lease *bulrushstore.Lease) {
+func (r *reader) name() string {
+	return "reader-" + string(r.node.settings.DataCentre)
+}
+
+// readWhileRanked follows all kinds until enough other nodes come before this one.
+func (r *reader) readWhileRanked(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	watches := bulrushtask.NewGroup(nil)
 	defer watches.Wait()
-	cancelWatches := func() {}
-	changed := func(epoch uint64) {
-		cancelWatches()
-		if epoch == 0 {
-			klog.InfoS("reader lease lost", "slot", r.slot)
-			return
-		}
-		klog.InfoS("reader lease held", "slot", r.slot, "epoch", epoch)
-		var watching context.Context
-		watching, cancelWatches = context.WithCancel(ctx)
-		r.startWatches(watching, watches)
+	for _, kind := range r.kinds {
+		watches.Start(ctx, string(kind), func(ctx context.Context) error { return r.watch(ctx, kind) })
 	}
-	defer func() { cancelWatches() }()
-	watches.Start(ctx, "candidacy", func(ctx context.Context) error {
-		r.resign(ctx, lease, stop)
-		return nil
-	})
-	lease.Run(ctx, changed, func(err error) {
-		klog.V(1).InfoS("reader lease not renewed", "slot", r.slot, "error", err)
-	})
-}
-
-// resign stops the contention of a node that does not hold the lease and is no
-// longer among the candidates.
-func (r *reader) resign(ctx context.Context, lease *bulrushstore.Lease, stop func()) {
+	watches.Start(ctx, "seeds", r.maintainSeeds)
+	klog.InfoS("reading the store", "data_centre", r.node.settings.DataCentre)
 	for ctx.Err() == nil {
-		pause(ctx, candidacyEvery)
-		if _, held := lease.Held(); !held && !r.candidate(ctx) {
-			stop()
+		pause(ctx, rankEvery)
+		if r.rank(ctx) >= readersPerDataCentre && r.node.board.Read().State == bulrushboard.NodeReady {
+			klog.InfoS("no longer reading the store", "data_centre", r.node.settings.DataCentre)
+			return
 		}
 	}
 }
 
-func (r *reader) startWatches(ctx context.Context, group *bulrushtask.Group) {
-	for _, kind := range watchedKinds {
-		group.Start(ctx, string(kind), func(ctx context.Context) error {
-			return r.watch(ctx, kind)
-		})
-	}
-	group.Start(ctx, "seeds", r.maintainSeeds)
-}
-
-// watch lists a kind and follows its changes, again after each failure.
+// watch lists a kind and follows its changes, again after each failure. What
+// was missed is listed again only if the store no longer holds it.
 func (r *reader) watch(ctx context.Context, kind bulrushchute.Kind) error {
+	var at cursor
+	retry := watchRetry
+	lost := false
 	for ctx.Err() == nil {
-		if err := r.follow(ctx, kind); err != nil && ctx.Err() == nil {
-			klog.V(1).InfoS("watch ended", "kind", kind, "error", err)
+		err := r.follow(ctx, kind, &at)
+		if ctx.Err() != nil {
+			break
 		}
-		pause(ctx, watchRetry)
+		if err == nil {
+			if lost {
+				klog.InfoS("store regained", "kind", kind, "revision", at.revision)
+			}
+			lost, retry = false, watchRetry
+			continue
+		}
+		if !lost {
+			klog.InfoS("store lost", "kind", kind, "revision", at.revision, "error", err)
+		}
+		lost = true
+		pause(ctx, retry)
+		retry = min(2*retry, watchRetryMax)
 	}
 	return nil
 }
 
-func (r *reader) follow(ctx context.Context, kind bulrushchute.Kind) error {
-	objects, revision, err := r.node.store.List(ctx, kind)
-	if err != nil {
-		return errors.Wrapf(err, "list %s", kind)
+// cursor is how far a kind was read.
+type cursor struct {
+	listed   bool
+	revision uint64
+}
+
+// follow lists the kind, or waits for its next changes when it was listed before.
+func (r *reader) follow(ctx context.Context, kind bulrushchute.Kind, at *cursor) error {
+	if !at.listed {
+		objects, revision, err := r.node.store.List(ctx, kind)
+		if err != nil {
+			return errors.Wrapf(err, "list %s", kind)
+		}
+		r.publishList(ctx, kind, objects, revision)
+		*at = cursor{listed: true, revision: revision}
+		return nil
 	}
-	r.publishList(ctx, kind, objects, revision)
-	return r.node.store.Watch(ctx, kind, revision, func(event bulrushchute.StoreEvent) {
+	err := r.node.store.Watch(ctx, kind, at.revision, func(event bulrushchute.StoreEvent) {
+		at.revision = max(at.revision, event.Object.Version)
 		r.node.control.do(ctx, func(now bulrushchute.Millis) {
 			r.node.control.publishObject(now, event.Object, event.Deleted)
 		})
 	})
+	var gone *bulrushstore.GoneError
+	var ended *bulrushstore.WatchEndedError
+	switch {
+	case errors.As(err, &gone):
+		at.listed = false
+		return nil
+	case errors.As(err, &ended):
+		at.revision = max(at.revision, ended.Revision)
+		return nil
+	}
+	return err
 }
 
 // publishList spreads all objects of a kind. Objects that are known but not
@@ -185,54 +186,98 @@
 // parts of the fleet that have started apart from each other.
 func (r *reader) maintainSeeds(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if r.slot == 0 {
-			if err := r.writeSeeds(ctx); err != nil && ctx.Err() == nil {
-				klog.V(1).InfoS("seeds not written", "error", err)
-			}
+		pause(ctx, seedsEvery)
+		if ctx.Err() != nil || r.rank(ctx) > 0 {
+			continue
+		}
+		if err := r.node.writeSeeds(ctx); err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("seeds not written", "error", err)
 		}
 		r.node.joinStrangers(ctx)
-		pause(ctx, seedsEvery)
 	}
 	return nil
 }
 
-func (r *reader) writeSeeds(ctx context.Context) error {
-	addresses := r.someAddresses(ctx)
-	value, err := json.Marshal(seeds{Addresses: addresses})
-	if err != nil {
-		return errors.Wrap(err, "encode seeds")
+// maxSeedWrites bounds the attempts to write the list against other writers.
+const maxSeedWrites = 6
+
+// writeSeeds brings the stored addresses of this data centre up to date.
+func (n *Node) writeSeeds(ctx context.Context) error {
+	name := string(n.settings.DataCentre)
+	var err error
+	for range maxSeedWrites {
+		var current bulrushchute.Object
+		current, err = n.store.Get(ctx, bulrushchute.KindSeeds, name)
+		var missing *bulrushchute.NotFoundError
+		if err != nil && !errors.As(err, &missing) {
+			return err
+		}
+		exists := err == nil
+		stored := storedSeeds(current)
+		addresses := n.seedAddresses(ctx, stored)
+		if exists && slices.Equal(stored, addresses) {
+			return nil
+		}
+		var value []byte
+		if value, err = json.Marshal(seeds{Addresses: addresses}); err != nil {
+			return errors.Wrap(err, "encode seeds")
+		}
+		if exists {
+			_, err = n.store.Update(ctx, current.WithValue(value))
+		} else {
+			_, err = n.store.Create(ctx, bulrushchute.Object{Kind: bulrushchute.KindSeeds, Name: name, Value: value})
+		}
+		if !isRace(err) {
+			return err
+		}
 	}
-	name := string(r.node.settings.DataCentre)
-	current, err := r.node.store.Get(ctx, bulrushchute.KindSeeds, name)
-	var missing *bulrushchute.NotFoundError
-	if errors.As(err, &missing) {
-		_, err = r.node.store.Create(ctx, bulrushchute.Object{Kind: bulrushchute.KindSeeds, Name: name, Value: value})
-		return err
+	return err
+}
+
+// isRace reports whether a write lost to another writer.
+func isRace(err error) bool {
+	var conflict *bulrushchute.ConflictError
+	var exists *bulrushchute.ExistsError
+	return errors.As(err, &conflict) || errors.As(err, &exists)
+}
+
+func storedSeeds(object bulrushchute.Object) []bulrushchute.Address {
+	if object.Value == nil {
+		return nil
 	}
-	if err != nil || sameSeeds(current.Value, addresses) {
-		return err
+	addresses, err := parseSeeds(object)
+	if err != nil {
+		klog.ErrorS(err, "seeds not taken", "data_centre", object.Name)
+		return nil
 	}
-	_, err = r.node.store.Update(ctx, current.WithValue(value))
-	return err
+	return addresses
 }
 
-func sameSeeds(value []byte, addresses []bulrushchute.Address) bool {
-	var stored seeds
-	return json.Unmarshal(value, &stored) == nil && slices.Equal(stored.Addresses, addresses)
+// seedAddresses returns the addresses to store: those of known members first,
+// then stored ones, which may belong to nodes that this one has not met yet.
+func (n *Node) seedAddresses(ctx context.Context, stored []bulrushchute.Address) []bulrushchute.Address {
+	addresses := n.someAddresses(ctx)
+	for _, address := range stored {
+		if len(addresses) < seedCount && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
 }
 
 // someAddresses picks members of this data centre by hash, so that the list
 // seldom changes.
-func (r *reader) someAddresses(ctx context.Context) []bulrushchute.Address {
+func (n *Node) someAddresses(ctx context.Context) []bulrushchute.Address {
 	type ranked struct {
 		hash    uint64
 		address bulrushchute.Address
 	}
 	var all []ranked
-	r.node.control.do(ctx, func(bulrushchute.Millis) {
-		r.node.control.membership.Range(func(member bulrushchute.Instance) bool {
-			if member.DataCentre == r.node.settings.DataCentre && member.State != bulrushchute.StateSuspect {
-				all = append(all, ranked{rankHash(r.name(), member.ID), member.Address})
+	n.control.do(ctx, func(bulrushchute.Millis) {
+		n.control.membership.Range(func(member bulrushchute.Instance) bool {
+			if member.DataCentre == n.settings.DataCentre && member.State != bulrushchute.StateSuspect && member.State != bulrushchute.StateLeaving {
+				all = append(all, ranked{rankHash("seed", member.ID), member.Address})
 			}
 			return true
 		})
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -25,6 +25,13 @@
 	// BackendAddress is the only address from which an announcement is accepted,
 	// by IP number.
 	BackendAddress bulrushchute.Address `json:"backend_address"`
+	// Service is the backend server's service until its first announcement.
+	Service bulrushchute.Service `json:"service,omitempty"`
+	// WithoutKeys leaves out the homes of idempotency keys. Requests that bring
+	// a key are then served like others.
+	WithoutKeys bool `json:"without_keys,omitempty"`
+	// GraceMs is how long a node may take to end once it was told to.
+	GraceMs bulrushchute.Millis `json:"grace_ms,omitempty"`
 	// StoreURL is the base URL of the object store.
 	StoreURL string `json:"store_url"`
 	// SeedAddresses are peer addresses that a node tries before the store's list.
@@ -41,6 +48,12 @@
 // DefaultClockSkewMs is used when the settings leave clock_skew_ms out.
 const DefaultClockSkewMs = bulrushchute.Second
 
+// DefaultGraceMs is above the longest timeout that the catalogue gives by default.
+const DefaultGraceMs = bulrushchute.Minute
+
+// minGraceMs leaves time for the notice to peers.
+const minGraceMs = 3 * bulrushchute.Second
+
 // maxClockSkewMs keeps the wait of a key takeover, which is twice the skew, short.
 const maxClockSkewMs = 10 * bulrushchute.Second
 
@@ -52,6 +65,9 @@
 	if err := decoder.Decode(&settings); err != nil {
 		return Settings{}, errors.Wrap(err, "parse settings")
 	}
+	if settings.GraceMs == 0 {
+		settings.GraceMs = DefaultGraceMs
+	}
 	if settings.ClockSkewMs == 0 {
 		settings.ClockSkewMs = DefaultClockSkewMs
 	}
@@ -68,6 +84,9 @@
 	if s.ClockSkewMs < 0 || s.ClockSkewMs > maxClockSkewMs {
 		return &bulrushchute.FieldError{Field: "clock_skew_ms", Value: strconv.Itoa(int(s.ClockSkewMs)), Allowed: "1 to 10000"}
 	}
+	if s.GraceMs < minGraceMs {
+		return &bulrushchute.FieldError{Field: "grace_ms", Value: strconv.Itoa(int(s.GraceMs)), Allowed: "3000 or more"}
+	}
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
--- a/bulrushnode/status.go
+++ b/bulrushnode/status.go
@@ -5,6 +5,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
+	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushspread"
 )
@@ -138,3 +139,8 @@
 	}
 	return counts
 }
+
+// State returns what the node itself is able to do.
+func (n *Node) State() bulrushboard.NodeState {
+	return n.board.Read().State
+}
--- a/bulrushstore/errors.go
+++ b/bulrushstore/errors.go
@@ -20,6 +20,17 @@
 	return fmt.Sprintf("revision %d of %s is too old to watch from", e.Revision, e.Kind)
 }
 
+// WatchEndedError reports a watch that the store ended in order, after it had
+// told all changes up to a revision.
+type WatchEndedError struct {
+	Revision uint64
+}
+
+// Error implements error.
+func (e *WatchEndedError) Error() string {
+	return fmt.Sprintf("watch ended at revision %d", e.Revision)
+}
+
 // StatusError reports an HTTP status with which the store refused a call.
 type StatusError struct {
 	Code    int
--- a/clock.go
+++ b/clock.go
@@ -44,6 +44,22 @@
 	return Millis(time.Now().UnixMilli())
 }
 
+// SteadyClock starts at the operating system's time and then follows its
+// monotonic clock, so that steps of the time of day do not move it.
+type SteadyClock struct {
+	start time.Time
+}
+
+// NewSteadyClock returns a clock that shows the present time of day.
+func NewSteadyClock() *SteadyClock {
+	return &SteadyClock{start: time.Now()}
+}
+
+// Now returns the time of day at the start plus the time that has passed since.
+func (sc *SteadyClock) Now() Millis {
+	return Millis(sc.start.UnixMilli()) + MillisOf(time.Since(sc.start))
+}
+
 // ManualClock stands still until it is set, for tests and embedded runs.
 // It is not safe for concurrent use.
 type ManualClock struct {
--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -43,9 +43,10 @@
 	}
 	command.Flags().StringVar(&path, "settings", "", "JSON file with the node's settings")
 	_ = command.MarkFlagRequired("settings")
+	command.AddCommand(newPlatformCommand())
 	logging := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(logging)
-	command.Flags().AddGoFlagSet(logging)
+	command.PersistentFlags().AddGoFlagSet(logging)
 	return command
 }
 
@@ -69,5 +70,5 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, node, string(settings.OperatorAddress), handler)
+	return serve(ctx, string(settings.OperatorAddress), handler, node.Run)
 }
--- a/cmd/bulrushd/serve.go
+++ b/cmd/bulrushd/serve.go
@@ -6,14 +6,13 @@
 
 	"k8s.io/klog/v2"
 
-	"bulrushchute.example/bulrushchute/bulrushnode"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 	"bulrushchute.example/bulrushchute/cmd/bulrushd/bulrushoperator"
 )
 
 // serve runs the node and its operator endpoints. The endpoints stay until the
 // node has drained, so that operators can watch it.
-func serve(ctx context.Context, node *bulrushnode.Node, address string, handler http.Handler) error {
+func serve(ctx context.Context, address string, handler http.Handler, run func(context.Context) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	endpoints, closeEndpoints := context.WithCancel(context.WithoutCancel(ctx))
@@ -28,7 +27,7 @@
 		defer cancel()
 		return bulrushoperator.Serve(endpoints, address, handler)
 	})
-	err := node.Run(ctx)
+	err := run(ctx)
 	closeEndpoints()
 	group.Wait()
 	return err
--- a/message.go
+++ b/message.go
@@ -36,6 +36,15 @@
 	Idempotent bool   `cbor:"15,keyasint,omitempty"`
 	// Key is set only on an attempt that goes to the key's home node.
 	Key string `cbor:"16,keyasint,omitempty"`
+	// RequestID is the caller's own name for the request.
+	RequestID string `cbor:"17,keyasint,omitempty"`
+	// Host is the request's Host header.
+	Host string `cbor:"18,keyasint,omitempty"`
+	// Caller is the service beside which the request entered the system.
+	Caller Service `cbor:"19,keyasint,omitempty"`
+	// Objective is how much of the time within which an answer is worth most
+	// was left when the attempt was sent, 0 if unknown.
+	Objective Millis `cbor:"20,keyasint,omitempty"`
 }
 
 // Reply ends an attempt. Exactly one of Answer, Refusal and Failure is set.
--- a/request.go
+++ b/request.go
@@ -93,11 +93,15 @@
 
 // RequestInfo is what the decision logic needs to know of a request.
 type RequestInfo struct {
-	Service    Service
-	Route      string
-	Tenant     Tenant
-	Class      Class
-	Deadline   Millis
+	Service  Service
+	Route    string
+	Tenant   Tenant
+	Class    Class
+	Deadline Millis
+	// Objective is the span within which an answer is worth most, 0 if unknown.
+	Objective Millis
+	// Attempts bounds the attempts of the request, 0 for the node's own bound.
+	Attempts   int
 	Idempotent bool
 	// Retry is set when a level above already repeats this request.
 	Retry bool
--- a/store.go
+++ b/store.go
@@ -11,12 +11,14 @@
 const (
 	KindServices    Kind = "services"
 	KindDataCentres Kind = "datacentres"
-	KindMoves       Kind = "moves"
-	KindEvents      Kind = "events"
-	KindKeyMaps     Kind = "keymaps"
-	KindLeases      Kind = "leases"
-	KindSeeds       Kind = "seeds"
-	KindStatus      Kind = "status"
+	// KindRouting holds one object, the routing table of the deployment.
+	KindRouting Kind = "routing"
+	KindMoves   Kind = "moves"
+	KindEvents  Kind = "events"
+	KindKeyMaps Kind = "keymaps"
+	KindLeases  Kind = "leases"
+	KindSeeds   Kind = "seeds"
+	KindStatus  Kind = "status"
 )
 
 // MaxObjectBytes is the largest value that the store accepts.
