--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -43,6 +43,8 @@
 	limitCut bool
 	usedAt   bulrushchute.Millis
 
+	pace      pace
+	cold      coldWindow
 	drain     drainMeter
 	serviceMs float64
 	probes    probeBudget
@@ -72,6 +74,7 @@
 
 func (c *Controller) use(settings Settings) {
 	c.settings = settings.withDefaults()
+	c.cold.perS = c.settings.Limits.ColdPerS
 	c.weights = make(map[bulrushchute.Tenant]int, len(settings.Tenants))
 	for _, share := range settings.Tenants {
 		c.weights[share.Tenant] = share.Weight
@@ -108,16 +111,21 @@
 		return releases
 	}
 	c.nextExpiry = Never
+	slow := c.pace.slow(c.now)
 	var over []*ticket
 	c.queue.each(func(t *ticket) {
-		if t.expiresAt <= c.now {
+		if t.expiresAt <= c.now || (slow && t.heldUntil <= c.now) {
 			over = append(over, t)
 			return
 		}
-		c.nextExpiry = min(c.nextExpiry, t.expiresAt)
+		c.nextExpiry = min(c.nextExpiry, t.nextExpiry())
 	})
 	for _, t := range over {
-		releases = c.refuseQueued(t, t.expiry, releases)
+		if t.expiresAt <= c.now {
+			releases = c.refuseQueued(t, t.expiry, releases)
+			continue
+		}
+		releases = c.endHold(t, releases)
 	}
 	return releases
 }
@@ -125,7 +133,7 @@
 // fill moves queued work into free slots. Expired work is gone by then, so the
 // deadline of each request has just been checked.
 func (c *Controller) fill(releases []Release) []Release {
-	for c.queue.waiting > 0 && len(c.running) < c.limit() {
+	for c.queue.waiting > 0 && c.room() {
 		t := c.queue.next(c.limit(), c.activeWeight)
 		releases = c.admitQueued(t, releases)
 	}
@@ -176,13 +184,17 @@
 // Never. It may be early, but not late. The owner calls Tick at that time; a
 // long delay is taken as a pause of the node and not as a slow server.
 func (c *Controller) NextTick() bulrushchute.Millis {
-	return min(c.nextExpiry, c.nextOverdue)
+	next := min(c.nextExpiry, c.nextOverdue)
+	if c.queue.waiting > 0 {
+		next = min(next, c.cold.next(c.now))
+	}
+	return next
 }
 
 // noteIdle starts the cold ramp when the server had no work for a long time.
 func (c *Controller) noteIdle() {
 	idle := len(c.running) == 0 && c.queue.waiting == 0
-	if idle && c.now-c.usedAt >= c.settings.IdleCold {
+	if idle && !c.pace.known && c.now-c.usedAt >= c.settings.IdleCold {
 		c.enterRamp()
 		c.usedAt = c.now
 	}
@@ -195,7 +207,7 @@
 		Limit:     c.limit(),
 		Queued:    c.queue.waiting,
 		ServiceMs: c.serviceMs,
-		Cold:      c.ramp.warming,
+		Cold:      c.warming(),
 		Leaving:   c.draining,
 	}
 }
--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -73,6 +73,8 @@
 	c.routes = newRouteTable()
 	c.drain = drainMeter{}
 	c.serviceMs = 0
+	c.pace = pace{}
+	c.cold.until = 0
 	c.failedProbes = 0
 	c.adaptive = newAdaptiveLimit(c.slots())
 	c.enterRamp()
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -119,6 +119,10 @@
 // limit returns the number of requests that may be in flight now.
 func (c *Controller) limit() int {
 	limit := min(c.slots(), c.workConnections())
+	if c.pace.known {
+		// The server reports what the limits below would have to infer.
+		return max(1, min(limit, int(pacedShare*float64(c.slots()))))
+	}
 	limit = min(limit, int(c.adaptive.limit+rounding))
 	if c.ramp.warming {
 		limit = min(limit, int(c.ramp.limit+rounding))
@@ -126,6 +130,14 @@
 	return max(1, limit)
 }
 
+// warming reports whether the server is taken to be cold.
+func (c *Controller) warming() bool {
+	if c.cold.perS > 0 {
+		return c.cold.warming(c.now)
+	}
+	return c.ramp.warming
+}
+
 // slots returns the smaller of the catalogue's slots and the announced ones.
 func (c *Controller) slots() int {
 	return smallerLimit(c.settings.Limits.Slots, c.announced.Slots)
--- a/bulrushadmission/message.go
+++ b/bulrushadmission/message.go
@@ -12,6 +12,10 @@
 	Tenant   bulrushchute.Tenant
 	Class    bulrushchute.Class
 	Deadline bulrushchute.Millis
+	// Objective is the time left in which an answer is worth most, 0 if unknown.
+	Objective bulrushchute.Millis
+	// Insist is set when the request has nowhere else to go.
+	Insist bool
 }
 
 // Verdict is the controller's answer to an offer.
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -29,7 +29,7 @@
 	if reason, refused := c.closed(request); refused {
 		return Decision{Refusal: c.refusal(reason)}
 	}
-	if c.queue.waiting == 0 && len(c.running) < c.limit() {
+	if c.queue.waiting == 0 && c.room() {
 		c.dispatch(c.newTicket(request))
 		return Decision{Verdict: Admitted}
 	}
@@ -86,6 +86,7 @@
 	if timeout := c.now + c.settings.Limits.QueueMs; timeout < latest {
 		t.expiresAt, t.expiry = timeout, bulrushchute.ReasonQueueTimeout
 	}
+	t.heldUntil = c.holdUntil(t)
 	wait, _ := c.drainMs(c.ahead(t) + 1)
 	if t.expiresAt > c.now && c.now+bulrushchute.Millis(wait) <= t.expiresAt {
 		return "", false
--- a/bulrushadmission/ticket.go
+++ b/bulrushadmission/ticket.go
@@ -18,6 +18,8 @@
 	// expiresAt and expiry end the wait in the queue.
 	expiresAt bulrushchute.Millis
 	expiry    bulrushchute.Reason
+	// heldUntil ends the wait for a better moment of the server's machine.
+	heldUntil bulrushchute.Millis
 
 	running      bool
 	dispatchedAt bulrushchute.Millis
@@ -117,6 +119,7 @@
 // dispatch gives the ticket a slot.
 func (c *Controller) dispatch(t *ticket) {
 	c.running = append(c.running, t)
+	c.cold.started(c.now)
 	t.account.inFlight++
 	t.running = true
 	t.dispatchedAt = c.now
@@ -142,7 +145,12 @@
 // enqueue puts the ticket into its class's queue.
 func (c *Controller) enqueue(t *ticket) {
 	c.queue.push(t)
-	c.nextExpiry = min(c.nextExpiry, t.expiresAt)
+	c.nextExpiry = min(c.nextExpiry, t.nextExpiry())
+}
+
+// nextExpiry is when the ticket's wait may end next.
+func (t *ticket) nextExpiry() bulrushchute.Millis {
+	return min(t.expiresAt, t.heldUntil)
 }
 
 // admitQueued ends a ticket's wait with a slot.
--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -22,6 +22,8 @@
 	sentAt bulrushchute.Millis
 	// paidFrom is the bucket whose token the attempt used, nil for the first attempt.
 	paidFrom *tokens
+	// reached is set when the attempt ended without proof that it did not run.
+	reached bool
 }
 
 // drop ends an attempt that was never sent and returns its token.
@@ -122,6 +124,7 @@
 		return false
 	}
 	a.phase = phaseEnded
+	a.reached = end.Result != bulrushchute.ResultNotRun && end.Result != bulrushchute.ResultNotSent
 	switch end.Result {
 	case bulrushchute.ResultAnswered:
 		m.budgets.latency.record(now, now-a.sentAt)
@@ -235,7 +238,7 @@
 	if !m.info.Idempotent || m.info.Retry || m.hedged || m.choosing() {
 		return 0, false
 	}
-	if len(m.attempts) >= MaxAttempts || m.unanswered() != 1 {
+	if !m.mayReachAnother() || m.unanswered() != 1 {
 		return 0, false
 	}
 	delay, ok := m.budgets.HedgeDelay(now)
@@ -272,7 +275,7 @@
 	if m.unanswered() > 0 || m.choosing() {
 		return
 	}
-	if !permitted || len(m.attempts) >= MaxAttempts {
+	if !permitted || !m.mayReachAnother() {
 		m.giveUp(m.lastReason)
 		return
 	}
@@ -283,6 +286,26 @@
 	m.next = budget
 }
 
+// mayReachAnother reports whether one more attempt is within the bounds: that
+// of all attempts, and that of the request's route, which counts only those
+// that may have reached a backend server.
+func (m *Machine) mayReachAnother() bool {
+	if len(m.attempts) >= MaxAttempts {
+		return false
+	}
+	return m.info.Attempts <= 0 || m.reached() < m.info.Attempts
+}
+
+func (m *Machine) reached() int {
+	count := 0
+	for _, a := range m.attempts {
+		if a.phase == phaseUnanswered || a.phase == phaseCancelled || a.reached {
+			count++
+		}
+	}
+	return count
+}
+
 func (m *Machine) giveUp(reason bulrushchute.Reason) {
 	if m.next != nil {
 		m.next.giveBack()
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -108,7 +108,7 @@
 
 // send picks an instance and starts an attempt on it.
 func (r *running) send(ctx context.Context, action bulrushattempt.Action) {
-	instance, found := r.pick(action)
+	instance, only, found := r.pick(action)
 	if !found {
 		return
 	}
@@ -117,7 +117,12 @@
 	attempt.Target = instance.ID
 	attempt.Retry = action.Retry
 	attempt.Deadline = r.call.info.Deadline
-	attempt.Remaining = attempt.Deadline - r.caller.clock.Now()
+	now := r.caller.clock.Now()
+	attempt.Remaining = attempt.Deadline - now
+	attempt.Insist = only || action.Attempt > 1
+	if attempt.Objective > 0 {
+		attempt.Objective = max(1, r.call.arrived+attempt.Objective-now)
+	}
 	// An attempt outlives its caller: non-idempotent work runs to its end, and
 	// the machine cancels the rest by name.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), attempt.Remaining.Duration())
@@ -136,7 +141,9 @@
 	return id
 }
 
-func (r *running) pick(action bulrushattempt.Action) (bulrushchute.Instance, bool) {
+// pick chooses an instance for an attempt. It also reports whether the request
+// has nowhere else to go.
+func (r *running) pick(action bulrushattempt.Action) (bulrushchute.Instance, bool, bool) {
 	now := r.caller.clock.Now()
 	view := r.caller.board.Read()
 	service := r.call.info.Service
@@ -147,13 +154,14 @@
 	instance, found := r.lane.pick(now, view, query)
 	if !found {
 		r.machine.NoBackend(now, action.Attempt)
-		return instance, false
+		return instance, false, false
 	}
+	only := r.lane.only(now, query, instance.ID)
 	if !r.machine.Sent(now, action.Attempt, instance.ID) {
-		return instance, false
+		return instance, false, false
 	}
 	r.lane.router.Started(now, instance.ID)
-	return instance, true
+	return instance, only, true
 }
 
 // exchange runs one attempt and tells the router how it ended, also when
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -37,6 +37,13 @@
 	// backend server does not end that.
 	draining bool
 	warmMs   bulrushchute.Millis
+	// reading is closed when the reading of the backend server's load that is
+	// under way ends, nil when there is none.
+	reading chan struct{}
+	// held wakes the goroutine that watches over held requests.
+	held chan struct{}
+	// healthPath is where the load is read.
+	healthPath string
 	// observe takes note of each dispatch for the judgement of versions.
 	observe func(service bulrushchute.Service, sample bulrushmove.Sample)
 }
@@ -50,6 +57,8 @@
 		tasks:      bulrushtask.NewGroup(nil),
 		controller: bulrushadmission.New(clock.Now(), bulrushadmission.Settings{}),
 		waiting:    make(map[bulrushchute.AttemptID]chan bulrushadmission.Release),
+		held:       make(chan struct{}, 1),
+		healthPath: bulrushcatalogue.DefaultHealthPath,
 		observe:    func(bulrushchute.Service, bulrushmove.Sample) {},
 	}
 }
@@ -71,6 +80,7 @@
 		g.release(g.controller.BackendStarted(now, limits))
 		g.replaceClient(announcement.Address)
 	}
+	g.release(g.controller.ObserveCold(now, announcement.ColdMs))
 	g.backend = announcement
 	g.healthy = true
 	if announcement.State == BackendDraining || g.draining {
@@ -100,6 +110,7 @@
 	defer g.mutex.Unlock()
 	settings := bulrushadmission.SettingsOf(entry)
 	g.warmMs = settings.Limits.WarmMs
+	g.healthPath = entry.WithDefaults().Probe.HealthPath
 	before := g.controller.ConnectionLimit()
 	g.release(g.controller.SetSettings(g.clock.Now(), settings))
 	if g.client != nil && g.controller.ConnectionLimit() != before {
@@ -210,6 +221,7 @@
 }
 
 func (g *guard) serveUntil(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+	g.refreshPace(ctx)
 	if refusal := g.admit(ctx, attempt, deadline); refusal != nil {
 		return bulrushchute.Reply{Refusal: refusal}
 	}
@@ -247,11 +259,15 @@
 		Tenant:   attempt.Tenant,
 		Class:    attempt.Class,
 		Deadline: deadline,
+
+		Objective: attempt.Objective,
+		Insist:    attempt.Insist,
 	})
 	var wait chan bulrushadmission.Release
 	if decision.Verdict == bulrushadmission.Queued {
 		wait = make(chan bulrushadmission.Release, 1)
 		g.waiting[attempt.ID] = wait
+		g.wakePacer()
 	}
 	g.release(decision.Releases)
 	return decision, wait
@@ -320,6 +336,7 @@
 		Remaining: remaining,
 	})
 	elapsed := time.Since(begin)
+	g.takeReport(result.report)
 	g.finish(attempt, result, elapsed)
 	g.report(attempt, backend, result, elapsed)
 	return replyOf(result)
--- a/bulrushnode/lane.go
+++ b/bulrushnode/lane.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"bulrushchute.example/bulrushchute"
@@ -34,9 +35,9 @@
 	byName   map[bulrushchute.Service]*lane
 }
 
-func newLanes(self bulrushchute.Instance, clock bulrushchute.Clock) *lanes {
+func newLanes(self bulrushchute.Instance, homeBias float64, clock bulrushchute.Clock) *lanes {
 	return &lanes{
-		settings: bulrushrouting.Settings{Self: self.ID, DataCentre: self.DataCentre},
+		settings: bulrushrouting.Settings{Self: self.ID, DataCentre: self.DataCentre, HomeBias: homeBias},
 		clock:    clock,
 		byName:   make(map[bulrushchute.Service]*lane),
 	}
@@ -101,6 +102,14 @@
 	return l.router.Pick(now, query)
 }
 
+// only reports whether no other instance could be tried after this one.
+func (l *lane) only(now bulrushchute.Millis, query bulrushchute.PickQuery, instance bulrushchute.InstanceID) bool {
+	query.Version = ""
+	query.Exclude = append(slices.Clone(query.Exclude), instance)
+	_, another := l.router.Pick(now, query)
+	return !another
+}
+
 func (l *lane) observe(now bulrushchute.Millis, observation bulrushchute.Observation) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -120,7 +120,7 @@
 	n.caller = &caller{
 		clock:    clock,
 		board:    n.board,
-		lanes:    newLanes(n.self, clock),
+		lanes:    newLanes(n.self, settings.HomeBias, clock),
 		exchange: n.exchange,
 		tasks:    bulrushtask.NewGroup(nil),
 	}
@@ -231,6 +231,7 @@
 	n.start("control", n.control.run)
 	n.start("announcer", n.announceSelf)
 	n.start("prober", newProber(n.guard, n.probeSettings).run)
+	n.start("pacer", n.guard.runPacer)
 	n.start("bootstrap", n.bootstrap)
 	readers, stopReaders := context.WithCancel(n.context)
 	n.tasks.Start(readers, "reader", (&reader{node: n, kinds: n.kinds}).run)
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -30,6 +30,10 @@
 	// WithoutKeys leaves out the homes of idempotency keys. Requests that bring
 	// a key are then served like others.
 	WithoutKeys bool `json:"without_keys,omitempty"`
+	// HomeBias is how many times longer, less one, a backend server of the own
+	// data centre may be expected to take and still be preferred to others.
+	// Bytes between data centres cost more than those inside.
+	HomeBias float64 `json:"home_bias,omitempty"`
 	// GraceMs is how long a node may take to end once it was told to.
 	GraceMs bulrushchute.Millis `json:"grace_ms,omitempty"`
 	// StoreURL is the base URL of the object store.
--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -120,6 +120,9 @@
 
 func (r *Router) scoreMs(now bulrushchute.Millis, c *candidate) float64 {
 	scoreMs := c.scoreMs(now, r.average, r.distances.to(c.instance.DataCentre))
+	if c.instance.DataCentre != r.settings.DataCentre {
+		scoreMs *= 1 + r.settings.HomeBias
+	}
 	return scoreMs * (1 + scoreJitter*r.random.Float64())
 }
 
--- a/bulrushrouting/settings.go
+++ b/bulrushrouting/settings.go
@@ -23,6 +23,9 @@
 	// Subset bounds the instances in use for each version.
 	Subset  int
 	Choices int
+	// HomeBias is how many times longer than others an instance of the own data
+	// centre may be expected to take and still be chosen, less one.
+	HomeBias float64
 }
 
 func (s Settings) withDefaults() Settings {
--- a/message.go
+++ b/message.go
@@ -45,6 +45,8 @@
 	// Objective is how much of the time within which an answer is worth most
 	// was left when the attempt was sent, 0 if unknown.
 	Objective Millis `cbor:"20,keyasint,omitempty"`
+	// Insist is set when the request has nowhere else to go.
+	Insist bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Reply ends an attempt. Exactly one of Answer, Refusal and Failure is set.
--- a/request.go
+++ b/request.go
@@ -64,6 +64,7 @@
 	ReasonBusy           Reason = "busy"
 	ReasonQueueTimeout   Reason = "queue_timeout"
 	ReasonShed           Reason = "shed"
+	ReasonSlow           Reason = "slow_for_now"
 	ReasonTenantLimit    Reason = "tenant_limit"
 	ReasonLeaving        Reason = "leaving"
 	ReasonWithdrawn      Reason = "data_centre_withdrawn"
