--- a/bulrushadmission/pace_test.go
+++ b/bulrushadmission/pace_test.go
@@ -152,7 +152,7 @@
 	}
 	for n := 0; now < 3900; n++ {
 		now += 10
-		c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 1})
+		note(c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 1}))
 		request := numbered(n, now)
 		decision := c.Offer(now, request)
 		note(decision.Releases)
