Carry out ordered rollouts, verify the store, share the retry budget

The first reader of a data centre checks the store's revision every 2 s, because a watch that waits while the store drops its history hears nothing.

--- a/bulrushattempt/action.go
+++ b/bulrushattempt/action.go
@@ -71,4 +71,7 @@
 	Reason bulrushchute.Reason
 	// RetryAfter is the span that a refusal gave, zero when it gave none.
 	RetryAfter bulrushchute.Millis
+	// Reached is set when the backend server itself refused the attempt. One
+	// more attempt then is a repeat for the service.
+	Reached bool
 }
--- a/bulrushattempt/budget.go
+++ b/bulrushattempt/budget.go
@@ -4,8 +4,8 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// Limits on the attempts of one service on one entry node. A ratio is in
-// thousandths of a token for each request.
+// Default limits on the attempts of one service on one entry node. A ratio is
+// in thousandths of a token for each request.
 const (
 	// MaxAttempts bounds the attempts of one request, hedge included.
 	MaxAttempts = 3
@@ -20,6 +20,26 @@
 	wholeToken = 1000
 )
 
+// Limits bound the further attempts that may reach a backend server.
+type Limits struct {
+	// RetryRatio and HedgeRatio are in attempts for each request.
+	RetryRatio float64
+	HedgeRatio float64
+	// RetryBurst and HedgeBurst are the attempts that may follow each other at once.
+	RetryBurst float64
+	HedgeBurst float64
+}
+
+// DefaultLimits returns the limits of a node that was given none.
+func DefaultLimits() Limits {
+	return Limits{
+		RetryRatio: float64(retryRatio) / wholeToken,
+		HedgeRatio: float64(hedgeRatio) / wholeToken,
+		RetryBurst: retryBurst,
+		HedgeBurst: hedgeBurst,
+	}
+}
+
 // tokens is a bucket that requests fill and further attempts empty. Over any
 // window with n requests it grants at most burst + ratio x n.
 type tokens struct {
@@ -74,6 +94,18 @@
 	return b.latency.quantile(now, hedgeQuantile)
 }
 
+// SetLimits changes the limits. Tokens beyond a lowered burst are dropped.
+func (b *Budgets) SetLimits(limits Limits) {
+	b.retries.setLimits(limits.RetryRatio, limits.RetryBurst)
+	b.hedges.setLimits(limits.HedgeRatio, limits.HedgeBurst)
+}
+
+func (t *tokens) setLimits(ratio, burst float64) {
+	t.ratio = int(ratio * wholeToken)
+	t.limit = int(burst * wholeToken)
+	t.level = min(t.level, t.limit)
+}
+
 func (b *Budgets) countRequest() {
 	b.retries.deposit()
 	b.refusals.deposit()
--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -266,7 +266,11 @@
 	if end.RetryAfter > 0 && (m.retryAfter == 0 || end.RetryAfter < m.retryAfter) {
 		m.retryAfter = end.RetryAfter
 	}
-	m.goOn(!finalReasons[end.Reason], &m.budgets.refusals)
+	budget := &m.budgets.refusals
+	if end.Reached {
+		budget = &m.budgets.retries
+	}
+	m.goOn(!finalReasons[end.Reason], budget)
 }
 
 // goOn asks for another attempt or gives the request up. An attempt that is
--- a/bulrushboard/board.go
+++ b/bulrushboard/board.go
@@ -69,6 +69,15 @@
 	return v.members[service]
 }
 
+// Nodes returns the number of nodes beside a backend server.
+func (v View) Nodes() int {
+	count := 0
+	for _, members := range v.members {
+		count += len(members.Instances)
+	}
+	return count
+}
+
 // Member returns one instance of a service.
 func (v View) Member(service bulrushchute.Service, id bulrushchute.InstanceID) (bulrushchute.Instance, bool) {
 	for _, member := range v.members[service].Instances {
--- a/bulrushcatalogue/entry.go
+++ b/bulrushcatalogue/entry.go
@@ -82,10 +82,34 @@
 // Move asks for a staged rollout from one version to another.
 type Move struct {
 	// Generation tells one move of the service from the next.
-	Generation   uint64               `json:"generation" validate:"min=1"`
+	Generation uint64 `json:"generation" validate:"min=1"`
+	// FromVersion is empty in a move that a MoveOrder asks for: every other
+	// version than ToVersion is then the old one.
 	FromVersion  bulrushchute.Version `json:"from_version" validate:"version"`
 	ToVersion    bulrushchute.Version `json:"to_version" validate:"version"`
 	CompleteByMs bulrushchute.Millis  `json:"complete_by_ms" validate:"min=1"`
+	// WithinMs is the time for the move from when its holder first learns of it,
+	// for a move without CompleteByMs.
+	WithinMs bulrushchute.Millis `json:"-"`
+	// Settled is the outcome that is known without asking the move's holder.
+	Settled MoveSettled `json:"-"`
+}
+
+// MoveSettled is how a move has ended, empty while it goes on.
+type MoveSettled string
+
+// Ends of a move.
+const (
+	MoveCompleted  MoveSettled = "completed"
+	MoveRolledBack MoveSettled = "rolled_back"
+)
+
+// IsOld reports whether the move leads away from a version.
+func (m Move) IsOld(version bulrushchute.Version) bool {
+	if m.FromVersion == "" {
+		return version != m.ToVersion
+	}
+	return version == m.FromVersion
 }
 
 // DataCentreState is what operators want of a data centre.
--- a/bulrushcatalogue/set.go
+++ b/bulrushcatalogue/set.go
@@ -15,6 +15,7 @@
 type Set struct {
 	services    table[bulrushchute.Service, ServiceEntry]
 	dataCentres table[bulrushchute.DataCentre, DataCentreEntry]
+	orders      table[bulrushchute.Service, *Move]
 	routing     Routing
 	// routed holds the services whose entries came with the routing table.
 	routed map[bulrushchute.Service]bool
@@ -47,7 +48,11 @@
 
 // Service returns the entry of a service, false when there is none.
 func (s Set) Service(name bulrushchute.Service) (ServiceEntry, bool) {
-	return s.services.get(name)
+	entry, exists := s.services.get(name)
+	if move, ordered := s.orders.get(name); ordered && entry.Move == nil {
+		entry.Move = move
+	}
+	return entry, exists
 }
 
 // DataCentre returns the entry of a data centre, false when there is none.
--- a/bulrushmove/brake.go
+++ b/bulrushmove/brake.go
@@ -27,10 +27,10 @@
 	} else if !sample.Warming {
 		counts.Latencies[BucketOf(sample.ElapsedMs)] = 1
 	}
-	switch sample.Version {
-	case b.move.FromVersion:
+	switch {
+	case b.move.IsOld(sample.Version):
 		b.judge.AddOld(sample.Route, counts)
-	case b.move.ToVersion:
+	case sample.Version == b.move.ToVersion:
 		b.judge.AddNew(sample.Route, counts)
 	}
 }
@@ -41,7 +41,15 @@
 	if now < b.nextStep {
 		return b.judge.Finding()
 	}
-	b.nextStep = now + EvidencePeriod
+	b.nextStep = now + PeriodOf(b.move)
 	b.judge.SetShare(share)
 	return b.judge.Step()
 }
+
+// PeriodOf returns the time between two reports of evidence on a move.
+func PeriodOf(move bulrushcatalogue.Move) bulrushchute.Millis {
+	if move.WithinMs > 0 && move.WithinMs < shortMove {
+		return shortEvidencePeriod
+	}
+	return EvidencePeriod
+}
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -186,7 +186,7 @@
 // judgeStep updates the tests and the verdict.
 func (c *Controller) judgeStep(now bulrushchute.Millis, state State) {
 	if now >= c.nextStep {
-		c.nextStep = now + EvidencePeriod
+		c.nextStep = now + state.period()
 		c.judge.SetShare(state.Share())
 		c.judge.Step()
 	}
@@ -197,9 +197,9 @@
 		c.verdict = "bad: " + finding.String()
 	} else if c.brake.Generation == state.Generation {
 		c.verdict = "braked: " + c.brake.Reason
-	} else if state.Outcome == OutcomeNone && state.Stage < lastStage && now >= state.CompleteByMs && !c.oldGone(now) {
+	} else if state.Outcome == OutcomeNone && state.Stage < state.lastStage() && now >= state.CompleteByMs && !c.oldGone(now) {
 		c.verdict = fmt.Sprintf("late: share %d of %d at the deadline", state.Share(), FullShare)
-	} else if state.Outcome == OutcomeNone && state.Stage == lastStage && now >= state.CompleteByMs && c.judge.Suspicious() {
+	} else if state.Outcome == OutcomeNone && state.Stage == state.lastStage() && now >= state.CompleteByMs && c.judge.Suspicious() {
 		c.verdict = "suspicious at the deadline: " + finding.String()
 	}
 }
@@ -209,3 +209,11 @@
 func (c *Controller) oldGone(now bulrushchute.Millis) bool {
 	return c.servers.Old == 0 && c.servers.New > 0 && now-c.oldSeenAt >= goneTime
 }
+
+// Settled reports whether the outcome of the present move is stored and
+// announced, so that nothing is left to do for a holder.
+func (c *Controller) Settled() bool {
+	state, known := c.store.current()
+	return known && c.move != nil && c.move.Generation == state.Generation &&
+		state.Outcome != OutcomeNone && state.Announced && state.OrderedAtMs > 0
+}
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -49,7 +49,7 @@
 	if c.verdict != "" {
 		return c.finish(now, state, OutcomeRolledBack, c.verdict)
 	}
-	if c.move != nil && state.Stage == lastStage && c.move.FromVersion == state.ToVersion {
+	if c.move != nil && state.Stage == state.lastStage() && c.move.FromVersion == state.ToVersion {
 		return c.finish(now, state, OutcomeCompleted, "the next move starts from this version")
 	}
 	reason := "move removed from the entry"
@@ -85,13 +85,13 @@
 		return nil
 	}
 	switch {
-	case c.oldGone(now) && state.Stage < lastStage:
+	case c.oldGone(now) && state.Stage < state.lastStage():
 		// Without the old version there is nothing to compare with and nowhere
 		// else to send requests.
-		return c.raise(now, state, lastStage)
+		return c.raise(now, state, state.lastStage())
 	case c.servers.New == 0 && state.Stage > 0:
 		return c.pause(now, state)
-	case state.Stage == lastStage:
+	case state.Stage == state.lastStage():
 		return c.complete(now, state)
 	case c.mayRaise(now, state):
 		return c.raise(now, state, state.Stage+1)
@@ -144,7 +144,7 @@
 	if state.Stage == 0 {
 		return true
 	}
-	next := stages[state.Stage+1]
+	next := state.plan()[state.Stage+1]
 	since := max(state.StageSinceMs, c.evidenceSince)
 	if now-since < state.stageTime() || now < state.at(next.earliest) || c.judge.Suspicious() {
 		return false
--- a/bulrushmove/evidence.go
+++ b/bulrushmove/evidence.go
@@ -12,6 +12,9 @@
 // steps of a Judge.
 const EvidencePeriod = bulrushchute.Second
 
+// shortEvidencePeriod is the EvidencePeriod of short moves.
+const shortEvidencePeriod = 400 * bulrushchute.Millisecond
+
 // maxRoutes bounds the routes that are told apart. It is the number that the
 // catalogue allows, with the default route.
 const maxRoutes = 257
@@ -66,10 +69,13 @@
 
 // Observe adds a sample. Samples of versions outside the move are left out.
 func (r *Recorder) Observe(sample Sample) {
-	if sample.Version != r.move.FromVersion && sample.Version != r.move.ToVersion {
+	version := r.move.ToVersion
+	if r.move.IsOld(sample.Version) {
+		version = r.move.FromVersion
+	} else if sample.Version != r.move.ToVersion {
 		return
 	}
-	counts := r.countsFor(recordKey{version: sample.Version, route: sample.Route})
+	counts := r.countsFor(recordKey{version: version, route: sample.Route})
 	counts.Requests++
 	if sample.Failed {
 		counts.Failures++
--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -26,22 +26,61 @@
 	{share: FullShare, earliest: 0.60, latest: 0.90},
 }
 
-const lastStage = len(stages) - 1
+// shortStages are the share steps of a move of less than shortMove. Its new
+// version may get a tenth of the requests and some more before it is found bad,
+// so that the few requests of such a time tell something.
+var shortStages = [...]stage{
+	{share: 0},
+	{share: 600, latest: 0.02},
+	{share: 1500, earliest: 0.40, latest: 0.45},
+	{share: FullShare, earliest: 0.70, latest: 0.72},
+}
+
+// shortMove is the time below which stages of several seconds do not fit in.
+const shortMove = bulrushchute.Minute
+
+// short reports whether the move follows shortStages.
+func (s State) short() bool {
+	return s.CompleteByMs-s.OrderedAtMs < shortMove && s.OrderedAtMs > 0
+}
+
+// plan returns the share steps of the move.
+func (s State) plan() []stage {
+	if s.short() {
+		return shortStages[:]
+	}
+	return stages[:]
+}
+
+// lastStage is the index of the step to all requests.
+func (s State) lastStage() int {
+	return len(s.plan()) - 1
+}
+
+// period is the time between two reports of evidence and two judgements.
+func (s State) period() bulrushchute.Millis {
+	if s.short() {
+		return shortEvidencePeriod
+	}
+	return EvidencePeriod
+}
 
 const (
 	// A stage lasts at least 1/60 of the move's time, within these bounds, so
 	// that a move which was held up can still catch up before its deadline.
 	stageParts   = 60
 	minStageTime = 3 * bulrushchute.Second
-	maxStageTime = 30 * bulrushchute.Second
+	// shortStageTime is the least time of a stage of a short move.
+	shortStageTime = bulrushchute.Second
+	maxStageTime   = 30 * bulrushchute.Second
 	// A move is completed 1/50 of its time before its deadline, within these
 	// bounds, which leaves time for the store's answer.
 	finishParts   = 50
 	minFinishTime = bulrushchute.Second
 	maxFinishTime = 10 * bulrushchute.Second
-	// decisionTime is what a stage takes beyond stageTime: the next judgement and
-	// the store's answer.
-	decisionTime = EvidencePeriod + 500*bulrushchute.Millisecond
+	// storeTime is what a stage takes beyond its time and the next judgement: the
+	// store's answer.
+	storeTime = 500 * bulrushchute.Millisecond
 	// goneTime is how long the old version must have no backend server to
 	// count as gone; members can be missing for a moment when a node has just
 	// joined or a link has failed.
@@ -60,13 +99,16 @@
 // earlier than the stage's part of the time, so that the stages that follow,
 // of stageTime each, still fit in before the deadline.
 func (s State) latestAt(next int) bulrushchute.Millis {
-	following := bulrushchute.Millis(lastStage - next + 1)
-	fitting := s.finishAt() - following*(s.stageTime()+decisionTime)
-	return min(s.at(stages[next].latest), fitting)
+	following := bulrushchute.Millis(s.lastStage() - next + 1)
+	fitting := s.finishAt() - following*(s.stageTime()+s.period()+storeTime)
+	return min(s.at(s.plan()[next].latest), fitting)
 }
 
 // stageTime is the least time that a stage lasts.
 func (s State) stageTime() bulrushchute.Millis {
+	if s.short() {
+		return shortStageTime
+	}
 	return min(max(s.span()/stageParts, minStageTime), maxStageTime)
 }
 
--- a/bulrushmove/plan_test.go
+++ b/bulrushmove/plan_test.go
@@ -20,11 +20,11 @@
 	for name, span := range cases {
 		t.Run(name, func(t *testing.T) {
 			state := State{StartedAtMs: 1000, CompleteByMs: 1000 + span}
-			for next := 3; next < lastStage; next++ {
+			for next := 3; next < state.lastStage(); next++ {
 				earliestEnd := state.latestAt(next) + state.stageTime()
 				assert.Assert(t, earliestEnd <= state.latestAt(next+1), "stage %d ends after %d begins", next, next+1)
 			}
-			assert.Assert(t, state.latestAt(lastStage)+state.stageTime() <= state.finishAt())
+			assert.Assert(t, state.latestAt(state.lastStage())+state.stageTime() <= state.finishAt())
 		})
 	}
 }
--- a/bulrushmove/splitter.go
+++ b/bulrushmove/splitter.go
@@ -61,6 +61,12 @@
 	if entry.Move == nil {
 		return entry.StableVersion
 	}
+	switch entry.Move.Settled {
+	case bulrushcatalogue.MoveCompleted:
+		return entry.Move.ToVersion
+	case bulrushcatalogue.MoveRolledBack:
+		return entry.Move.FromVersion
+	}
 	if s.Next(shares.Of(entry.Service, entry.Move.Generation)) {
 		return entry.Move.ToVersion
 	}
--- a/bulrushmove/state.go
+++ b/bulrushmove/state.go
@@ -38,6 +38,9 @@
 	FromVersion  bulrushchute.Version `json:"from_version"`
 	ToVersion    bulrushchute.Version `json:"to_version"`
 	CompleteByMs bulrushchute.Millis  `json:"complete_by_ms"`
+	// OrderedAtMs is when the first holder learned of a move that has to end
+	// within some time, 0 for other moves.
+	OrderedAtMs bulrushchute.Millis `json:"ordered_at_ms,omitempty"`
 	// Epoch grows with every raise and every new holder, over all generations.
 	Epoch uint64 `json:"epoch"`
 	// Stage is an index of the share steps; 0 is a share of 0.
@@ -56,7 +59,7 @@
 
 // Share returns the state's share in basis points.
 func (s State) Share() int {
-	return stages[s.Stage].share
+	return s.plan()[s.Stage].share
 }
 
 // ParseState reads a stored state.
@@ -65,9 +68,9 @@
 	if err := json.Unmarshal(object.Value, &state); err != nil {
 		return State{}, errors.Wrapf(err, "state of move %s", object.Name)
 	}
-	if state.Stage < 0 || state.Stage >= len(stages) {
+	if state.Stage < 0 || state.Stage > state.lastStage() {
 		return State{}, &bulrushchute.FieldError{
-			Field: "stage", Value: fmt.Sprint(state.Stage), Allowed: fmt.Sprintf("0 to %d", len(stages)-1),
+			Field: "stage", Value: fmt.Sprint(state.Stage), Allowed: fmt.Sprintf("0 to %d", state.lastStage()),
 		}
 	}
 	return state, nil
@@ -88,12 +91,17 @@
 
 // withMove returns the state at the start of a move, in the next epoch.
 func (s State) withMove(service bulrushchute.Service, move bulrushcatalogue.Move, now bulrushchute.Millis) State {
+	completeBy, ordered := move.CompleteByMs, bulrushchute.Millis(0)
+	if completeBy == 0 {
+		completeBy, ordered = now+move.WithinMs, now
+	}
 	return State{
+		OrderedAtMs:  ordered,
 		Service:      service,
 		Generation:   move.Generation,
 		FromVersion:  move.FromVersion,
 		ToVersion:    move.ToVersion,
-		CompleteByMs: move.CompleteByMs,
+		CompleteByMs: completeBy,
 		Epoch:        s.Epoch + 1,
 		StartedAtMs:  now,
 		StageSinceMs: now,
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -211,6 +211,7 @@
 			Result:     bulrushchute.ResultNotRun,
 			Reason:     reply.Refusal.Reason,
 			RetryAfter: reply.Refusal.RetryAfter,
+			Reached:    reply.Refusal.Reached,
 		}
 	case reply.Failure != nil:
 		end.end = bulrushattempt.End{Result: bulrushchute.ResultUnknown, Reason: reply.Failure.Reason}
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -343,13 +343,18 @@
 	case kind == bulrushchute.KindRouting:
 		routing, err := bulrushcatalogue.ParseRouting(record.Value)
 		return set.WithRouting(routing, version), err
+	case kind == bulrushchute.KindMoveOrders && record.Deleted:
+		return set.WithoutMoveOrder(bulrushchute.Service(name), version), nil
+	case kind == bulrushchute.KindMoveOrders:
+		order, err := bulrushcatalogue.ParseMoveOrder(record.Value)
+		return set.WithMoveOrder(order, version), err
 	case kind == bulrushchute.KindDataCentres && record.Deleted:
 		return set.WithoutDataCentre(bulrushchute.DataCentre(name), version), nil
 	case kind == bulrushchute.KindDataCentres:
 		entry, err := bulrushcatalogue.ParseDataCentre(record.Value)
 		return set.WithDataCentre(entry, version), err
 	}
-	return set, &bulrushchute.FieldError{Field: "kind", Value: string(kind), Allowed: "services, datacentres or routing"}
+	return set, &bulrushchute.FieldError{Field: "kind", Value: string(kind), Allowed: "services, datacentres, routing or moveorders"}
 }
 
 // applyDataCentre changes a data centre's weight when operators withdraw or return it.
@@ -429,7 +434,7 @@
 
 func recordKeyOf(object bulrushchute.Object) (bulrushchute.RecordKey, bool) {
 	switch object.Kind {
-	case bulrushchute.KindServices, bulrushchute.KindDataCentres, bulrushchute.KindRouting:
+	case bulrushchute.KindServices, bulrushchute.KindDataCentres, bulrushchute.KindRouting, bulrushchute.KindMoveOrders:
 		return bulrushchute.RecordKey{Topic: bulrushchute.TopicCatalogue, Name: string(object.Kind) + "/" + object.Name}, true
 	case bulrushchute.KindKeyMaps:
 		return bulrushchute.RecordKey{Topic: bulrushchute.TopicKeyMap, Name: object.Name}, true
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -405,7 +405,9 @@
 		return bulrushchute.Reply{Answer: result.answer}
 	}
 	if !result.started {
-		return refused(refusalReason(result), retryAfterDefault)
+		reply := refused(refusalReason(result), retryAfterDefault)
+		reply.Refusal.Reached = result.full || result.report.Replaced
+		return reply
 	}
 	return bulrushchute.Reply{Failure: &bulrushchute.Failure{Reason: result.reason}}
 }
--- a/bulrushnode/lane.go
+++ b/bulrushnode/lane.go
@@ -9,6 +9,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushattempt"
 	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushrouting"
 )
@@ -23,6 +24,8 @@
 	// The revisions of the view that the router knows.
 	members uint64
 	weights uint64
+	// retries bounds the further attempts of all nodes together.
+	retries retryLimits
 	// subset is the entry's value for which the router was made.
 	subset int
 }
@@ -30,14 +33,16 @@
 // lanes holds a lane for each service that was called.
 type lanes struct {
 	settings bulrushrouting.Settings
+	retries  retryLimits
 	clock    bulrushchute.Clock
 	mutex    sync.RWMutex
 	byName   map[bulrushchute.Service]*lane
 }
 
-func newLanes(self bulrushchute.Instance, homeBias float64, clock bulrushchute.Clock) *lanes {
+func newLanes(self bulrushchute.Instance, settings Settings, clock bulrushchute.Clock) *lanes {
 	return &lanes{
-		settings: bulrushrouting.Settings{Self: self.ID, DataCentre: self.DataCentre, HomeBias: homeBias},
+		settings: bulrushrouting.Settings{Self: self.ID, DataCentre: self.DataCentre, HomeBias: settings.HomeBias},
+		retries:  retryLimits{ratio: settings.RetryRatio, slack: settings.RetrySlack},
 		clock:    clock,
 		byName:   make(map[bulrushchute.Service]*lane),
 	}
@@ -60,6 +65,7 @@
 	settings.Subset = subset
 	found = &lane{
 		subset:   subset,
+		retries:  l.retries,
 		router:   bulrushrouting.NewRouter(settings, newRandom(string(settings.Self), string(service))),
 		budgets:  bulrushattempt.NewBudgets(l.clock.Now()),
 		splitter: bulrushmove.NewSplitter(newRandom(string(settings.Self), string(service), "split")),
@@ -87,6 +93,31 @@
 	l.members = members.Revision
 	l.weights = view.DataCentres.Revision
 	l.router.Update(now, members.Instances, view.DataCentres.Weights)
+	l.budgets.SetLimits(l.retries.of(view.Nodes()))
+}
+
+// retryLimits is the share of further attempts that the settings allow.
+type retryLimits struct {
+	ratio float64
+	slack float64
+}
+
+// hedgePart is the part of the further attempts that may be hedges.
+const hedgePart = 0.25
+
+// of returns the limits of one out of a number of nodes.
+func (rl retryLimits) of(nodes int) bulrushattempt.Limits {
+	limits := bulrushattempt.DefaultLimits()
+	if rl.ratio > 0 {
+		limits.RetryRatio = rl.ratio * (1 - hedgePart)
+		limits.HedgeRatio = rl.ratio * hedgePart
+	}
+	if rl.slack > 0 {
+		burst := max(1, rl.slack/float64(max(1, nodes)))
+		limits.RetryBurst = burst * (1 - hedgePart)
+		limits.HedgeBurst = max(1, burst*hedgePart)
+	}
+	return limits
 }
 
 // pick chooses an instance of the version that the move's share selects. When
@@ -94,12 +125,27 @@
 func (l *lane) pick(now bulrushchute.Millis, view bulrushboard.View, query bulrushchute.PickQuery) (bulrushchute.Instance, bool) {
 	entry, _ := view.Catalogue.Service(query.Service)
 	query.Version = l.splitter.Version(entry, view.Shares)
+	if entry.Move == nil {
+		return l.router.Pick(now, query)
+	}
+	if query.Version != entry.Move.ToVersion {
+		query = fromOld(query, *entry.Move)
+		return l.router.Pick(now, query)
+	}
 	instance, found := l.router.Pick(now, query)
-	if found || entry.Move == nil || query.Version != entry.Move.ToVersion {
+	if found || entry.Move.Settled == bulrushcatalogue.MoveCompleted {
 		return instance, found
 	}
-	query.Version = entry.Move.FromVersion
-	return l.router.Pick(now, query)
+	return l.router.Pick(now, fromOld(query, *entry.Move))
+}
+
+// fromOld asks for an instance of the version that a move leads away from.
+func fromOld(query bulrushchute.PickQuery, move bulrushcatalogue.Move) bulrushchute.PickQuery {
+	query.Version = move.FromVersion
+	if move.FromVersion == "" {
+		query.Avoid = move.ToVersion
+	}
+	return query
 }
 
 // only reports whether no other instance could be tried after this one.
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -28,10 +28,10 @@
 	// moveCandidates bounds the nodes that try to acquire a shard's lease.
 	moveCandidates = 3
 	// A move stands still until a lost holder's lease has lapsed. Renewals cost
-	// 21 writes a second if services move in every shard.
-	moveLease      = 5 * bulrushchute.Second
-	moveRenewEvery = 1500 * bulrushchute.Millisecond
-	moveMargin     = bulrushchute.Second
+	// 32 writes a second if services move in every shard.
+	moveLease      = 3 * bulrushchute.Second
+	moveRenewEvery = bulrushchute.Second
+	moveMargin     = 500 * bulrushchute.Millisecond
 	// shardsEvery is how often the shards in which services move are looked up,
 	// so that a new move starts soon.
 	shardsEvery = 500 * bulrushchute.Millisecond
@@ -205,7 +205,7 @@
 	if now < m.nextAt {
 		return
 	}
-	m.nextAt = now + bulrushmove.EvidencePeriod
+	m.nextAt = now + m.period()
 	m.sendEvidence()
 	m.tickBrakes(now)
 	m.tickControllers(now)
@@ -220,6 +220,18 @@
 	}
 }
 
+// period is the time until the next report and judgement: that of the
+// shortest move.
+func (m *moves) period() bulrushchute.Millis {
+	period := bulrushmove.EvidencePeriod
+	view := m.board.Read()
+	for _, service := range servicesWithMove(view.Catalogue) {
+		entry, _ := view.Catalogue.Service(service)
+		period = min(period, bulrushmove.PeriodOf(*entry.Move))
+	}
+	return period
+}
+
 func (m *moves) sendEvidence() {
 	m.mutex.Lock()
 	var reports []bulrushchute.Evidence
@@ -291,7 +303,7 @@
 func servicesWithMove(catalogue bulrushcatalogue.Set) []bulrushchute.Service {
 	var services []bulrushchute.Service
 	for _, service := range catalogue.Services() {
-		if entry, _ := catalogue.Service(service); entry.Move != nil {
+		if entry, _ := catalogue.Service(service); entry.Move != nil && entry.Move.Settled == "" {
 			services = append(services, service)
 		}
 	}
@@ -320,10 +332,10 @@
 		if !instance.State.TakesWork() {
 			continue
 		}
-		switch instance.Version {
-		case move.FromVersion:
+		switch {
+		case move.IsOld(instance.Version):
 			servers.Old++
-		case move.ToVersion:
+		case instance.Version == move.ToVersion:
 			servers.New++
 		}
 	}
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -120,7 +120,7 @@
 	n.caller = &caller{
 		clock:    clock,
 		board:    n.board,
-		lanes:    newLanes(n.self, settings.HomeBias, clock),
+		lanes:    newLanes(n.self, settings, clock),
 		exchange: n.exchange,
 		tasks:    bulrushtask.NewGroup(nil),
 	}
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -20,9 +20,12 @@
 	// readersPerDataCentre keeps the store's waiting watches independent of the
 	// number of nodes. The others are in reserve, since a reader may be cut off
 	// from the store without noticing it at once.
-	readersPerDataCentre = 3
+	readersPerDataCentre = 2
 	// rankEvery is how often a node checks whether it is among the readers.
 	rankEvery = time.Second
+	// verifyEvery is how often the first reader of a data centre checks that no
+	// watch has missed a change, which a store that drops its history can cause.
+	verifyEvery = 2 * time.Second
 	// watchRetry is the pause after a watch or list failed, watchRetryMax the
 	// longest after several failures in a row.
 	watchRetry    = 100 * time.Millisecond
@@ -83,6 +86,7 @@
 	for _, kind := range r.kinds {
 		watches.Start(ctx, string(kind), func(ctx context.Context) error { return r.watch(ctx, kind) })
 	}
+	watches.Start(ctx, "verify", r.verify)
 	watches.Start(ctx, "seeds", r.maintainSeeds)
 	klog.InfoS("reading the store", "data_centre", r.node.settings.DataCentre)
 	for ctx.Err() == nil {
@@ -158,6 +162,49 @@
 	return err
 }
 
+// verify compares the store's revision with the one that it saw before, and
+// reads all kinds again when it has changed. Watches are faster, but one that
+// waits while the store drops its history hears nothing until the next change.
+func (r *reader) verify(ctx context.Context) error {
+	var verified uint64
+	for {
+		pause(ctx, verifyEvery)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if r.rank(ctx) > 0 {
+			continue
+		}
+		revision, err := r.verifyAfter(ctx, verified)
+		if err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("store not verified", "revision", verified, "error", err)
+			continue
+		}
+		verified = revision
+	}
+}
+
+// verifyAfter reads the kinds unless the store is still at a revision. The last
+// kind is read first, because it holds few objects.
+func (r *reader) verifyAfter(ctx context.Context, verified uint64) (uint64, error) {
+	var first uint64
+	for i := range r.kinds {
+		kind := r.kinds[len(r.kinds)-1-i]
+		objects, revision, err := r.node.store.List(ctx, kind)
+		if err != nil {
+			return verified, err
+		}
+		r.publishList(ctx, kind, objects, revision)
+		if i == 0 {
+			first = revision
+		}
+		if first == verified {
+			break
+		}
+	}
+	return first, nil
+}
+
 // publishList spreads all objects of a kind. Objects that are known but not
 // listed were deleted while nobody watched; the list's revision is later than
 // their last version.
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -34,6 +34,12 @@
 	// data centre may be expected to take and still be preferred to others.
 	// Bytes between data centres cost more than those inside.
 	HomeBias float64 `json:"home_bias,omitempty"`
+	// RetryRatio bounds the attempts beyond the first that reach a service, for
+	// each of its requests. 0 takes the default of 0.1.
+	RetryRatio float64 `json:"retry_ratio,omitempty"`
+	// RetrySlack is the number of such attempts that all nodes together may send
+	// at once. 0 gives each node a burst of its own, whatever the others do.
+	RetrySlack float64 `json:"retry_slack,omitempty"`
 	// GraceMs is how long a node may take to end once it was told to.
 	GraceMs bulrushchute.Millis `json:"grace_ms,omitempty"`
 	// StoreURL is the base URL of the object store.
--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -73,6 +73,9 @@
 		if c.leaving || slices.Contains(query.Exclude, c.instance.ID) {
 			continue
 		}
+		if query.Avoid != "" && c.instance.Version == query.Avoid {
+			continue
+		}
 		rank, ok := r.rank(now, c)
 		if !ok {
 			continue
--- a/message.go
+++ b/message.go
@@ -71,6 +71,8 @@
 type Refusal struct {
 	Reason     Reason `cbor:"1,keyasint"`
 	RetryAfter Millis `cbor:"2,keyasint,omitempty"`
+	// Reached is set when the backend server itself refused the request.
+	Reached bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Failure says that the attempt was dispatched and that its outcome is not known.
--- a/request.go
+++ b/request.go
@@ -113,6 +113,8 @@
 type PickQuery struct {
 	Service Service
 	Version Version
+	// Avoid is a version whose instances are not chosen, empty for none.
+	Avoid Version
 	// Exclude lists instances that this request has already tried.
 	Exclude []InstanceID
 }
--- a/store.go
+++ b/store.go
@@ -13,12 +13,14 @@
 	KindDataCentres Kind = "datacentres"
 	// KindRouting holds one object, the routing table of the deployment.
 	KindRouting Kind = "routing"
-	KindMoves   Kind = "moves"
-	KindEvents  Kind = "events"
-	KindKeyMaps Kind = "keymaps"
-	KindLeases  Kind = "leases"
-	KindSeeds   Kind = "seeds"
-	KindStatus  Kind = "status"
+	// KindMoveOrders holds an order for a move of a service, named after it.
+	KindMoveOrders Kind = "moveorders"
+	KindMoves      Kind = "moves"
+	KindEvents     Kind = "events"
+	KindKeyMaps    Kind = "keymaps"
+	KindLeases     Kind = "leases"
+	KindSeeds      Kind = "seeds"
+	KindStatus     Kind = "status"
 )
 
 // MaxObjectBytes is the largest value that the store accepts.
