--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -235,7 +235,7 @@
 
 // hedgeAt returns the instant for a hedge beside the attempt that is unanswered.
 func (m *Machine) hedgeAt(now bulrushchute.Millis) (bulrushchute.Millis, bool) {
-	if !m.info.Idempotent || m.info.Retry || m.hedged || m.choosing() {
+	if !m.info.Idempotent || m.info.Retry || m.info.WithoutHedge || m.hedged || m.choosing() {
 		return 0, false
 	}
 	if !m.mayReachAnother() || m.unanswered() != 1 {
--- a/bulrushmove/baseline.go
+++ b/bulrushmove/baseline.go
@@ -7,6 +7,10 @@
 	// which a latency counts as slow. With one bucket, a version that is less
 	// than 19% slower stays below it even where all latencies are alike.
 	boundMargin = 1
+	// shortBoundMargin is boundMargin for short moves: 1.7 times the old version's
+	// p90. Fewer of the old version's answers lie above it, so that fewer of the
+	// new one's are needed to tell them apart.
+	shortBoundMargin = 3
 	// fewestAnswers is the number of the old version's latencies below which
 	// its p90 is too uncertain to compare with.
 	fewestAnswers = 30
@@ -53,6 +57,8 @@
 	fast     Counts
 	// current is the result of the last step.
 	current Baseline
+	// short is set for a move of less than a minute.
+	short bool
 }
 
 // step takes the old version's counts of one step.
@@ -73,7 +79,11 @@
 		return b.restored
 	}
 	answers := b.slow.answers()
-	bound := min(b.slow.bucketOfQuantile(quantile)+boundMargin, BucketCount-1)
+	margin := boundMargin
+	if b.short {
+		margin = shortBoundMargin
+	}
+	bound := min(b.slow.bucketOfQuantile(quantile)+margin, BucketCount-1)
 	return Baseline{
 		Requests: b.slow.Requests,
 		Failures: b.slow.Failures,
--- a/bulrushmove/brake.go
+++ b/bulrushmove/brake.go
@@ -16,7 +16,11 @@
 
 // NewBrake returns a brake for a move.
 func NewBrake(move bulrushcatalogue.Move) *Brake {
-	return &Brake{move: move, judge: NewJudge(BrakeLimit)}
+	b := &Brake{move: move, judge: NewJudge(BrakeLimit)}
+	if PeriodOf(move) == shortEvidencePeriod {
+		b.judge.SetShort(shortBrakeLimit)
+	}
+	return b
 }
 
 // Observe adds a sample that this node saw.
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -161,7 +161,12 @@
 }
 
 // judged reports whether the new version is still compared with the old one.
+// After an ordered move the old version's servers stop at once, so that there
+// is nothing to go back to.
 func judged(state State) bool {
+	if state.OrderedAtMs > 0 {
+		return state.Outcome == OutcomeNone
+	}
 	return state.Outcome == OutcomeNone || state.Outcome == OutcomeCompleted
 }
 
@@ -185,6 +190,9 @@
 
 // judgeStep updates the tests and the verdict.
 func (c *Controller) judgeStep(now bulrushchute.Millis, state State) {
+	if state.short() {
+		c.judge.SetShort(shortLimit)
+	}
 	if now >= c.nextStep {
 		c.nextStep = now + state.period()
 		c.judge.SetShare(state.Share())
@@ -209,11 +217,3 @@
 func (c *Controller) oldGone(now bulrushchute.Millis) bool {
 	return c.servers.Old == 0 && c.servers.New > 0 && now-c.oldSeenAt >= goneTime
 }
-
-// Settled reports whether the outcome of the present move is stored and
-// announced, so that nothing is left to do for a holder.
-func (c *Controller) Settled() bool {
-	state, known := c.store.current()
-	return known && c.move != nil && c.move.Generation == state.Generation &&
-		state.Outcome != OutcomeNone && state.Announced && state.OrderedAtMs > 0
-}
--- a/bulrushmove/evidence.go
+++ b/bulrushmove/evidence.go
@@ -13,7 +13,7 @@
 const EvidencePeriod = bulrushchute.Second
 
 // shortEvidencePeriod is the EvidencePeriod of short moves.
-const shortEvidencePeriod = 400 * bulrushchute.Millisecond
+const shortEvidencePeriod = 250 * bulrushchute.Millisecond
 
 // maxRoutes bounds the routes that are told apart. It is the number that the
 // catalogue allows, with the default route.
--- a/bulrushmove/judge.go
+++ b/bulrushmove/judge.go
@@ -20,6 +20,13 @@
 	// suspicionNats is the evidence from which a move is not raised further
 	// although it is not enough to roll back.
 	suspicionNats = 5.0
+	// shortLimit and shortBrakeLimit replace the limits for a move of less than a
+	// minute, which has some dozens of requests to tell a bad version by. 1 in
+	// about 150 good moves may be rolled back by chance.
+	shortLimit      = 250
+	shortBrakeLimit = 1e4
+	// shortSuspicionNats is suspicionNats for such a move.
+	shortSuspicionNats = 2.0
 )
 
 // Measure is what a version is judged by.
@@ -60,6 +67,8 @@
 	// frozen, since the old version gets no requests.
 	share   int
 	finding Finding
+	// short is set for a move of less than a minute.
+	short bool
 }
 
 // measures holds the tests of one route.
@@ -113,6 +122,14 @@
 	return baselines
 }
 
+// SetShort makes the judge decide on fewer requests, with a limit of its own.
+func (j *Judge) SetShort(limit float64) {
+	if !j.short {
+		j.short = true
+		j.limitNats = math.Log(limit)
+	}
+}
+
 // SetShare tells the judge the new version's share in basis points.
 func (j *Judge) SetShare(share int) {
 	j.share = share
@@ -137,6 +154,7 @@
 	}
 	if j.routes[name] == nil {
 		j.routes[name] = &routeEvidence{tests: newMeasures()}
+		j.routes[name].old.short = j.short
 	}
 	return j.routes[name]
 }
@@ -160,6 +178,8 @@
 		}
 		strongest = strongest.orStronger(evidence.tests.finding(name))
 	}
+	j.total.failures.unbounded = j.short
+	j.total.latency.unbounded = j.short
 	if tested {
 		j.total.failures.step(failures)
 		j.total.latency.step(latency)
@@ -181,6 +201,8 @@
 // those of all routes. It returns false when the new version had no requests.
 func (re *routeEvidence) step(frozen bool, allFailures, allLatency *increments) bool {
 	re.old.step(&re.pending[oldVersion])
+	re.tests.failures.unbounded = re.old.short
+	re.tests.latency.unbounded = re.old.short
 	re.stageOld += re.pending[oldVersion].Requests
 	counts := re.pending[newVersion]
 	re.pending = [2]Counts{}
@@ -247,6 +269,9 @@
 // Suspicious reports whether something speaks against the new version that is
 // not yet enough to find it bad.
 func (j *Judge) Suspicious() bool {
+	if j.short {
+		return j.finding.Nats >= shortSuspicionNats || j.silent()
+	}
 	return j.finding.Nats >= suspicionNats || j.silent()
 }
 
--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -1,6 +1,8 @@
 package bulrushmove
 
 import (
+	"math"
+
 	"bulrushchute.example/bulrushchute"
 )
 
@@ -28,12 +30,13 @@
 
 // shortStages are the share steps of a move of less than shortMove. Its new
 // version may get a tenth of the requests and some more before it is found bad,
-// so that the few requests of such a time tell something.
+// so that the few requests of such a time tell something. The step before the
+// last one lasts about a second and puts a high load on a part of its servers.
 var shortStages = [...]stage{
 	{share: 0},
-	{share: 600, latest: 0.02},
-	{share: 1500, earliest: 0.40, latest: 0.45},
-	{share: FullShare, earliest: 0.70, latest: 0.72},
+	{share: 800, latest: 0.02},
+	{share: 6500, earliest: 0.66, latest: 0.68},
+	{share: FullShare, earliest: 0.79, latest: 0.80},
 }
 
 // shortMove is the time below which stages of several seconds do not fit in.
@@ -117,3 +120,14 @@
 func (s State) finishAt() bulrushchute.Millis {
 	return s.CompleteByMs - min(max(s.span()/finishParts, minFinishTime), maxFinishTime)
 }
+
+// trialLoad is the load of a server of the new version below 100%, in multiples
+// of that of an ordinary server.
+const trialLoad = 2.0
+
+// TrialServers returns on how many of its servers the new version gets its
+// share of the requests. Spread over all of them, a small share would never
+// show a version that is bad only under load.
+func TrialServers(share, old int) int {
+	return max(1, int(math.Round(float64(share)*float64(old)/FullShare/trialLoad)))
+}
--- a/bulrushmove/sequential.go
+++ b/bulrushmove/sequential.go
@@ -54,6 +54,9 @@
 	ratios [len(alternatives)]float64
 	// most bounds what one step can add.
 	most increments
+	// unbounded lifts the bounds, for moves too short to wait for ten seconds of
+	// evidence.
+	unbounded bool
 }
 
 func newSequentialTest(most increments) sequentialTest {
@@ -66,7 +69,10 @@
 
 func (st *sequentialTest) step(steps increments) {
 	for i, nats := range steps {
-		st.ratios[i] = (st.ratios[i] + restartWeight) * math.Exp(min(nats, st.most[i]))
+		if !st.unbounded {
+			nats = min(nats, st.most[i])
+		}
+		st.ratios[i] = (st.ratios[i] + restartWeight) * math.Exp(nats)
 	}
 }
 
--- a/bulrushmove/state.go
+++ b/bulrushmove/state.go
@@ -89,11 +89,18 @@
 	}
 }
 
+// An ordered move ends some time before the order's limit, because the first
+// holder learns of it late and the store answers late.
+const (
+	orderMargin     = 1500 * bulrushchute.Millisecond
+	orderMarginPart = 6
+)
+
 // withMove returns the state at the start of a move, in the next epoch.
 func (s State) withMove(service bulrushchute.Service, move bulrushcatalogue.Move, now bulrushchute.Millis) State {
 	completeBy, ordered := move.CompleteByMs, bulrushchute.Millis(0)
 	if completeBy == 0 {
-		completeBy, ordered = now+move.WithinMs, now
+		completeBy, ordered = now+move.WithinMs-min(orderMargin, move.WithinMs/orderMarginPart), now
 	}
 	return State{
 		OrderedAtMs:  ordered,
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -214,7 +214,9 @@
 		Attempts:   resolved.Attempts,
 		Idempotent: resolved.Idempotent,
 		Retry:      said.Retry,
-		Depth:      said.Depth + 1,
+		// A hedge would end the slow attempts by which a bad version shows.
+		WithoutHedge: moving(chosen.entry),
+		Depth:        said.Depth + 1,
 	}
 	template := bulrushchute.Attempt{
 		Service:    info.Service,
@@ -234,6 +236,10 @@
 	return call{info: info, template: template, subset: chosen.entry.Subset, arrived: now}, nil
 }
 
+func moving(entry bulrushcatalogue.ServiceEntry) bool {
+	return entry.Move != nil && entry.Move.WithinMs > 0 && entry.Move.Settled == ""
+}
+
 // lowerClass lets a caller lower the class of its request but not raise it.
 func lowerClass(class bulrushchute.Class, name string) (bulrushchute.Class, error) {
 	if name == "" {
--- a/bulrushnode/lane.go
+++ b/bulrushnode/lane.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// setRetries puts other limits on further attempts in force.
+func (l *lanes) setRetries(retries retryLimits, nodes int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.retries = retries
+	for _, known := range l.byName {
+		known.mutex.Lock()
+		known.retries = retries
+		known.budgets.SetLimits(retries.of(nodes))
+		known.mutex.Unlock()
+	}
+}
+
 // get returns the lane of a service that the catalogue holds.
 func (l *lanes) get(service bulrushchute.Service, subset int) *lane {
 	l.mutex.RLock()
@@ -132,13 +145,38 @@
 		query = fromOld(query, *entry.Move)
 		return l.router.Pick(now, query)
 	}
-	instance, found := l.router.Pick(now, query)
+	trial := query
+	trial.Exclude = append(slices.Clone(query.Exclude), spared(view, entry)...)
+	instance, found := l.router.Pick(now, trial)
 	if found || entry.Move.Settled == bulrushcatalogue.MoveCompleted {
 		return instance, found
 	}
 	return l.router.Pick(now, fromOld(query, *entry.Move))
 }
 
+// spared returns the instances of the new version that get no requests yet.
+// All nodes choose the same ones, so that the others carry an ordinary load.
+func spared(view bulrushboard.View, entry bulrushcatalogue.ServiceEntry) []bulrushchute.InstanceID {
+	share := view.Shares.Of(entry.Service, entry.Move.Generation)
+	if entry.Move.WithinMs == 0 || entry.Move.Settled != "" || share >= bulrushmove.FullShare {
+		return nil
+	}
+	members := view.Members(entry.Service).Instances
+	trial := bulrushmove.TrialServers(share, countServers(members, *entry.Move).Old)
+	var rest []bulrushchute.InstanceID
+	for _, member := range members {
+		if member.Version != entry.Move.ToVersion || !member.State.TakesWork() {
+			continue
+		}
+		if trial > 0 {
+			trial--
+			continue
+		}
+		rest = append(rest, member.ID)
+	}
+	return rest
+}
+
 // fromOld asks for an instance of the version that a move leads away from.
 func fromOld(query bulrushchute.PickQuery, move bulrushcatalogue.Move) bulrushchute.PickQuery {
 	query.Version = move.FromVersion
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"reflect"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -139,3 +140,8 @@
 	}
 	return nil
 }
+
+// equal reports whether two settings are the same.
+func (s Settings) equal(other Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
--- a/cmd/bulrushd/platform.go
+++ b/cmd/bulrushd/platform.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
 
+	"bulrushchute.example/bulrushchute/bulrushtask"
 	"bulrushchute.example/bulrushchute/cmd/bulrushd/bulrushoperator"
 	"bulrushchute.example/bulrushchute/platform"
 )
@@ -45,7 +49,21 @@
 	if err != nil {
 		return err
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	return serve(ctx, string(settings.OperatorAddress), handler, func(ctx context.Context) error {
+		group := bulrushtask.NewGroup(func(end bulrushtask.End) {
+			if end.Err != nil {
+				klog.ErrorS(end.Err, "settings no longer followed", "path", path)
+			}
+		})
+		following, stop := context.WithCancel(context.WithoutCancel(ctx))
+		group.Start(following, "settings", func(ctx context.Context) error {
+			return platform.FollowSettings(ctx, path, hangups, node)
+		})
+		defer group.Wait()
+		defer stop()
 		return platform.Run(ctx, settings, node)
 	})
 }
--- a/request.go
+++ b/request.go
@@ -106,7 +106,9 @@
 	Idempotent bool
 	// Retry is set when a level above already repeats this request.
 	Retry bool
-	Depth int
+	// WithoutHedge keeps a second attempt from running beside the first.
+	WithoutHedge bool
+	Depth        int
 }
 
 // PickQuery asks for a backend server.
