--- a/cmd/bulrushd/platform.go
+++ b/cmd/bulrushd/platform.go
@@ -32,6 +32,10 @@
 }
 
 func runOnPlatform(ctx context.Context, path string) error {
+	// Before anything else, since the signal ends a process that does not expect it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	if path == "" {
 		return errors.Errorf("environment variable %s is not set", settingsVariable)
 	}
@@ -49,9 +53,6 @@
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	return serve(ctx, string(settings.OperatorAddress), handler, func(ctx context.Context) error {
 		group := bulrushtask.NewGroup(func(end bulrushtask.End) {
 			if end.Err != nil {
