Recover sooner after all nodes were ended at once; log decisions

Cause: after power_off_all the join of the membership took up to 4 s, because the first peers asked were not up yet and digests of many starting nodes differ. Nodes now introduce themselves to the listed addresses, take callers 500 ms after their start at the latest, and bury the former process at their address.

--- a/bulrushadmission/pace.go
+++ b/bulrushadmission/pace.go
@@ -75,6 +75,15 @@
 	return c.pace.stale(c.now) && len(c.running) < c.limit()
 }
 
+// Pace returns the age of the last reading of the server's load, and the
+// slowdown that it told, 0 if there was none.
+func (c *Controller) Pace(now bulrushchute.Millis) (bulrushchute.Millis, float64) {
+	if !c.pace.known {
+		return 0, 0
+	}
+	return now - c.pace.readAt, c.pace.slowdown
+}
+
 // Waits reports whether any request waits.
 func (c *Controller) Waits() bool {
 	return c.queue.waiting > 0
@@ -98,7 +107,7 @@
 			hold = max(shortestHold, min(hold, slack))
 		}
 	}
-	return c.now + hold
+	return min(c.now+hold, t.expiresAt-1)
 }
 
 // endHold decides on a request that was held back as long as it may be. One
--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -8,11 +8,15 @@
 const (
 	// joinTimeout is the time without progress after which another peer is tried.
 	joinTimeout = 3 * bulrushchute.Second
+	// contactTimeout is the time after which another peer is asked as well, before
+	// any has answered. After a fault that ended many nodes at once, the first
+	// peer asked is often not back yet.
+	contactTimeout = 200 * bulrushchute.Millisecond
 	// joinRounds is the number of comparisons after which remaining
 	// differences are taken for changes under way.
 	joinRounds = 3
 	// joinPause is the time between two comparisons with the same peer.
-	joinPause = 300 * bulrushchute.Millisecond
+	joinPause = 100 * bulrushchute.Millisecond
 	// turnedAway is the number of differing buckets above which the answer was
 	// no copy but a few members to copy from.
 	turnedAway = bulrushspread.BucketCount / 2
@@ -77,6 +81,9 @@
 	m.join.answered = false
 	m.join.rounds++
 	m.join.deadline = now + joinTimeout
+	if m.table.Stats().Records <= 1 && len(m.joinCandidates()) > 1 {
+		m.join.deadline = now + contactTimeout
+	}
 	return append(actions, m.table.Compare(now, m.join.target)...)
 }
 
@@ -96,9 +103,16 @@
 
 // compared follows the answer to a digest.
 func (m *Membership) compared(now bulrushchute.Millis, comparison bulrushspread.Comparison) {
-	if m.status.Joined || comparison.With != m.join.target {
+	if m.status.Joined || m.join.answered {
 		return
 	}
+	if comparison.With != m.join.target {
+		if m.join.stage != stageCopy {
+			return
+		}
+		// The answer of a peer that was asked before, and is slow.
+		m.join.target = comparison.With
+	}
 	m.join.answered = true
 	m.join.differing = comparison.Differing
 	m.join.next = now + joinPause
--- a/bulrushmembership/members.go
+++ b/bulrushmembership/members.go
@@ -223,6 +223,9 @@
 		m.refute = max(m.refute, record.Version.Epoch)
 		return
 	}
+	if instance.Address == m.self.Address && instance.ID != m.self.ID {
+		m.predecessors = append(m.predecessors, instance)
+	}
 	if m.members.put(instance) {
 		m.overlayChanged = true
 	}
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -38,6 +38,10 @@
 	near     bulrushchute.Address
 	nextNear bulrushchute.Millis
 
+	// predecessors are members at this node's own address. Their processes have
+	// ended, or this one could not listen there.
+	predecessors []bulrushchute.Instance
+
 	overlayChanged    bool
 	neighboursChanged bool
 	reachChanged      bool
@@ -91,7 +95,35 @@
 		m.receiveAck(now, from, message)
 		return nil
 	}
-	return m.table.Receive(now, from, message)
+	_, known := m.members.byID[message.From]
+	actions := m.table.Receive(now, from, message)
+	if message.Records == nil || known {
+		return actions
+	}
+	if _, introduced := m.members.byID[message.From]; introduced {
+		actions = append(actions, m.Introduce(now, []bulrushchute.Address{from})...)
+	}
+	return actions
+}
+
+// Introduce sends this node's own record to addresses at which other nodes may
+// have started. A node that did not know this one answers with its record. This
+// is how nodes meet again at once after a fault that ended many of them; a
+// join takes longer, because it copies all records.
+func (m *Membership) Introduce(_ bulrushchute.Millis, addresses []bulrushchute.Address) []Action {
+	record, ok := m.table.Get(memberKey(m.self.ID))
+	if !ok || m.left {
+		return nil
+	}
+	var actions []Action
+	for _, address := range addresses {
+		if address == m.self.Address {
+			continue
+		}
+		records := &bulrushchute.Records{Records: []bulrushchute.Record{record}}
+		actions = m.send(actions, address, bulrushchute.Control{Records: records})
+	}
+	return actions
 }
 
 // Tick does what is due. It is to be called every bulrushspread.TickInterval.
@@ -99,6 +131,7 @@
 func (m *Membership) Tick(now bulrushchute.Millis) []Action {
 	m.noticePause(now)
 	m.refuteSuspicion(now)
+	m.buryPredecessors(now)
 	actions := m.advanceJoin(now, nil)
 	m.updateOverlay(now)
 	m.updateNeighbours(now)
@@ -116,6 +149,15 @@
 	return append(actions, m.table.Tick(now)...)
 }
 
+// buryPredecessors tells all nodes that the former processes at this node's
+// address are dead, which monitors would find out only some seconds later.
+func (m *Membership) buryPredecessors(now bulrushchute.Millis) {
+	for _, dead := range m.predecessors {
+		m.table.Publish(now, suspicionRecord(dead.ID, m.self.ID, dead.Incarnation, rankDead, now))
+	}
+	m.predecessors = nil
+}
+
 // compareNow compares digests at once after a pause, in which the node may
 // have missed many changes, after the join, and with a new near peer.
 func (m *Membership) compareNow(now bulrushchute.Millis, actions []Action) []Action {
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -11,23 +11,62 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// bootstrapEvery is how often a node without peers looks for some in the store.
-const bootstrapEvery = 2 * time.Second
+// Times of the search for peers.
+const (
+	// bootstrapEvery is how often a node without peers looks for some in the store.
+	bootstrapEvery = 2 * time.Second
+	// A node that has just started introduces itself to the listed addresses
+	// again and again, because others may start at the same moment.
+	introduceEvery = 250 * time.Millisecond
+	introduceFor   = 3 * bulrushchute.Second
+	// maxIntroductions bounds the addresses in a large fleet.
+	maxIntroductions = 64
+)
 
-// bootstrap finds peers through the store while the node knows none.
+// bootstrap finds peers through the store, at first and while the node knows none.
 func (n *Node) bootstrap(ctx context.Context) error {
+	n.meetListed(ctx)
 	for ctx.Err() == nil {
-		if n.alone(ctx) {
-			if err := n.writeSeeds(ctx); err != nil && ctx.Err() == nil {
-				klog.V(1).InfoS("seeds not written", "error", err)
-			}
-			n.joinStrangers(ctx)
-		}
 		pause(ctx, bootstrapEvery)
+		if ctx.Err() == nil && n.alone(ctx) {
+			n.meetListed(ctx)
+		}
 	}
 	return nil
 }
 
+// meetListed lists this node in the store, and introduces it to the others
+// that are listed there until they are known.
+func (n *Node) meetListed(ctx context.Context) {
+	if err := n.writeSeeds(ctx); err != nil && ctx.Err() == nil {
+		klog.V(1).InfoS("seeds not written", "error", err)
+	}
+	listed := n.joinStrangers(ctx)
+	until := n.clock.Now() + introduceFor
+	for ctx.Err() == nil && n.clock.Now() < until {
+		n.control.do(ctx, func(now bulrushchute.Millis) {
+			n.control.introduce(now, listed)
+		})
+		pause(ctx, introduceEvery)
+	}
+}
+
+// introduce sends this node's record to the listed addresses at which no member is known.
+func (c *control) introduce(now bulrushchute.Millis, listed []bulrushchute.Address) {
+	known := make(map[bulrushchute.Address]bool)
+	c.membership.Range(func(member bulrushchute.Instance) bool {
+		known[member.Address] = true
+		return true
+	})
+	var unknown []bulrushchute.Address
+	for _, address := range listed {
+		if !known[address] && len(unknown) < maxIntroductions {
+			unknown = append(unknown, address)
+		}
+	}
+	c.send(c.membership.Introduce(now, unknown))
+}
+
 func (n *Node) alone(ctx context.Context) bool {
 	count := 0
 	n.control.do(ctx, func(bulrushchute.Millis) {
@@ -41,14 +80,14 @@
 
 // joinStrangers contacts the nodes that the store lists for data centres of
 // which this node knows no member. Parts of the fleet that started without
-// knowing of each other are joined in this way.
-func (n *Node) joinStrangers(ctx context.Context) {
+// knowing of each other are joined in this way. It returns all listed addresses.
+func (n *Node) joinStrangers(ctx context.Context) []bulrushchute.Address {
 	objects, _, err := n.store.List(ctx, bulrushchute.KindSeeds)
 	if err != nil {
 		if ctx.Err() == nil {
 			klog.V(1).InfoS("seeds not read", "error", err)
 		}
-		return
+		return nil
 	}
 	listed := make(map[bulrushchute.DataCentre][]bulrushchute.Address, len(objects))
 	for _, object := range objects {
@@ -62,6 +101,11 @@
 	n.control.do(ctx, func(now bulrushchute.Millis) {
 		n.control.contact(now, n.control.strangers(listed))
 	})
+	var all []bulrushchute.Address
+	for _, addresses := range listed {
+		all = append(all, addresses...)
+	}
+	return all
 }
 
 // contact joins through the addresses, or compares records with them if this
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -19,6 +19,9 @@
 // learn of failed instances and of changed load.
 const retryAfterDefault = bulrushchute.Second
 
+// retryAfterStart is told by a node that starts, which takes less than a second.
+const retryAfterStart = 300 * bulrushchute.Millisecond
+
 // exchanger sends an attempt to an instance, over the network or to this node itself.
 type exchanger func(ctx context.Context, instance bulrushchute.Instance, attempt bulrushchute.Attempt) (bulrushchute.Reply, error)
 
@@ -46,6 +49,8 @@
 type callResult struct {
 	final  bulrushattempt.Final
 	answer *bulrushchute.Answer
+	// attempts is the number of attempts that were sent.
+	attempts int
 }
 
 // attemptEnd is the end of one attempt.
@@ -93,7 +98,7 @@
 		case bulrushattempt.ActionCancel:
 			r.cancels[action.Attempt]()
 		case bulrushattempt.ActionFinish:
-			return callResult{final: action.Final, answer: r.answers[action.Final.Attempt]}
+			return callResult{final: action.Final, answer: r.answers[action.Final.Attempt], attempts: len(r.cancels)}
 		default:
 			r.wait(ctx, action.Until)
 		}
@@ -170,6 +175,7 @@
 	begin := time.Now()
 	reply, err := r.caller.exchange(ctx, instance, attempt)
 	end := endOf(number, reply, err)
+	r.logEnd(instance, attempt, end)
 	observation := bulrushchute.Observation{
 		Instance:  instance.ID,
 		ElapsedMs: milliseconds(time.Since(begin)),
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -22,6 +22,10 @@
 // Beyond it they are dropped, as by a busy network.
 const controlQueue = 4096
 
+// joinPatience is the time after which a node that has not joined takes
+// callers, with the servers that it knows: its own at least.
+const joinPatience = 500 * bulrushchute.Millisecond
+
 // received is a control message with the address of the node that sent it.
 type received struct {
 	from    bulrushchute.Address
@@ -50,6 +54,9 @@
 	// weightsChanged is set when the board's weights are out of date.
 	weightsChanged bool
 	draining       bool
+	startedAt      bulrushchute.Millis
+	// patient is set once joinPatience has passed.
+	patient bool
 	// expire ends the node's run with an error.
 	expire func()
 }
@@ -57,6 +64,7 @@
 func newControl(n *Node, self bulrushchute.Instance) *control {
 	c := &control{
 		clock:      n.clock,
+		startedAt:  n.clock.Now(),
 		board:      n.board,
 		transport:  n.client,
 		guard:      n.guard,
@@ -155,6 +163,10 @@
 	c.moves.tick(now)
 	c.publishMembers()
 	c.publishWeights()
+	if !c.patient && now-c.startedAt >= joinPatience {
+		c.patient = true
+		c.updateState(c.membership.Status())
+	}
 }
 
 // onMember notes a changed member. The board is updated once for each tick,
@@ -258,17 +270,19 @@
 // updateState derives the node's state from the membership and the catalogue.
 func (c *control) updateState(status bulrushmembership.Status) {
 	c.board.Update(func(view bulrushboard.View) bulrushboard.View {
-		return view.WithState(nodeState(status, view.Catalogue, c.draining))
+		return view.WithState(nodeState(status, view.Catalogue, c.draining, c.clock.Now()-c.startedAt >= joinPatience))
 	})
 }
 
-func nodeState(status bulrushmembership.Status, catalogue bulrushcatalogue.Set, draining bool) bulrushboard.NodeState {
+// nodeState gives the state of a node. Waited is set when the join has taken so
+// long that no peer seems to be within reach.
+func nodeState(status bulrushmembership.Status, catalogue bulrushcatalogue.Set, draining, waited bool) bulrushboard.NodeState {
 	switch {
 	case draining:
 		return bulrushboard.NodeDraining
 	case status.Isolated:
 		return bulrushboard.NodeIsolated
-	case !status.Joined || !catalogue.HasServices():
+	case !catalogue.HasServices() || !status.Joined && !waited:
 		return bulrushboard.NodeStarting
 	default:
 		return bulrushboard.NodeReady
--- /dev/null
+++ b/bulrushnode/decision.go
@@ -0,0 +1,96 @@
+package bulrushnode
+
+import (
+	"hash/fnv"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushlog"
+)
+
+// Events of the decisions on requests. docs/observability.md lists their keys.
+var (
+	requestRefused   = bulrushlog.NewEvents("request refused")
+	requestFailed    = bulrushlog.NewEvents("request failed")
+	requestAnswered  = bulrushlog.NewEvents("request answered")
+	requestRejected  = bulrushlog.NewEvents("request rejected")
+	attemptRefused   = bulrushlog.NewEvents("attempt refused")
+	attemptFailed    = bulrushlog.NewEvents("attempt failed")
+	attemptRetried   = bulrushlog.NewEvents("attempt repeated")
+	serverErrorsSeen = bulrushlog.NewEvents("backend server failed a request")
+)
+
+// sampledOf is the part of the answered requests that is logged: one in so many.
+const sampledOf = 64
+
+// sampled chooses requests by their id, so that all nodes choose the same ones.
+func sampled(id string) bool {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id))
+	return hash.Sum32()%sampledOf == 0
+}
+
+// logEnd tells how a request ended and by which decision.
+func (e *entry) logEnd(view bulrushboard.View, request call, result callResult) {
+	elapsed := e.clock.Now() - request.arrived
+	fields := []any{
+		"request", request.template.RequestID, "service", request.info.Service, "route", request.info.Route,
+		"catalogue", view.Catalogue.Routing().Label, "attempts", result.attempts, "elapsed_ms", elapsed,
+	}
+	switch result.final.Outcome {
+	case bulrushchute.OutcomeAnswered:
+		if sampled(request.template.RequestID) {
+			requestAnswered.Log(append(fields, "status", result.answer.Status)...)
+		}
+	case bulrushchute.OutcomeNotRun:
+		requestRefused.Log(append(fields, "reason", result.final.Reason, "retry_after_ms", result.final.RetryAfter)...)
+	default:
+		requestFailed.Log(append(fields, "reason", result.final.Reason, "time_left_ms", request.info.Deadline-e.clock.Now())...)
+	}
+}
+
+// logEnd tells how one attempt ended that brought no answer.
+func (r *running) logEnd(instance bulrushchute.Instance, attempt bulrushchute.Attempt, end attemptEnd) {
+	if end.end.Reason == "" && end.end.Result != bulrushchute.ResultServerError {
+		return
+	}
+	attemptRetried.Log("request", attempt.RequestID, "attempt", end.number, "instance", instance.ID, "version", instance.Version,
+		"data_centre", instance.DataCentre, "reason", end.end.Reason, "reached", end.end.Reached, "insist", attempt.Insist)
+}
+
+// logRefusal tells why this node did not pass an attempt to its backend server.
+func (g *guard) logRefusal(attempt bulrushchute.Attempt, refusal bulrushchute.Refusal) {
+	load := g.load()
+	age, slowdown := g.paceRead()
+	attemptRefused.Log("request", attempt.RequestID, "service", attempt.Service, "reason", refusal.Reason,
+		"in_flight", load.InFlight, "limit", load.Limit, "queued", load.Queued, "cold", load.Cold, "leaving", load.Leaving,
+		"slowdown", slowdown, "reading_age_ms", age, "remaining_ms", attempt.Remaining, "retry_after_ms", refusal.RetryAfter)
+}
+
+// paceRead returns the age of the last reading of the server's load and the
+// slowdown that it told.
+func (g *guard) paceRead() (bulrushchute.Millis, float64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.controller.Pace(g.clock.Now())
+}
+
+// logFailure tells that the backend server gave no whole answer, or an error.
+func (g *guard) logFailure(attempt bulrushchute.Attempt, server string, result dispatchResult, elapsedMs float64) {
+	if result.answer != nil && result.answer.Status < 500 {
+		return
+	}
+	status := 0
+	if result.answer != nil {
+		status = result.answer.Status
+	}
+	fields := []any{
+		"request", attempt.RequestID, "server", server, "route", attempt.Route, "reason", result.reason,
+		"status", status, "started", result.started, "elapsed_ms", int(elapsedMs),
+	}
+	if result.answer != nil {
+		serverErrorsSeen.Log(fields...)
+		return
+	}
+	attemptFailed.Log(fields...)
+}
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -72,11 +72,12 @@
 	}
 	prepared, key, problem := e.prepare(view, request)
 	if problem != nil {
-		e.writeProblem(writer, problem)
+		e.writeProblem(writer, request, problem)
 		return
 	}
 	result := e.serve(request.Context(), view, prepared, key)
 	e.writeResult(writer, result)
+	e.logEnd(view, prepared, result)
 	e.recorder.Record(bulrushmetric.Measurement{
 		Service:   prepared.info.Service,
 		Tenant:    prepared.info.Tenant,
@@ -90,7 +91,7 @@
 func (e *entry) serve(ctx context.Context, view bulrushboard.View, prepared call, key string) callResult {
 	switch view.State {
 	case bulrushboard.NodeStarting:
-		return notRun(bulrushchute.ReasonNotReady, retryAfterDefault)
+		return notRun(bulrushchute.ReasonNotReady, retryAfterStart)
 	case bulrushboard.NodeIsolated:
 		return notRun(bulrushchute.ReasonIsolated, retryAfterDefault)
 	}
@@ -275,7 +276,9 @@
 	return bulrushchute.Tenant(request.TLS.PeerCertificates[0].Subject.CommonName)
 }
 
-func (e *entry) writeProblem(writer http.ResponseWriter, problem *problem) {
+func (e *entry) writeProblem(writer http.ResponseWriter, request *http.Request, problem *problem) {
+	requestRejected.Log("host", request.Host, "method", request.Method, "status", problem.status, "reason", problem.reason,
+		"error", problem.cause)
 	e.protocol.WriteOutcome(writer.Header(), bulrushchute.NodeAnswer{Outcome: bulrushchute.OutcomeNotRun, Reason: problem.reason})
 	http.Error(writer, problem.cause.Error(), problem.status)
 }
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -40,6 +40,8 @@
 	// reading is closed when the reading of the backend server's load that is
 	// under way ends, nil when there is none.
 	reading chan struct{}
+	// firstReading asks for a reading of the load of a server that has just started.
+	firstReading bool
 	// held wakes the goroutine that watches over held requests.
 	held chan struct{}
 	// healthPath is where the load is read.
@@ -79,6 +81,7 @@
 	} else {
 		g.release(g.controller.BackendStarted(now, limits))
 		g.replaceClient(announcement.Address)
+		g.firstReading = g.dialect.backend.ReportsLoad()
 	}
 	g.release(g.controller.ObserveCold(now, announcement.ColdMs))
 	g.backend = announcement
@@ -223,6 +226,7 @@
 func (g *guard) serveUntil(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
 	g.refreshPace(ctx)
 	if refusal := g.admit(ctx, attempt, deadline); refusal != nil {
+		g.logRefusal(attempt, *refusal)
 		return bulrushchute.Reply{Refusal: refusal}
 	}
 	// The check comes last, because this process may have been paused since
@@ -338,6 +342,7 @@
 	elapsed := time.Since(begin)
 	g.takeReport(result.report)
 	g.finish(attempt, result, elapsed)
+	g.logFailure(attempt, backend.Server, result, milliseconds(elapsed))
 	g.report(attempt, backend, result, elapsed)
 	return replyOf(result)
 }
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -299,6 +299,8 @@
 	if entry, exists := n.board.Read().Catalogue.Service(announcement.Service); exists {
 		n.guard.configure(entry)
 	}
+	// Until the load is known, a new server gets one request at a time.
+	n.start("first load reading", n.guard.readFirst)
 	klog.InfoS("backend server announced", "service", announcement.Service, "version", announcement.Version,
 		"address", announcement.Address, "state", announcement.State)
 	return nil
--- a/bulrushnode/pacer.go
+++ b/bulrushnode/pacer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushbackend"
 )
 
@@ -21,11 +22,16 @@
 // start a request on it. Requests that arrive meanwhile share one reading.
 func (g *guard) refreshPace(ctx context.Context) {
 	g.mutex.Lock()
-	if !g.controller.NeedsReading(g.clock.Now()) {
+	if !g.firstReading && !g.controller.NeedsReading(g.clock.Now()) {
 		g.mutex.Unlock()
 		return
 	}
+	g.firstReading = false
 	reading := g.reading
+	if reading == nil && !g.controller.TakeProbe(g.clock.Now(), bulrushadmission.ProbeLoad) {
+		g.mutex.Unlock()
+		return
+	}
 	if reading == nil {
 		reading = make(chan struct{})
 		g.reading = reading
@@ -38,6 +44,12 @@
 	}
 }
 
+// readFirst reads the load of a backend server that has just announced itself.
+func (g *guard) readFirst(ctx context.Context) error {
+	g.refreshPace(ctx)
+	return nil
+}
+
 // readLoad reads the backend server's load from its health path.
 func (g *guard) readLoad(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readingTimeout)
--- a/bulrushnode/protocol.go
+++ b/bulrushnode/protocol.go
@@ -81,6 +81,11 @@
 	return false
 }
 
+// ReportsLoad implements bulrushchute.BackendProtocol.
+func (nativeProtocol) ReportsLoad() bool {
+	return false
+}
+
 // ReadReport implements bulrushchute.BackendProtocol. Answers of this dialect
 // report nothing besides their status.
 func (nativeProtocol) ReadReport(*bulrushchute.Attempt, int, http.Header) bulrushchute.BackendReport {
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -33,7 +33,7 @@
 	// seedsEvery is how often the first reader refreshes the list of addresses
 	// through which new nodes join.
 	seedsEvery = 10 * time.Second
-	seedCount  = 8
+	seedCount  = 16
 )
 
 // defaultKinds are the kinds of objects that readers spread.
--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -13,20 +13,39 @@
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushlog"
 	"bulrushchute.example/bulrushchute/bulrushnode"
 	"bulrushchute.example/bulrushchute/bulrushstore"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 	"bulrushchute.example/bulrushchute/cmd/bulrushd/bulrushoperator"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	finishLogs := startLogs()
 	if err := newCommand().ExecuteContext(ctx); err != nil {
 		klog.ErrorS(err, "node failed")
-		klog.Flush()
+		finishLogs()
 		os.Exit(1)
 	}
-	klog.Flush()
+	finishLogs()
+}
+
+// startLogs sends log lines to standard output without blocking those that
+// write them. The function that it returns writes what is left.
+func startLogs() func() {
+	writer := bulrushlog.NewWriter()
+	klog.LogToStderr(false)
+	klog.SetOutput(writer)
+	group := bulrushtask.NewGroup(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Start(ctx, "logs", func(ctx context.Context) error { return writer.Run(ctx, os.Stdout) })
+	return func() {
+		klog.Flush()
+		cancel()
+		group.Wait()
+	}
 }
 
 func newCommand() *cobra.Command {
--- a/protocol.go
+++ b/protocol.go
@@ -88,6 +88,8 @@
 	// AcceptsUnframed reports whether an answer may have neither a length nor
 	// chunks and end with its connection.
 	AcceptsUnframed() bool
+	// ReportsLoad reports whether answers to health checks tell the server's load.
+	ReportsLoad() bool
 	// ReadReport reads an answer. The attempt is nil for a health check.
 	ReadReport(attempt *Attempt, status int, header http.Header) BackendReport
 }
