--- a/bulrushadmission/pace.go
+++ b/bulrushadmission/pace.go
@@ -5,8 +5,12 @@
 )
 
 const (
-	// slowAbove is the reported slowdown from which on new work is held back.
+	// slowAbove is the reported slowdown, in multiples of the server's usual one,
+	// from which on new work is held back.
 	slowAbove = 1.6
+	// usualSpan is the time over which the lowest slowdown counts as usual. A
+	// cold server, or one that is slow for good, is compared with itself.
+	usualSpan = 800 * bulrushchute.Millisecond
 	// readingAge is how long a reading is relied on. Neighbours take and free
 	// the machine about every 150 ms.
 	readingAge = 20 * bulrushchute.Millisecond
@@ -36,14 +40,40 @@
 	slowdown float64
 	// slowSince is the first of the latest slow readings in a row.
 	slowSince bulrushchute.Millis
+	// lowest and formerLowest are the lowest slowdowns of the present span and
+	// of the one before it.
+	lowest       float64
+	formerLowest float64
+	spanStart    bulrushchute.Millis
+}
+
+// usual returns the slowdown of the server when no neighbour holds its machine.
+func (p *pace) usual() float64 {
+	return min(p.lowest, p.formerLowest)
+}
+
+func (p *pace) noteLowest(now bulrushchute.Millis, slowdown float64) {
+	switch {
+	case !p.known:
+		p.lowest, p.formerLowest, p.spanStart = slowdown, slowdown, now
+	case now-p.spanStart >= usualSpan:
+		p.lowest, p.formerLowest, p.spanStart = slowdown, p.lowest, now
+	default:
+		p.lowest = min(p.lowest, slowdown)
+	}
+}
+
+func (p *pace) above() bool {
+	return p.known && p.slowdown > slowAbove*p.usual()
 }
 
 func (p *pace) observe(now bulrushchute.Millis, slowdown float64) {
-	wasSlow := p.known && p.slowdown > slowAbove
+	wasSlow := p.above()
+	p.noteLowest(now, slowdown)
 	p.known = true
 	p.readAt = now
 	p.slowdown = slowdown
-	if slowdown > slowAbove && !wasSlow {
+	if p.above() && !wasSlow {
 		p.slowSince = now
 	}
 }
@@ -51,7 +81,7 @@
 // slow reports whether starting a request now would take much longer than
 // waiting for a better moment.
 func (p *pace) slow(now bulrushchute.Millis) bool {
-	return p.known && p.slowdown > slowAbove && now-p.slowSince < lastingSlow
+	return p.above() && now-p.slowSince < lastingSlow
 }
 
 // stale reports whether the pace must be read again before it is relied on.
--- a/bulrushadmission/pace_test.go
+++ b/bulrushadmission/pace_test.go
@@ -173,3 +173,15 @@
 	}
 	assert.Assert(t, len(started) >= 16, "only %d requests reached the cold server", len(started))
 }
+
+// Guards against a cold server, which is slow by itself, that gets no work
+// because its slowness is taken for a neighbour's.
+func TestColdServerIsComparedWithItself(t *testing.T) {
+	now := bulrushchute.Millis(1000)
+	c := New(now, Settings{Limits: bulrushcatalogue.Limits{Slots: 9, Connections: 100, Queue: 20, QueueMs: 1000, ColdPerS: 8}})
+	c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 2})
+	c.ObserveCold(now, 3000)
+	assert.Equal(t, c.Offer(now, numbered(1, now)).Verdict, Admitted)
+	c.ObserveLoad(now+100, bulrushchute.BackendLoad{Slots: 9, Slowdown: 10})
+	assert.Equal(t, c.Offer(now+100, numbered(2, now)).Verdict, Queued, "a neighbour is told apart on a cold server too")
+}
