--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -45,6 +45,7 @@
 
 	pace      pace
 	cold      coldWindow
+	full      fullness
 	drain     drainMeter
 	serviceMs float64
 	probes    probeBudget
--- a/bulrushadmission/evidence.go
+++ b/bulrushadmission/evidence.go
@@ -40,6 +40,9 @@
 	if result.Kind == bulrushchute.ResultAnswered && !result.Overloaded {
 		c.learnLatency(t, elapsedMs)
 	}
+	if t.lastSlots && result.Kind == bulrushchute.ResultAnswered && t.route.learned() {
+		c.full.observe(c.now, strain)
+	}
 	if t.epoch != c.epoch {
 		return
 	}
--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -74,6 +74,7 @@
 	c.drain = drainMeter{}
 	c.serviceMs = 0
 	c.pace = pace{}
+	c.full = fullness{}
 	c.cold.until = 0
 	c.failedProbes = 0
 	c.adaptive = newAdaptiveLimit(c.slots())
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -121,7 +121,10 @@
 	limit := min(c.slots(), c.workConnections())
 	if c.pace.known {
 		// The server reports what the limits below would have to infer.
-		return max(1, min(limit, int(pacedShare*float64(c.slots()))))
+		if c.queue.waiting > 0 && c.full.open(c.now) {
+			return limit
+		}
+		return max(1, min(limit, c.pacedSlots()))
 	}
 	limit = min(limit, int(c.adaptive.limit+rounding))
 	if c.ramp.warming {
@@ -130,6 +133,11 @@
 	return max(1, limit)
 }
 
+// pacedSlots is the number of slots that are used while nothing waits.
+func (c *Controller) pacedSlots() int {
+	return int(pacedShare * float64(c.slots()))
+}
+
 // warming reports whether the server is taken to be cold.
 func (c *Controller) warming() bool {
 	if c.cold.perS > 0 {
--- a/bulrushadmission/ticket.go
+++ b/bulrushadmission/ticket.go
@@ -27,19 +27,29 @@
 	overdueAt bulrushchute.Millis
 	overdue   bool
 	cancelled bool
+	// late is set when the objective could not be met even at once.
+	late bool
 	// paused is set when the node was paused meanwhile, so that the latency says
 	// nothing about the server.
 	paused bool
 	// lowLoad is set when few others were in flight at dispatch and at the end.
 	lowLoad bool
+	// lastSlots is set when the request was started on one of the last slots.
+	lastSlots bool
 	// epoch tells answers to requests from before the last cut or cold start,
 	// which say nothing about the present limit.
 	epoch uint64
 }
 
-// class treats invalid classes as the least important one.
+// class treats invalid classes as the least important one. A request that can
+// no longer meet its objective gives way to those that can: it is worth less
+// from now on, whenever it is answered.
 func (t *ticket) class() int {
-	return min(int(t.request.Class), bulrushchute.ClassCount-1)
+	class := int(t.request.Class)
+	if t.late {
+		class++
+	}
+	return min(class, bulrushchute.ClassCount-1)
 }
 
 // newTicket takes note of a request that is about to be queued or dispatched.
@@ -51,6 +61,7 @@
 	t.account.tickets++
 	t.offeredAt = c.now
 	t.cost = c.cost(t.route)
+	t.late = request.Objective > 0 && t.route.learned() && float64(request.Objective) < lateShare*t.route.typicalMs
 	c.tickets[request.ID] = t
 	return t
 }
@@ -65,6 +76,9 @@
 	return t
 }
 
+// lateShare is the part of a route's typical time that must be left.
+const lateShare = 0.8
+
 // maxSpareTickets bounds the tickets that are kept for reuse.
 const maxSpareTickets = 256
 
@@ -124,6 +138,7 @@
 	t.running = true
 	t.dispatchedAt = c.now
 	t.lowLoad = len(c.running) <= c.lowLoad()
+	t.lastSlots = len(c.running) > c.pacedSlots()
 	t.epoch = c.epoch
 	t.overdueAt = Never
 	if t.route.learned() {
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -43,6 +43,8 @@
 	template bulrushchute.Attempt
 	subset   int
 	arrived  bulrushchute.Millis
+	// wantedFrom is when the caller first asked, as far as this can be told.
+	wantedFrom bulrushchute.Millis
 }
 
 // callResult is the end of a call. Answer is set for OutcomeAnswered.
@@ -126,7 +128,7 @@
 	attempt.Remaining = attempt.Deadline - now
 	attempt.Insist = only || action.Attempt > 1
 	if attempt.Objective > 0 {
-		attempt.Objective = max(1, r.call.arrived+attempt.Objective-now)
+		attempt.Objective = max(1, r.call.wantedFrom+attempt.Objective-now)
 	}
 	// An attempt outlives its caller: non-idempotent work runs to its end, and
 	// the machine cancels the rest by name.
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -31,6 +31,7 @@
 	recorder *bulrushmetric.Recorder
 	protocol bulrushchute.CallerProtocol
 	targets  *targets
+	patience *patience
 	// ownService returns the service beside this node.
 	ownService func() bulrushchute.Service
 	// active counts the requests that are being served and arrived all that
@@ -234,7 +235,8 @@
 		Caller:     e.ownService(),
 		Objective:  info.Objective,
 	}
-	return call{info: info, template: template, subset: chosen.entry.Subset, arrived: now}, nil
+	arrived := now - e.patience.waited(resolved, said.Timeout)
+	return call{info: info, template: template, subset: chosen.entry.Subset, arrived: now, wantedFrom: arrived}, nil
 }
 
 func moving(entry bulrushcatalogue.ServiceEntry) bool {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -138,6 +138,7 @@
 		keys:              n.keys,
 		recorder:          n.recorder,
 		protocol:          dialect.callers,
+		patience:          newPatience(),
 		targets:           newTargets(newRandom(string(n.id), "targets")),
 		ownService:        n.ownService,
 		trustTenantHeader: settings.TrustTenantHeader && n.tls.caller == nil,
