Start with fewer calls to the store

Nodes now read the catalogue once with a cheap stale list, wait until they have met others before they watch, and list themselves only if they met none.

--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -19,6 +19,8 @@
 	// again and again, because others may start at the same moment.
 	introduceEvery = 250 * time.Millisecond
 	introduceFor   = 3 * bulrushchute.Second
+	// listSpread is the time over which nodes that start together list themselves.
+	listSpread = 600 * time.Millisecond
 	// maxIntroductions bounds the addresses in a large fleet.
 	maxIntroductions = 64
 )
@@ -35,22 +37,53 @@
 	return nil
 }
 
-// meetListed lists this node in the store, and introduces it to the others
-// that are listed there until they are known.
+// meetListed introduces this node to the nodes that are listed in the store
+// until they are known. A node that meets no other of its data centre lists
+// itself, after a while that differs between nodes: otherwise all nodes of a
+// fleet that starts as a whole would write at once.
 func (n *Node) meetListed(ctx context.Context) {
+	if !n.settings.FirstStart {
+		n.meet(ctx, introduceFor/4)
+	}
+	random := newRandom(string(n.id), "bootstrap")
+	pause(ctx, time.Duration(random.Int64N(int64(listSpread))))
+	if n.hasNeighbour(ctx) {
+		n.meet(ctx, 0)
+		return
+	}
 	if err := n.writeSeeds(ctx); err != nil && ctx.Err() == nil {
 		klog.V(1).InfoS("seeds not written", "error", err)
 	}
+	n.meet(ctx, introduceFor)
+}
+
+// meet lists the seeds and introduces this node to them for some time.
+func (n *Node) meet(ctx context.Context, span bulrushchute.Millis) {
 	listed := n.joinStrangers(ctx)
-	until := n.clock.Now() + introduceFor
-	for ctx.Err() == nil && n.clock.Now() < until {
+	until := n.clock.Now() + span
+	for ctx.Err() == nil {
 		n.control.do(ctx, func(now bulrushchute.Millis) {
 			n.control.introduce(now, listed)
 		})
+		if n.clock.Now() >= until {
+			return
+		}
 		pause(ctx, introduceEvery)
 	}
 }
 
+// hasNeighbour reports whether another node of this data centre is known.
+func (n *Node) hasNeighbour(ctx context.Context) bool {
+	found := false
+	n.control.do(ctx, func(bulrushchute.Millis) {
+		n.control.membership.Range(func(member bulrushchute.Instance) bool {
+			found = member.ID != n.id && member.DataCentre == n.settings.DataCentre
+			return !found
+		})
+	})
+	return found
+}
+
 // introduce sends this node's record to the listed addresses at which no member is known.
 func (c *control) introduce(now bulrushchute.Millis, listed []bulrushchute.Address) {
 	known := make(map[bulrushchute.Address]bool)
--- a/bulrushnode/pacer.go
+++ b/bulrushnode/pacer.go
@@ -18,6 +18,18 @@
 	heldEvery = 20 * time.Millisecond
 )
 
+// recentRead is the age of a reading up to which the backend server need not be
+// probed as well.
+const recentRead = 2 * bulrushchute.Second
+
+// recentlyRead reports whether the backend server's load is being read often.
+func (g *guard) recentlyRead() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	age, slowdown := g.controller.Pace(g.clock.Now())
+	return slowdown > 0 && age < recentRead
+}
+
 // refreshPace reads the backend server's load if what is known is too old to
 // start a request on it. Requests that arrive meanwhile share one reading.
 func (g *guard) refreshPace(ctx context.Context) {
--- a/bulrushnode/prober.go
+++ b/bulrushnode/prober.go
@@ -64,7 +64,7 @@
 
 func (p *prober) probe(ctx context.Context) {
 	backend := p.guard.announced()
-	if backend.Service == "" || !p.guard.takeProbe(p.next) {
+	if backend.Service == "" || p.guard.recentlyRead() || !p.guard.takeProbe(p.next) {
 		return
 	}
 	kind := p.next
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -23,6 +23,9 @@
 	readersPerDataCentre = 2
 	// rankEvery is how often a node checks whether it is among the readers.
 	rankEvery = time.Second
+	// settleTime is the time in which a node that starts meets others.
+	settleTime  = 1200 * bulrushchute.Millisecond
+	settleEvery = 100 * time.Millisecond
 	// verifyEvery is how often the first reader of a data centre checks that no
 	// watch has missed a change, which a store that drops its history can cause.
 	verifyEvery = 2 * time.Second
@@ -33,7 +36,7 @@
 	// seedsEvery is how often the first reader refreshes the list of addresses
 	// through which new nodes join.
 	seedsEvery = 10 * time.Second
-	seedCount  = 16
+	seedCount  = 8
 )
 
 // defaultKinds are the kinds of objects that readers spread.
@@ -54,6 +57,7 @@
 
 // run follows the store whenever this node is among the readers.
 func (r *reader) run(ctx context.Context) error {
+	r.readOnce(ctx)
 	for ctx.Err() == nil {
 		if r.rank(ctx) < readersPerDataCentre {
 			r.readWhileRanked(ctx)
@@ -63,6 +67,48 @@
 	return nil
 }
 
+// readOnce gives the node a catalogue when it starts, before it knows whether it
+// is among the readers. A node that joins others gets what is newer from them.
+func (r *reader) readOnce(ctx context.Context) {
+	retry := watchRetry
+	for _, kind := range r.kinds {
+		for ctx.Err() == nil {
+			err := r.listOnce(ctx, kind)
+			if err == nil {
+				break
+			}
+			klog.V(1).InfoS("catalogue not read at the start", "kind", kind, "error", err)
+			if r.node.board.Read().Catalogue.HasServices() {
+				return
+			}
+			pause(ctx, retry)
+			retry = min(2*retry, watchRetryMax)
+		}
+	}
+	for ctx.Err() == nil && !r.node.settled() {
+		pause(ctx, settleEvery)
+	}
+}
+
+func (r *reader) listOnce(ctx context.Context, kind bulrushchute.Kind) error {
+	list := r.node.store.List
+	if stale, ok := r.node.store.(bulrushchute.StaleLister); ok {
+		list = stale.ListStale
+	}
+	objects, revision, err := list(ctx, kind)
+	if err != nil {
+		return err
+	}
+	r.publishList(ctx, kind, objects, revision)
+	return nil
+}
+
+// settled reports whether the node has had time to meet others, so that its
+// rank among them means something.
+func (n *Node) settled() bool {
+	return n.clock.Now()-n.control.startedAt >= settleTime
+}
+
 // rank returns the number of nodes of this data centre that come before this
 // one. Every node computes the same ranks from the members that it knows.
 func (r *reader) rank(ctx context.Context) int {
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -31,6 +31,9 @@
 	// WithoutKeys leaves out the homes of idempotency keys. Requests that bring
 	// a key are then served like others.
 	WithoutKeys bool `json:"without_keys,omitempty"`
+	// FirstStart is set when the whole fleet starts for the first time, so that
+	// the store lists no nodes yet.
+	FirstStart bool `json:"first_start,omitempty"`
 	// HomeBias is how many times longer, less one, a backend server of the own
 	// data centre may be expected to take and still be preferred to others.
 	// Bytes between data centres cost more than those inside.
--- a/store.go
+++ b/store.go
@@ -68,3 +68,10 @@
 	// context ends or the connection is lost. It always returns an error.
 	Watch(ctx context.Context, kind Kind, revision uint64, handle func(StoreEvent)) error
 }
+
+// StaleLister is a Store that also lists objects as they were some seconds ago,
+// which costs it less.
+type StaleLister interface {
+	// ListStale is Store.List with a result that may be old.
+	ListStale(ctx context.Context, kind Kind) ([]Object, uint64, error)
+}
