--- /dev/null
+++ b/bulrushnode/compress.go
@@ -0,0 +1,51 @@
+package bulrushnode
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const (
+	// compressFrom is the size from which a spread value is compressed.
+	compressFrom = 512
+	// plainValue and deflatedValue are the first byte of a spread value.
+	plainValue    = 'p'
+	deflatedValue = 'd'
+)
+
+// compressValue returns the value of a record as it is spread. A routing table
+// shrinks to about a sixth.
+func compressValue(value []byte) []byte {
+	if len(value) < compressFrom {
+		return append([]byte{plainValue}, value...)
+	}
+	var buffer bytes.Buffer
+	buffer.WriteByte(deflatedValue)
+	// Neither the level nor a buffer gives cause for an error.
+	writer, _ := flate.NewWriter(&buffer, flate.DefaultCompression)
+	_, _ = writer.Write(value)
+	_ = writer.Close()
+	return buffer.Bytes()
+}
+
+// decompressValue reverses compressValue.
+func decompressValue(value []byte) ([]byte, error) {
+	if len(value) == 0 {
+		return nil, nil
+	}
+	switch value[0] {
+	case plainValue:
+		return value[1:], nil
+	case deflatedValue:
+		reader := flate.NewReader(bytes.NewReader(value[1:]))
+		plain, err := io.ReadAll(io.LimitReader(reader, bulrushchute.MaxObjectBytes+1))
+		return plain, errors.Wrap(err, "decompress value")
+	default:
+		return nil, &bulrushchute.FieldError{Field: "value", Value: string(value[:1]), Allowed: "p or d"}
+	}
+}
--- /dev/null
+++ b/bulrushnode/compress_test.go
@@ -0,0 +1,29 @@
+package bulrushnode
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a value that changes on its way between nodes.
+func TestCompressValue(t *testing.T) {
+	cases := map[string][]byte{
+		"empty": {},
+		"small": []byte(`{"a":1}`),
+		"large": []byte(strings.Repeat(`{"name":"r","prefix":"/a/"}`, 500)),
+	}
+	for name, value := range cases {
+		t.Run(name, func(t *testing.T) {
+			spread := compressValue(value)
+			plain, err := decompressValue(spread)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(plain, value))
+			assert.Assert(t, len(spread) <= len(value)+1)
+		})
+	}
+	_, err := decompressValue([]byte("x"))
+	assert.Assert(t, err != nil)
+}
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -308,6 +308,12 @@
 		Version: record.Version.Counter,
 		Value:   record.Value,
 	}
+	value, err := decompressValue(record.Value)
+	if err != nil {
+		klog.ErrorS(err, "key map not taken", "service", record.Key.Name, "version", object.Version)
+		return
+	}
+	object.Value = value
 	keyMap, err := bulrushkey.ParseMap(object)
 	if err != nil {
 		klog.ErrorS(err, "key map not taken", "service", record.Key.Name, "version", object.Version)
@@ -324,7 +330,12 @@
 func (c *control) onCatalogue(now bulrushchute.Millis, record bulrushchute.Record) {
 	kind, name, _ := strings.Cut(record.Key.Name, "/")
 	before := c.board.Read().Catalogue
-	after, err := withRecord(before, bulrushchute.Kind(kind), name, record)
+	value, err := decompressValue(record.Value)
+	after := before
+	if err == nil {
+		record.Value = value
+		after, err = withRecord(before, bulrushchute.Kind(kind), name, record)
+	}
 	if err != nil {
 		klog.ErrorS(err, "catalogue entry not taken", "kind", kind, "name", name, "version", record.Version.Counter)
 		return
@@ -441,7 +452,7 @@
 	c.membership.Table().Publish(now, bulrushchute.Record{
 		Key:     key,
 		Version: bulrushchute.RecordVersion{Counter: object.Version},
-		Value:   object.Value,
+		Value:   compressValue(object.Value),
 		Deleted: deleted,
 	})
 }
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -24,8 +24,8 @@
 	// rankEvery is how often a node checks whether it is among the readers.
 	rankEvery = time.Second
 	// settleTime is the time in which a node that starts meets others.
-	settleTime  = 1200 * bulrushchute.Millisecond
-	settleEvery = 100 * time.Millisecond
+	settleTime  = 2500 * bulrushchute.Millisecond
+	settleEvery = 250 * time.Millisecond
 	// verifyEvery is how often the first reader of a data centre checks that no
 	// watch has missed a change, which a store that drops its history can cause.
 	verifyEvery = 2 * time.Second
@@ -87,6 +87,13 @@
 	}
 	for ctx.Err() == nil && !r.node.settled() {
 		pause(ctx, settleEvery)
+		if r.node.board.Read().Catalogue.HasServices() {
+			continue
+		}
+		// The operators may write the first catalogue while the fleet starts.
+		if err := r.listOnce(ctx, r.kinds[0]); err != nil {
+			klog.V(1).InfoS("catalogue not read at the start", "kind", r.kinds[0], "error", err)
+		}
 	}
 }
 
--- a/bulrushspread/budget.go
+++ b/bulrushspread/budget.go
@@ -45,14 +45,25 @@
 	}
 }
 
-// allows reports whether a message of a class may be sent now.
+// allows reports whether a message of a class may be sent now. Urgent messages
+// may use the bulk allowance too: a routing table is larger than what the
+// ordinary tokens pay for in a second, and has to be in force within seconds.
 func (b *budget) allows(class int) bool {
 	if class == classUrgent {
-		return b.tokens > 0
+		return b.tokens > 0 || b.bulk > 0
 	}
 	return b.tokens > urgentReserve
 }
 
+// pay takes the bytes of a message that was allowed.
+func (b *budget) pay(bytes float64) {
+	if b.tokens <= 0 && b.bulk > 0 {
+		b.bulk -= bytes
+		return
+	}
+	b.tokens -= bytes
+}
+
 // recentChanges counts changes in the current and the previous period.
 type recentChanges struct {
 	start             bulrushchute.Millis
--- a/bulrushspread/flush.go
+++ b/bulrushspread/flush.go
@@ -120,7 +120,7 @@
 func (t *Table) send(actions []Action, p *peer, message bulrushchute.Control) []Action {
 	message.From = t.config.Self
 	size := Size(message)
-	t.budget.tokens -= float64(size)
+	t.budget.pay(float64(size))
 	t.stats.SentMessages++
 	t.stats.SentBytes += uint64(size)
 	return append(actions, Action{To: p.neighbour.Address, Message: message})
