--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -28,7 +28,7 @@
 	settleEvery = 250 * time.Millisecond
 	// verifyEvery is how often the first reader of a data centre checks that no
 	// watch has missed a change, which a store that drops its history can cause.
-	verifyEvery = 2 * time.Second
+	verifyEvery = 2500 * time.Millisecond
 	// watchRetry is the pause after a watch or list failed, watchRetryMax the
 	// longest after several failures in a row.
 	watchRetry    = 100 * time.Millisecond
