--- a/bulrushnode/decision.go
+++ b/bulrushnode/decision.go
@@ -16,7 +16,7 @@
 	requestRejected  = bulrushlog.NewEvents("request rejected")
 	attemptRefused   = bulrushlog.NewEvents("attempt refused")
 	attemptFailed    = bulrushlog.NewEvents("attempt failed")
-	attemptRetried   = bulrushlog.NewEvents("attempt repeated")
+	attemptEnded     = bulrushlog.NewEvents("attempt ended")
 	serverErrorsSeen = bulrushlog.NewEvents("backend server failed a request")
 )
 
@@ -54,7 +54,7 @@
 	if end.end.Reason == "" && end.end.Result != bulrushchute.ResultServerError {
 		return
 	}
-	attemptRetried.Log("request", attempt.RequestID, "attempt", end.number, "instance", instance.ID, "version", instance.Version,
+	attemptEnded.Log("request", attempt.RequestID, "attempt", end.number, "instance", instance.ID, "version", instance.Version,
 		"data_centre", instance.DataCentre, "reason", end.end.Reason, "reached", end.end.Reached, "insist", attempt.Insist)
 }
 
--- a/bulrushnode/docs_test.go
+++ b/bulrushnode/docs_test.go
@@ -91,11 +91,14 @@
 	return messages
 }
 
-// logMessage returns the message of one log call. Calls of klog that write
+// logMessage returns the message of one log call, or of a kind of event. Calls of klog that write
 // free text are refused, since their messages cannot be listed.
 func logMessage(t *testing.T, path string, call *ast.CallExpr) []string {
 	t.Helper()
 	selector, isSelector := call.Fun.(*ast.SelectorExpr)
+	if isSelector && selector.Sel.Name == "NewEvents" {
+		return []string{literal(t, call.Args[0])}
+	}
 	if !isSelector || !ofKlog(selector.X) || selector.Sel.Name == "V" {
 		return nil
 	}
