--- /dev/null
+++ b/bulrushmove/short_test.go
@@ -0,0 +1,109 @@
+package bulrushmove
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+)
+
+// shortRun feeds a judge the evidence of a short move: 30 requests a second, of
+// which the new version gets a share, for some seconds. It returns how many
+// requests the new version had when it was found bad, or all with false.
+func shortRun(random *rand.Rand, share, badRate, slowRate float64, seconds int) (int, bool) {
+	judge := NewJudge(HolderLimit)
+	judge.SetShort(shortLimit)
+	judge.SetShare(int(share * FullShare))
+	given := 0
+	for range seconds * int(bulrushchute.Second/shortEvidencePeriod) {
+		for range int(30 * shortEvidencePeriod / bulrushchute.Second) {
+			counts := Counts{Requests: 1}
+			isNew := random.Float64() < share
+			failure, slow := 0.005, 0.0
+			if isNew {
+				failure, slow = badRate, slowRate
+			}
+			latencyMs := 160 + 80*random.Float64()
+			if random.Float64() < slow {
+				latencyMs *= 6
+			}
+			if random.Float64() < failure {
+				counts.Failures = 1
+			} else {
+				counts.Latencies[BucketOf(latencyMs)] = 1
+			}
+			if isNew {
+				given++
+				judge.AddNew("views", counts)
+			} else {
+				judge.AddOld("views", counts)
+			}
+		}
+		if judge.Step().Bad {
+			return given, true
+		}
+	}
+	return given, false
+}
+
+// Guards against a bad version that gets more than a tenth of the requests of
+// a move of 14 s and 50 more, 92 in all, before it is found; and against good
+// versions that are rolled back.
+func TestShortMovesFindBadVersions(t *testing.T) {
+	cases := map[string]struct {
+		badRate, slowRate float64
+		wantBad           bool
+	}{
+		"fails 45%":     {0.45, 0, true},
+		"fails 30%":     {0.3, 0, true},
+		"is slow 45%":   {0.005, 0.45, true},
+		"good":          {0.005, 0, false},
+		"fails at once": {1, 0, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			const runs = 200
+			wrong := 0
+			for seed := range uint64(runs) {
+				given, bad := shortRun(rand.New(rand.NewPCG(seed, 1)), 0.2, tc.badRate, tc.slowRate, 14)
+				if bad != tc.wantBad || tc.wantBad && given > 92 {
+					wrong++
+				}
+			}
+			assert.Assert(t, wrong <= runs/50, "%d of %d", wrong, runs)
+		})
+	}
+}
+
+// Guards against an ordered move whose stages do not fit in before its limit.
+func TestShortPlanFits(t *testing.T) {
+	for _, within := range []bulrushchute.Millis{10_000, 12_000, 14_000, 16_000, 40_000} {
+		move := bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: within}
+		state := State{}.withMove("board", move, 1000)
+		assert.Assert(t, state.short())
+		for next := 2; next <= state.lastStage(); next++ {
+			assert.Assert(t, state.latestAt(next) > state.latestAt(next-1))
+		}
+		assert.Assert(t, state.latestAt(state.lastStage())+state.stageTime() <= state.finishAt(), "within %d", within)
+		assert.Assert(t, state.finishAt() < 1000+within)
+	}
+}
+
+// Guards against a small share that is spread so thin that no server of the
+// new version ever carries an ordinary load.
+func TestTrialServers(t *testing.T) {
+	cases := map[string]struct{ share, old, want int }{
+		"few servers, small share":  {800, 3, 1},
+		"few servers, large share":  {6500, 3, 1},
+		"many servers, small share": {800, 40, 2},
+		"many servers, large share": {6500, 40, 13},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, TrialServers(tc.share, tc.old), tc.want)
+		})
+	}
+}
