--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -54,6 +54,7 @@
 	// weightsChanged is set when the board's weights are out of date.
 	weightsChanged bool
 	draining       bool
+	serveIsolated  bool
 	startedAt      bulrushchute.Millis
 	// patient is set once joinPatience has passed.
 	patient bool
@@ -63,22 +64,24 @@
 
 func newControl(n *Node, self bulrushchute.Instance) *control {
 	c := &control{
-		clock:      n.clock,
-		startedAt:  n.clock.Now(),
-		board:      n.board,
-		transport:  n.client,
-		guard:      n.guard,
-		self:       self.ID,
-		dataCentre: self.DataCentre,
-		keys:       n.keys,
-		moves:      n.moves,
-		inbox:      make(chan received, controlQueue),
-		commands:   make(chan func(bulrushchute.Millis)),
-		members:    make(map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance),
-		homes:      make(map[bulrushchute.InstanceID]bulrushchute.Service),
-		changed:    make(map[bulrushchute.Service]bool),
-		weights:    make(bulrushrouting.Weights),
-		expire:     func() {},
+		clock:     n.clock,
+		startedAt: n.clock.Now(),
+
+		serveIsolated: n.settings.ServeIsolated,
+		board:         n.board,
+		transport:     n.client,
+		guard:         n.guard,
+		self:          self.ID,
+		dataCentre:    self.DataCentre,
+		keys:          n.keys,
+		moves:         n.moves,
+		inbox:         make(chan received, controlQueue),
+		commands:      make(chan func(bulrushchute.Millis)),
+		members:       make(map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance),
+		homes:         make(map[bulrushchute.InstanceID]bulrushchute.Service),
+		changed:       make(map[bulrushchute.Service]bool),
+		weights:       make(bulrushrouting.Weights),
+		expire:        func() {},
 	}
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
 		Self:         self,
@@ -258,7 +261,7 @@
 
 func (c *control) onStatus(_ bulrushchute.Millis, status bulrushmembership.Status) {
 	klog.InfoS("membership status", "joined", status.Joined, "isolated", status.Isolated, "expired", status.Expired)
-	c.guard.setIsolated(status.Isolated)
+	c.guard.setIsolated(status.Isolated && !c.serveIsolated)
 	c.updateState(status)
 	if status.Expired {
 		// Peers may have dropped records that this node still holds, so it must
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -17,14 +17,13 @@
 	// leaves. Requests that arrive within it are still served, so it is below
 	// the 2 s after which a leaving backend server must get no new work.
 	drainNotice = 1500 * time.Millisecond
-	// drainLimit bounds the whole drain. It is above the longest timeout that
-	// the catalogue gives by default.
-	drainLimit = 60 * time.Second
 	// keyHandover bounds the wait for another home to take over this node's keys.
 	keyHandover = 5 * time.Second
 	// leaveNotice is the time in which the last member record is spread.
-	leaveNotice = time.Second
-	drainPoll   = 20 * time.Millisecond
+	leaveNotice = 400 * time.Millisecond
+	// drainReserve is what of the grace time is kept for the end of the process.
+	drainReserve = 700 * time.Millisecond
+	drainPoll    = 20 * time.Millisecond
 	// quietTime is how long no request may have arrived before connections of
 	// callers are closed.
 	quietTime = 500 * time.Millisecond
@@ -34,7 +33,7 @@
 // everything that is in flight ends, then connections are closed.
 func (n *Node) drain(callers *callerEndpoint, peers *http.Server) error {
 	klog.InfoS("node draining", "instance", n.id)
-	ctx, cancel := context.WithTimeout(n.context, drainLimit)
+	ctx, cancel := context.WithTimeout(n.context, n.settings.GraceMs.Duration()-drainReserve)
 	defer cancel()
 	n.control.do(ctx, func(now bulrushchute.Millis) {
 		n.control.draining = true
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -32,6 +32,8 @@
 	protocol bulrushchute.CallerProtocol
 	targets  *targets
 	patience *patience
+	// serveIsolated serves callers also while no peer is within reach.
+	serveIsolated bool
 	// ownService returns the service beside this node.
 	ownService func() bulrushchute.Service
 	// active counts the requests that are being served and arrived all that
@@ -94,6 +96,9 @@
 	case bulrushboard.NodeStarting:
 		return notRun(bulrushchute.ReasonNotReady, retryAfterStart)
 	case bulrushboard.NodeIsolated:
+		if e.serveIsolated {
+			return e.caller.run(ctx, prepared)
+		}
 		return notRun(bulrushchute.ReasonIsolated, retryAfterDefault)
 	}
 	if key == "" || prepared.info.Idempotent || e.keys.disabled {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -16,6 +16,7 @@
 	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmetric"
+	"bulrushchute.example/bulrushchute/bulrushsocket"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 	"bulrushchute.example/bulrushchute/bulrushwire"
 )
@@ -139,6 +140,7 @@
 		recorder:          n.recorder,
 		protocol:          dialect.callers,
 		patience:          newPatience(),
+		serveIsolated:     settings.ServeIsolated,
 		targets:           newTargets(newRandom(string(n.id), "targets")),
 		ownService:        n.ownService,
 		trustTenantHeader: settings.TrustTenantHeader && n.tls.caller == nil,
@@ -267,7 +269,7 @@
 }
 
 func (n *Node) listen(ctx context.Context) (net.Listener, net.Listener, error) {
-	var listening net.ListenConfig
+	listening := bulrushsocket.NewListenConfig()
 	callers, err := listening.Listen(ctx, "tcp", string(n.settings.CallerAddress))
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "listen for callers")
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -31,6 +31,9 @@
 	// WithoutKeys leaves out the homes of idempotency keys. Requests that bring
 	// a key are then served like others.
 	WithoutKeys bool `json:"without_keys,omitempty"`
+	// ServeIsolated lets a node that reaches no peer serve what it can. It may then
+	// act on a catalogue that has changed meanwhile.
+	ServeIsolated bool `json:"serve_isolated,omitempty"`
 	// FirstStart is set when the whole fleet starts for the first time, so that
 	// the store lists no nodes yet.
 	FirstStart bool `json:"first_start,omitempty"`
--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushsocket"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -52,7 +53,11 @@
 	if config != nil {
 		scheme = "wss"
 	}
-	transport := &http.Transport{TLSClientConfig: config, Proxy: nil, TLSHandshakeTimeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         bulrushsocket.NewDialer(dialTimeout).DialContext,
+		TLSClientConfig:     config,
+		TLSHandshakeTimeout: dialTimeout,
+	}
 	return &Client{
 		context: ctx,
 		self:    self,
