--- a/bulrushadmission/cold.go
+++ b/bulrushadmission/cold.go
@@ -21,6 +21,10 @@
 // second of the bound, because requests may travel for a few milliseconds.
 const rateWindow = bulrushchute.Second + 50*bulrushchute.Millisecond
 
+// coldShare is the part of the stated rate that is used. Servers bear somewhat
+// more than they state, and crash well above it.
+const coldShare = 1.25
+
 // observe takes note of how much longer the server says it is cold.
 func (cw *coldWindow) observe(now, left bulrushchute.Millis) {
 	cw.until = now + left
@@ -37,7 +41,7 @@
 		return true
 	}
 	cw.forget(now)
-	return float64(len(cw.starts)+1) <= max(1, cw.perS)
+	return float64(len(cw.starts)+1) <= max(1, coldShare*cw.perS)
 }
 
 // started counts a request. It is counted while the server is warm too, since
