--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -258,28 +258,37 @@
 // readAnswer reads answers until one belongs to the request.
 func (c *Client) readAnswer(conn *connection, exchange Exchange) (Answer, bool, error) {
 	for range maxForeign {
-		response, err := readResponse(conn.reader, exchange.Method)
+		answer, last, err := c.readOne(conn, exchange)
 		if err != nil {
 			return Answer{}, false, err
 		}
-		body, err := c.readBody(response)
-		if err != nil {
-			return Answer{}, false, err
+		if !answer.Report.Foreign {
+			conn.noteKeepAlive(answer.Header)
+			return answer, !last && conn.reader.Buffered() == 0, nil
 		}
-		report := c.settings.Protocol.ReadReport(exchange.Attempt, response.StatusCode, response.Header)
-		if report.Foreign {
-			if response.Close {
-				break
-			}
-			continue
+		if last {
+			break
 		}
-		conn.noteKeepAlive(response.Header)
-		reusable := !response.Close && conn.reader.Buffered() == 0
-		return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Report: report}, reusable, nil
 	}
 	return Answer{}, false, &answerError{problem: "answers belong to other requests"}
 }
 
+// readOne reads one whole answer. It also reports whether it is the
+// connection's last one.
+func (c *Client) readOne(conn *connection, exchange Exchange) (Answer, bool, error) {
+	response, err := readResponse(conn.reader, exchange.Method)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := c.readBody(response)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	report := c.settings.Protocol.ReadReport(exchange.Attempt, response.StatusCode, response.Header)
+	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Report: report}, response.Close, nil
+}
+
 func (c *Client) readBody(response *http.Response) ([]byte, error) {
 	if endsWithConnection(response) && !c.settings.Protocol.AcceptsUnframed() {
 		return nil, &answerError{problem: "answer has neither a length nor chunks"}
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -157,26 +157,23 @@
 	var at cursor
 	retry := watchRetry
 	lost := false
-	for ctx.Err() == nil {
+	for {
 		err := r.follow(ctx, kind, &at)
-		if ctx.Err() != nil {
-			break
-		}
-		if err == nil {
-			if lost {
-				klog.InfoS("store regained", "kind", kind, "revision", at.revision)
-			}
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err == nil && lost:
+			klog.InfoS("store regained", "kind", kind, "revision", at.revision)
 			lost, retry = false, watchRetry
-			continue
-		}
-		if !lost {
+		case err != nil && !lost:
 			klog.InfoS("store lost", "kind", kind, "revision", at.revision, "error", err)
+			lost = true
+		}
+		if err != nil {
+			pause(ctx, retry)
+			retry = min(2*retry, watchRetryMax)
 		}
-		lost = true
-		pause(ctx, retry)
-		retry = min(2*retry, watchRetryMax)
 	}
-	return nil
 }
 
 // cursor is how far a kind was read.
@@ -223,13 +220,13 @@
 	for {
 		pause(ctx, verifyEvery)
 		if ctx.Err() != nil {
-			return nil
+			return ctx.Err()
 		}
 		if r.rank(ctx) > 0 {
 			continue
 		}
 		revision, err := r.verifyAfter(ctx, verified)
-		if err != nil && ctx.Err() == nil {
+		if err != nil {
 			klog.V(1).InfoS("store not verified", "revision", verified, "error", err)
 			continue
 		}
