--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -34,9 +34,9 @@
 // last one lasts about a second and puts a high load on a part of its servers.
 var shortStages = [...]stage{
 	{share: 0},
-	{share: 800, latest: 0.02},
-	{share: 6500, earliest: 0.66, latest: 0.68},
-	{share: FullShare, earliest: 0.79, latest: 0.80},
+	{share: 600, latest: 0.02},
+	{share: 8500, earliest: 0.66, latest: 0.67},
+	{share: FullShare, earliest: 0.78, latest: 0.79},
 }
 
 // shortMove is the time below which stages of several seconds do not fit in.
@@ -123,7 +123,7 @@
 
 // trialLoad is the load of a server of the new version below 100%, in multiples
 // of that of an ordinary server.
-const trialLoad = 2.0
+const trialLoad = 2.6
 
 // TrialServers returns on how many of its servers the new version gets its
 // share of the requests. Spread over all of them, a small share would never
