--- a/bulrushnode/pacer.go
+++ b/bulrushnode/pacer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushbackend"
@@ -77,6 +79,9 @@
 	if err == nil {
 		g.takeReport(answer.Report)
 		g.takeCold(answer.Report)
+	} else {
+		// Requests go on without a reading, as to a server that reports nothing.
+		klog.V(1).InfoS("load not read", "server", backend.Server, "error", err)
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
