--- a/cmd/bulrushctl/bulrushcommand/command.go
+++ b/cmd/bulrushctl/bulrushcommand/command.go
@@ -31,6 +31,7 @@
 
 // Environment is what the commands use of the world around them.
 type Environment struct {
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	Getenv func(name string) string
@@ -42,6 +43,7 @@
 // NewEnvironment returns the environment of the process.
 func NewEnvironment() Environment {
 	return Environment{
+		Stdin:  os.Stdin,
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Getenv: os.Getenv,
@@ -107,7 +109,7 @@
 	flags.DurationVar(&s.timeout, "timeout", defaultTimeout, "bound of each call to the store or node")
 	flags.BoolVar(&s.json, "json", false, "print JSON in place of tables")
 	command.AddCommand(s.newValidate(), s.newDiff(), s.newApply(), s.newGet(), s.newWithdraw(), s.newReturn(),
-		s.newMove(), s.newStatus(), s.newEvents())
+		s.newMove(), s.newStatus(), s.newEvents(), s.newExplain())
 	return command
 }
 
