--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 KNOWN_RED := $(shell awk '/^Test/ {printf "%s%s", sep, $$1; sep="|"}' KNOWN-RED.txt 2>/dev/null)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build test lint known-red clean
+.PHONY: build demo test explore soak lint known-red clean
 
 build:
 	@mkdir -p $(BIN)
@@ -36,6 +36,12 @@
 explore: known-red
 	go test -count=1 $(SKIP) ./...
 
+# Random faults around real processes, with SEEDS seeds from FIRST on. CI runs one seed.
+SEEDS := 50
+FIRST := 1
+soak:
+	cd cmd/bulrushbench && go test -timeout 4h -run TestSoak -v ./bulrushdemo -soak.seeds=$(SEEDS) -soak.first=$(FIRST)
+
 known-red:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "passed over, see KNOWN-RED.txt: $(KNOWN_RED)"; fi
 
