Use one pause, one in-place filter and one rule for what a digest covers

The wait for a span or a context's end stood in bulrushnode, bulrushstore, bulrushctl and, inline, in the guard; it is bulrushtask.Pause now. Five loops that filter a slice in place call slices.DeleteFunc. The topics that a digest leaves out were listed twice, in mark and in inDigest. Three comparisons never returned 0 for equal keys; they use cmp.Compare. No behaviour changes.

--- a/bulrushcatalogue/resolve.go
+++ b/bulrushcatalogue/resolve.go
@@ -1,6 +1,7 @@
 package bulrushcatalogue
 
 import (
+	"slices"
 	"strings"
 
 	"bulrushchute.example/bulrushchute"
@@ -88,16 +89,7 @@
 }
 
 func (r *Route) matches(method, path string) bool {
-	return hasSegmentPrefix(path, r.Prefix) && (len(r.Methods) == 0 || r.lists(method))
-}
-
-func (r *Route) lists(method string) bool {
-	for _, listed := range r.Methods {
-		if listed == method {
-			return true
-		}
-	}
-	return false
+	return hasSegmentPrefix(path, r.Prefix) && (len(r.Methods) == 0 || slices.Contains(r.Methods, method))
 }
 
 func (r *Route) outranks(other *Route) bool {
--- a/bulrushmembership/link.go
+++ b/bulrushmembership/link.go
@@ -1,6 +1,8 @@
 package bulrushmembership
 
 import (
+	"slices"
+
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushspread"
 )
@@ -94,16 +96,12 @@
 
 // end drops the links that were not kept.
 func (ls *links) end() {
-	kept := ls.order[:0]
-	for _, l := range ls.order {
+	ls.order = slices.DeleteFunc(ls.order, func(l *link) bool {
 		if !l.kept {
 			delete(ls.byID, l.id)
-			continue
 		}
-		kept = append(kept, l)
-	}
-	clear(ls.order[len(kept):])
-	ls.order = kept
+		return !l.kept
+	})
 }
 
 // sentBeat remembers a heartbeat until its acknowledgement.
@@ -242,13 +240,9 @@
 }
 
 func (m *Membership) dropInbound(now bulrushchute.Millis) bool {
-	kept := m.inbound[:0]
-	for _, in := range m.inbound {
-		if now < in.until && !m.links.has(in.id) {
-			kept = append(kept, in)
-		}
-	}
-	dropped := len(kept) < len(m.inbound)
-	m.inbound = kept
-	return dropped
+	before := len(m.inbound)
+	m.inbound = slices.DeleteFunc(m.inbound, func(in inboundPeer) bool {
+		return now >= in.until || m.links.has(in.id)
+	})
+	return len(m.inbound) < before
 }
--- a/bulrushmembership/members.go
+++ b/bulrushmembership/members.go
@@ -1,6 +1,8 @@
 package bulrushmembership
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"bulrushchute.example/bulrushchute"
@@ -299,17 +301,14 @@
 		return
 	}
 	m.nextExpiry = now + expiryInterval
-	kept := m.members.order[:0]
-	for _, s := range m.members.order {
-		if m.expired(now, s) {
+	m.members.order = slices.DeleteFunc(m.members.order, func(s *suspicion) bool {
+		expired := m.expired(now, s)
+		if expired {
 			delete(m.members.suspicions, s.id)
 			m.table.Forget(suspicionKey(s.id))
-			continue
 		}
-		kept = append(kept, s)
-	}
-	clear(m.members.order[len(kept):])
-	m.members.order = kept
+		return expired
+	})
 }
 
 func (m *Membership) expired(now bulrushchute.Millis, s *suspicion) bool {
--- a/bulrushmembership/overlay.go
+++ b/bulrushmembership/overlay.go
@@ -1,6 +1,8 @@
 package bulrushmembership
 
 import (
+	"slices"
+
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushspread"
 )
@@ -55,14 +57,9 @@
 }
 
 func addMember(list []*member, m *member) []*member {
-	if m == nil {
+	if m == nil || slices.Contains(list, m) {
 		return list
 	}
-	for _, known := range list {
-		if known == m {
-			return list
-		}
-	}
 	return append(list, m)
 }
 
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 // Times of the search for peers.
@@ -29,7 +30,7 @@
 func (n *Node) bootstrap(ctx context.Context) error {
 	n.meetListed(ctx)
 	for ctx.Err() == nil {
-		pause(ctx, bootstrapEvery)
+		bulrushtask.Pause(ctx, bootstrapEvery)
 		if ctx.Err() == nil && n.alone(ctx) {
 			n.meetListed(ctx)
 		}
@@ -46,7 +47,7 @@
 		n.meet(ctx, introduceFor/4)
 	}
 	random := newRandom(string(n.id), "bootstrap")
-	pause(ctx, time.Duration(random.Int64N(int64(listSpread))))
+	bulrushtask.Pause(ctx, time.Duration(random.Int64N(int64(listSpread))))
 	if n.hasNeighbour(ctx) {
 		n.meet(ctx, 0)
 		return
@@ -68,7 +69,7 @@
 		if n.clock.Now() >= until {
 			return
 		}
-		pause(ctx, introduceEvery)
+		bulrushtask.Pause(ctx, introduceEvery)
 	}
 }
 
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 const (
@@ -41,7 +42,7 @@
 		n.control.announce(now, n.guard, true)
 		n.keys.leave(now)
 	})
-	pause(ctx, drainNotice)
+	bulrushtask.Pause(ctx, drainNotice)
 	n.guard.drain()
 	err := callers.close(ctx)
 	n.waitUntil(ctx, n.guard.empty)
@@ -50,7 +51,7 @@
 	cancelHandover()
 	// The last record is spread even if the drain took too long.
 	n.control.do(n.context, n.control.membership.Leave)
-	pause(n.context, leaveNotice)
+	bulrushtask.Pause(n.context, leaveNotice)
 	return firstError(err, n.stop(peers))
 }
 
@@ -69,7 +70,7 @@
 	err := errors.Wrap(ce.listener.Close(), "close the listener for callers")
 	quietSince := time.Now()
 	for ctx.Err() == nil && time.Since(quietSince) < quietTime {
-		pause(ctx, drainPoll)
+		bulrushtask.Pause(ctx, drainPoll)
 		if ce.entry.busy() {
 			quietSince = time.Now()
 		}
@@ -94,7 +95,7 @@
 
 func (n *Node) waitUntil(ctx context.Context, reached func() bool) {
 	for ctx.Err() == nil && !reached() {
-		pause(ctx, drainPoll)
+		bulrushtask.Pause(ctx, drainPoll)
 	}
 }
 
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -355,10 +355,7 @@
 		return
 	}
 	g.tasks.Start(g.context, "cancelled slot", func(ctx context.Context) error {
-		select {
-		case <-time.After(cancelGrace):
-		case <-ctx.Done():
-		}
+		bulrushtask.Pause(ctx, cancelGrace)
 		g.done(attempt.ID, end)
 		return nil
 	})
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -393,7 +393,7 @@
 				m.stepLease(ctx, shard)
 			}
 		}
-		pause(ctx, shardsEvery.Duration())
+		bulrushtask.Pause(ctx, shardsEvery.Duration())
 	}
 	m.releaseLeases()
 	return nil
--- a/bulrushnode/pacer.go
+++ b/bulrushnode/pacer.go
@@ -10,6 +10,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushbackend"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 const (
@@ -129,7 +130,7 @@
 		case <-g.held:
 		}
 		for ctx.Err() == nil && g.holds() {
-			pause(ctx, heldEvery)
+			bulrushtask.Pause(ctx, heldEvery)
 			g.refreshPace(ctx)
 			g.tick()
 		}
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -1,6 +1,7 @@
 package bulrushnode
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -62,7 +63,7 @@
 		if r.rank(ctx) < readersPerDataCentre {
 			r.readWhileRanked(ctx)
 		}
-		pause(ctx, rankEvery)
+		bulrushtask.Pause(ctx, rankEvery)
 	}
 	return nil
 }
@@ -81,12 +82,12 @@
 			if r.node.board.Read().Catalogue.HasServices() {
 				return
 			}
-			pause(ctx, retry)
+			bulrushtask.Pause(ctx, retry)
 			retry = min(2*retry, watchRetryMax)
 		}
 	}
 	for ctx.Err() == nil && !r.node.settled() {
-		pause(ctx, settleEvery)
+		bulrushtask.Pause(ctx, settleEvery)
 		if r.node.board.Read().Catalogue.HasServices() {
 			continue
 		}
@@ -143,7 +144,7 @@
 	watches.Start(ctx, "seeds", r.maintainSeeds)
 	klog.InfoS("reading the store", "data_centre", r.node.settings.DataCentre)
 	for ctx.Err() == nil {
-		pause(ctx, rankEvery)
+		bulrushtask.Pause(ctx, rankEvery)
 		if r.rank(ctx) >= readersPerDataCentre && r.node.board.Read().State == bulrushboard.NodeReady {
 			klog.InfoS("no longer reading the store", "data_centre", r.node.settings.DataCentre)
 			return
@@ -170,7 +171,7 @@
 			lost = true
 		}
 		if err != nil {
-			pause(ctx, retry)
+			bulrushtask.Pause(ctx, retry)
 			retry = min(2*retry, watchRetryMax)
 		}
 	}
@@ -218,7 +219,7 @@
 func (r *reader) verify(ctx context.Context) error {
 	var verified uint64
 	for {
-		pause(ctx, verifyEvery)
+		bulrushtask.Pause(ctx, verifyEvery)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -283,7 +284,7 @@
 // parts of the fleet that have started apart from each other.
 func (r *reader) maintainSeeds(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, seedsEvery)
+		bulrushtask.Pause(ctx, seedsEvery)
 		if ctx.Err() != nil || r.rank(ctx) > 0 {
 			continue
 		}
@@ -379,25 +380,10 @@
 			return true
 		})
 	})
-	slices.SortFunc(all, func(a, b ranked) int {
-		if a.hash < b.hash {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
 	var addresses []bulrushchute.Address
 	for _, a := range all[:min(len(all), seedCount)] {
 		addresses = append(addresses, a.address)
 	}
 	return addresses
 }
-
-// pause waits for a span or until the context ends.
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/bulrushspread/digest.go
+++ b/bulrushspread/digest.go
@@ -46,9 +46,15 @@
 		return nil
 	}
 	t.comparing[with] = true
+	digest := t.question(p)
+	return t.send(nil, p, bulrushchute.Control{Digest: &digest})
+}
+
+// question is a digest that asks a peer for its versions in the buckets that differ.
+func (t *Table) question(p *peer) bulrushchute.Digest {
 	digest := t.digest(p.sharesOnly())
 	digest.Reply = true
-	return t.send(nil, p, bulrushchute.Control{Digest: &digest})
+	return digest
 }
 
 // sharesOnly reports whether a peer is, or may be, in another data centre.
@@ -85,9 +91,7 @@
 		return
 	}
 	if p := t.randomNeighbour(); p != nil {
-		digest := t.digest(p.sharesOnly())
-		digest.Reply = true
-		p.digests = append(p.digests[:0], digest)
+		p.digests = append(p.digests[:0], t.question(p))
 	}
 }
 
@@ -296,7 +300,8 @@
 	return t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
 }
 
-// inDigest tells whether a record belongs to a digest.
+// inDigest tells whether a record belongs to a digest. Beats change each second,
+// so digests with them would never agree.
 func inDigest(e *entry, shared bool) bool {
 	switch e.record.Key.Topic {
 	case bulrushchute.TopicBeat:
--- a/bulrushspread/peer.go
+++ b/bulrushspread/peer.go
@@ -1,6 +1,8 @@
 package bulrushspread
 
 import (
+	"slices"
+
 	"bulrushchute.example/bulrushchute"
 )
 
@@ -153,17 +155,14 @@
 
 // dropGuests removes guests that have been silent for guestIdle.
 func (t *Table) dropGuests(now bulrushchute.Millis) {
-	kept := t.order[:0]
-	for _, p := range t.order {
-		if p.guest && now-p.lastSeen > guestIdle {
+	t.order = slices.DeleteFunc(t.order, func(p *peer) bool {
+		silent := p.guest && now-p.lastSeen > guestIdle
+		if silent {
 			delete(t.peers, p.neighbour.Address)
 			delete(t.comparing, p.neighbour.Address)
-			continue
 		}
-		kept = append(kept, p)
-	}
-	clear(t.order[len(kept):])
-	t.order = kept
+		return silent
+	})
 }
 
 func classOf(e *entry) int {
--- a/bulrushspread/receive.go
+++ b/bulrushspread/receive.go
@@ -177,19 +177,16 @@
 		return
 	}
 	t.nextRetry = now + retryCheck
-	kept := t.wantOrder[:0]
-	for _, w := range t.wantOrder {
+	t.wantOrder = slices.DeleteFunc(t.wantOrder, func(w *want) bool {
 		if t.wants[w.key] != w {
-			continue
+			return true
 		}
-		if now >= w.retryAt && !t.retry(now, w) {
+		givenUp := now >= w.retryAt && !t.retry(now, w)
+		if givenUp {
 			delete(t.wants, w.key)
-			continue
 		}
-		kept = append(kept, w)
-	}
-	clear(t.wantOrder[len(kept):])
-	t.wantOrder = kept
+		return givenUp
+	})
 }
 
 // retry returns false when a want is given up. A digest finds the record again.
--- a/bulrushspread/table.go
+++ b/bulrushspread/table.go
@@ -166,12 +166,10 @@
 
 // mark applies a change of an entry's hash to the digests.
 func (t *Table) mark(e *entry, change uint64) {
-	topic := e.record.Key.Topic
-	if topic == bulrushchute.TopicBeat {
-		return // beats change each second, so digests would never agree
+	if inDigest(e, false) {
+		t.all[e.bucket] ^= change
 	}
-	t.all[e.bucket] ^= change
-	if topic != bulrushchute.TopicDataCentre {
+	if inDigest(e, true) {
 		t.shared[e.bucket] ^= change
 	}
 }
--- a/bulrushstore/memory.go
+++ b/bulrushstore/memory.go
@@ -7,9 +7,9 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 // DefaultHistory is how many changes of each kind a Memory keeps for watches.
@@ -238,7 +238,7 @@
 		return fault, &bulrushchute.UnavailableError{Operation: string(call.Verb), Cause: errDown}
 	}
 	if fault.Kind == FaultSlow {
-		sleep(ctx, fault.Delay)
+		bulrushtask.Pause(ctx, fault.Delay.Duration())
 	}
 	if err := ctx.Err(); err != nil {
 		return fault, &bulrushchute.UnavailableError{Operation: string(call.Verb), Cause: err}
@@ -246,15 +246,6 @@
 	return fault, nil
 }
 
-func sleep(ctx context.Context, span bulrushchute.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // readError reports a lost answer of a read, which has no effect to be unsure of.
 func (f Fault) readError(verb Verb) error {
 	if f.Kind != FaultAnswerLost {
--- a/bulrushtask/group_test.go
+++ b/bulrushtask/group_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -30,3 +31,12 @@
 	assert.Equal(t, seen, 1000)
 	assert.Equal(t, group.Running(), 0)
 }
+
+// Guards against a stop that waits for the end of a pause.
+func TestPauseEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	begin := time.Now()
+	bulrushtask.Pause(ctx, time.Hour)
+	assert.Assert(t, time.Since(begin) < time.Minute)
+}
--- a/cmd/bulrushctl/bulrushcommand/events.go
+++ b/cmd/bulrushctl/bulrushcommand/events.go
@@ -1,6 +1,7 @@
 package bulrushcommand
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +14,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushstore"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 // followRetry is the pause after a watch or list failed.
@@ -64,12 +66,7 @@
 	if err != nil {
 		return 0, err
 	}
-	slices.SortFunc(objects, func(a, b bulrushchute.Object) int {
-		if a.Version < b.Version {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(objects, func(a, b bulrushchute.Object) int { return cmp.Compare(a.Version, b.Version) })
 	for _, object := range objects {
 		f.show(object)
 	}
@@ -100,7 +97,7 @@
 	for {
 		if !errors.As(cause, &gone) {
 			_, _ = fmt.Fprintf(f.Stderr, "bulrushctl: watch ended, trying again: %v\n", cause)
-			pause(ctx, followRetry)
+			bulrushtask.Pause(ctx, followRetry)
 		}
 		revision, err := f.list(ctx)
 		if err == nil || ctx.Err() != nil || f.failed != nil {
@@ -131,12 +128,3 @@
 		timeText(line.AtMs), object.Name, line.Outcome, line.FromVersion, line.ToVersion, orDash(line.Reason))
 	return errors.Wrap(err, "write the output")
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/cmd/bulrushctl/bulrushcommand/status.go
+++ b/cmd/bulrushctl/bulrushcommand/status.go
@@ -1,6 +1,7 @@
 package bulrushcommand
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -207,12 +208,7 @@
 	writeLine(w, "")
 	writeLine(w, "STORE: MOVE\tFROM\tTO\tSHARE\tPROGRESS\tCOMPLETE BY\tREASON")
 	rows := slices.Clone(ss.Moves)
-	slices.SortFunc(rows, func(a, b MoveRow) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(rows, func(a, b MoveRow) int { return cmp.Compare(a.Service, b.Service) })
 	for _, row := range rows {
 		share := strconv.FormatFloat(row.SharePercent, 'f', -1, 64) + "%"
 		writeLine(w, fmt.Sprintf("%s-%d\t%s\t%s\t%s\t%s\t%s\t%s", row.Service, row.Generation, row.FromVersion, row.ToVersion,
