Serve all endpoints of a process by one function

platform.Run and the daemon's serve started endpoints, ended the run with them and waited for them in the same way, one inside the other, and three functions served HTTP until a context ends. bulrushsocket.Serve and one serve of the daemon are left; platform returns its servers.

--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -88,10 +88,12 @@
 	if settings.ClockSkewMs == 0 {
 		settings.ClockSkewMs = DefaultClockSkewMs
 	}
-	return settings, settings.check()
+	return settings, settings.Validate()
 }
 
-func (s Settings) check() error {
+// Validate reports the first setting that is not allowed as a
+// *bulrushchute.FieldError.
+func (s Settings) Validate() error {
 	if s.DataCentre == "" {
 		return &bulrushchute.FieldError{Field: "data_centre", Allowed: "the name of the node's data centre"}
 	}
--- a/cmd/bulrushbench/commands.go
+++ b/cmd/bulrushbench/commands.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"os"
@@ -10,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"bulrushchute.example/bulrushchute/bulrushsocket"
 	"bulrushchute.example/bulrushchute/bulrushstore"
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushdemo"
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushstandin"
@@ -78,23 +78,13 @@
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			handler := bulrushstore.NewHandler(bulrushstore.NewMemory(), bulrushstore.HandlerSettings{})
-			return serve(command.Context(), address, handler)
+			return bulrushsocket.Serve(command.Context(), &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout})
 		},
 	}
 	command.Flags().StringVar(&address, "listen", "127.0.0.1:7400", "address to listen on")
 	return command
 }
 
-func serve(ctx context.Context, address string, handler http.Handler) error {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve")
-	}
-	return nil
-}
-
 func newBackendCommand() *cobra.Command {
 	var address, operator string
 	config := bulrushstandin.Config{}
--- a/cmd/bulrushd/bulrushoperator/server.go
+++ b/cmd/bulrushd/bulrushoperator/server.go
@@ -31,8 +31,8 @@
 	Error string `json:"error"`
 }
 
-// NewHandler returns the endpoints of a node.
-func NewHandler(node Node) (http.Handler, error) {
+// NewServer returns a server of a node's endpoints.
+func NewServer(address string, node Node) (*http.Server, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	api := app.Party("/v1")
@@ -44,7 +44,7 @@
 	if err := app.Build(); err != nil {
 		return nil, errors.Wrap(err, "build the operator endpoints")
 	}
-	return app, nil
+	return &http.Server{Addr: address, Handler: app, ReadHeaderTimeout: readHeaderTimeout}, nil
 }
 
 // announce takes an announcement from the backend server on the same
@@ -95,14 +95,3 @@
 	// An error here means that the reader has gone.
 	_ = ctx.JSON(value)
 }
-
-// Serve serves the handler on an address until the context ends.
-func Serve(ctx context.Context, address string, handler http.Handler) error {
-	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stopped()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrap(err, "serve operators")
-	}
-	return nil
-}
--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -85,9 +85,9 @@
 	store := bulrushstore.NewClient(bulrushstore.ClientSettings{BaseURL: settings.StoreURL, TLS: storeTLS})
 	node := bulrushnode.New(settings, store, bulrushchute.WallClock{})
 	node.PublishMetrics()
-	handler, err := bulrushoperator.NewHandler(node)
+	operators, err := bulrushoperator.NewServer(string(settings.OperatorAddress), node)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, string(settings.OperatorAddress), handler, node.Run)
+	return serve(ctx, node.Run, operators)
 }
--- a/cmd/bulrushd/platform.go
+++ b/cmd/bulrushd/platform.go
@@ -49,22 +49,20 @@
 	}
 	node := platform.NewNode(settings)
 	node.PublishMetrics()
-	handler, err := bulrushoperator.NewHandler(node)
+	operators, err := bulrushoperator.NewServer(string(settings.OperatorAddress), node)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, string(settings.OperatorAddress), handler, func(ctx context.Context) error {
-		group := bulrushtask.NewGroup(func(end bulrushtask.End) {
-			if end.Err != nil {
-				klog.ErrorS(end.Err, "settings no longer followed", "path", path)
-			}
-		})
-		following, stop := context.WithCancel(context.WithoutCancel(ctx))
-		group.Start(following, "settings", func(ctx context.Context) error {
-			return platform.FollowSettings(ctx, path, hangups, node)
-		})
-		defer group.Wait()
-		defer stop()
-		return platform.Run(ctx, settings, node)
+	group := bulrushtask.NewGroup(func(end bulrushtask.End) {
+		if end.Err != nil {
+			klog.ErrorS(end.Err, "settings no longer followed", "path", path)
+		}
 	})
+	following, stop := context.WithCancel(context.WithoutCancel(ctx))
+	group.Start(following, "settings", func(ctx context.Context) error {
+		return platform.FollowSettings(ctx, path, hangups, node)
+	})
+	defer group.Wait()
+	defer stop()
+	return serve(ctx, node.Run, append(platform.Endpoints(settings, node), operators)...)
 }
--- a/cmd/bulrushd/serve.go
+++ b/cmd/bulrushd/serve.go
@@ -6,27 +6,29 @@
 
 	"k8s.io/klog/v2"
 
+	"bulrushchute.example/bulrushchute/bulrushsocket"
 	"bulrushchute.example/bulrushchute/bulrushtask"
-	"bulrushchute.example/bulrushchute/cmd/bulrushd/bulrushoperator"
 )
 
-// serve runs the node and its operator endpoints. The endpoints stay until the
-// node has drained, so that operators can watch it.
-func serve(ctx context.Context, address string, handler http.Handler, run func(context.Context) error) error {
+// serve runs the node and its endpoints. The endpoints stay until the node has
+// drained, so that operators can watch it.
+func serve(ctx context.Context, run func(context.Context) error, servers ...*http.Server) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	endpoints, closeEndpoints := context.WithCancel(context.WithoutCancel(ctx))
 	defer closeEndpoints()
 	group := bulrushtask.NewGroup(func(end bulrushtask.End) {
 		if end.Err != nil {
-			klog.ErrorS(end.Err, "endpoints failed")
+			klog.ErrorS(end.Err, "endpoint failed", "address", end.Name)
 		}
 	})
-	group.Start(endpoints, "operators", func(endpoints context.Context) error {
-		// A node that cannot be watched or reached by its backend server is of no use.
-		defer cancel()
-		return bulrushoperator.Serve(endpoints, address, handler)
-	})
+	for _, server := range servers {
+		group.Start(endpoints, server.Addr, func(endpoints context.Context) error {
+			// A node that cannot be watched or reached by its backend server is of no use.
+			defer cancel()
+			return bulrushsocket.Serve(endpoints, server)
+		})
+	}
 	err := run(ctx)
 	closeEndpoints()
 	group.Wait()
