--- a/bulrushlog/log_test.go
+++ b/bulrushlog/log_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -30,10 +31,10 @@
 	e := NewEvents("request refused")
 	allowed := 0
 	for range 10 * eventBurst {
-		if _, ok := e.allow(); ok {
+		if _, ok := e.budget.Take(time.Now()); ok {
 			allowed++
 		}
 	}
 	assert.Assert(t, allowed >= eventBurst && allowed < 2*eventBurst, "%d events", allowed)
-	assert.Assert(t, e.skipped > 0)
+	assert.Assert(t, e.budget.skipped > 0)
 }
--- a/bulrushnode/refusal.go
+++ b/bulrushnode/refusal.go
@@ -3,12 +3,11 @@
 import (
 	"log"
 	"strings"
-	"sync"
 
-	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushlog"
 )
 
 const (
@@ -25,17 +24,15 @@
 type refusalLog struct {
 	clock bulrushchute.Clock
 	// listener is empty for connections that this node dials.
-	listener   string
-	limiter    *rate.Limiter
-	mutex      sync.Mutex
-	suppressed int
+	listener string
+	budget   *bulrushlog.Budget
 }
 
 func newRefusalLog(clock bulrushchute.Clock, listener string) *refusalLog {
 	return &refusalLog{
 		clock:    clock,
 		listener: listener,
-		limiter:  rate.NewLimiter(refusalsPerSecond, refusalBurst),
+		budget:   bulrushlog.NewBudget(refusalsPerSecond, refusalBurst),
 	}
 }
 
@@ -54,15 +51,7 @@
 }
 
 func (l *refusalLog) allow() (int, bool) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if !l.limiter.AllowN(l.clock.Now().Time(), 1) {
-		l.suppressed++
-		return 0, false
-	}
-	suppressed := l.suppressed
-	l.suppressed = 0
-	return suppressed, true
+	return l.budget.Take(l.clock.Now().Time())
 }
 
 // Write implements io.Writer for the errors of an http.Server, which reports
