Call what a package already has in place of copies

Admission: one loop sheds down to a number, one function counts a tenant's waiting requests, one tells whether a slot is free. Catalogue: files and routing tables check service entries by the same function. Moves: a sample is counted in one place, Shares has one copy-on-write, and a sequential test is told at each step whether it is bounded instead of keeping a copy of that. Node: the deadline of a received attempt, an attempt's fields and the result of a dispatch are each computed once, where two places did it. A repeated attempt no longer asks the router whether there is anywhere else to go: the answer was not used. That draws fewer random numbers, so that single choices differ from those of the former build; their distribution does not.

--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -113,9 +113,5 @@
 			releases = c.refuseQueued(cq.youngest(), bulrushchute.ReasonBusy, releases)
 		}
 	}
-	for c.queue.waiting > totalQueueFactor*bound {
-		victim := c.queue.leastImportant(-1).youngest()
-		releases = c.refuseQueued(victim, bulrushchute.ReasonShed, releases)
-	}
-	return releases
+	return c.shedTo(totalQueueFactor*bound, releases)
 }
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -123,10 +123,7 @@
 }
 
 func (cq *classQueue) ahead(t *ticket) float64 {
-	own := 0.0
-	if l := cq.find(t.request.Tenant); l != nil {
-		own = float64(len(l.tickets))
-	}
+	own := float64(cq.waitingOf(t.request.Tenant))
 	total := own
 	for _, l := range cq.lanes {
 		if l.tenant != t.request.Tenant {
@@ -159,10 +156,7 @@
 	if cq.waiting == 0 {
 		return nil, bulrushchute.ReasonBusy, false
 	}
-	own := 0
-	if l := cq.find(t.request.Tenant); l != nil {
-		own = len(l.tickets)
-	}
+	own := cq.waitingOf(t.request.Tenant)
 	heaviest := cq.heaviest()
 	if float64(own+1)/float64(t.account.weight) < heaviest.pressure() {
 		return cq.youngest(), bulrushchute.ReasonTenantLimit, true
@@ -173,10 +167,15 @@
 	return nil, bulrushchute.ReasonBusy, false
 }
 
-// shedExcess refuses, least important first, what cannot get a slot within the
-// queue's time after the limit was cut.
+// shedExcess refuses what cannot get a slot within the queue's time after the
+// limit was cut.
 func (c *Controller) shedExcess(releases []Release) []Release {
-	for c.queue.waiting > c.queueCapacity() {
+	return c.shedTo(c.queueCapacity(), releases)
+}
+
+// shedTo refuses waiting requests, least important first, beyond a number.
+func (c *Controller) shedTo(most int, releases []Release) []Release {
+	for c.queue.waiting > most {
 		victim := c.queue.leastImportant(-1).youngest()
 		releases = c.refuseQueued(victim, bulrushchute.ReasonShed, releases)
 	}
--- a/bulrushadmission/pace.go
+++ b/bulrushadmission/pace.go
@@ -17,7 +17,8 @@
 	// lastingSlow is the time after which a slowdown is the server's state and
 	// not a neighbour's: waiting for its end does not pay.
 	lastingSlow = 700 * bulrushchute.Millisecond
-	// Bounds on the time for which a request is held back.
+	// Bounds on the time for which a request is held back: less than half of a
+	// neighbour's usual turn, and nearly two of them.
 	shortestHold = 60 * bulrushchute.Millisecond
 	longestHold  = 260 * bulrushchute.Millisecond
 	// reserve is the part of a route's typical time that is kept beyond it when
@@ -121,7 +122,12 @@
 
 // room reports whether a request may be started now.
 func (c *Controller) room() bool {
-	return len(c.running) < c.limit() && !c.pace.slow(c.now) && c.cold.allows(c.now)
+	return c.free() && !c.pace.slow(c.now)
+}
+
+// free reports whether a request may be started in spite of a slow machine.
+func (c *Controller) free() bool {
+	return len(c.running) < c.limit() && c.cold.allows(c.now)
 }
 
 // holdUntil is the time up to which a request waits for a better moment. What
@@ -143,7 +149,7 @@
 // endHold decides on a request that was held back as long as it may be. One
 // that has nowhere else to go is started in spite of the slow machine.
 func (c *Controller) endHold(t *ticket, releases []Release) []Release {
-	if t.request.Insist && len(c.running) < c.limit() && c.cold.allows(c.now) {
+	if t.request.Insist && c.free() {
 		return c.admitQueued(t, releases)
 	}
 	return c.refuseQueued(t, bulrushchute.ReasonSlow, releases)
--- a/bulrushadmission/queue.go
+++ b/bulrushadmission/queue.go
@@ -162,6 +162,14 @@
 	return nil
 }
 
+// waitingOf returns the number of a tenant's requests that wait in the class.
+func (cq *classQueue) waitingOf(tenant bulrushchute.Tenant) int {
+	if l := cq.find(tenant); l != nil {
+		return len(l.tickets)
+	}
+	return 0
+}
+
 // drop removes an empty lane and keeps the cursor on the lane it stood on.
 func (cq *classQueue) drop(l *lane) {
 	i := slices.Index(cq.lanes, l)
--- a/bulrushcatalogue/parse.go
+++ b/bulrushcatalogue/parse.go
@@ -78,15 +78,8 @@
 
 // Validate checks every entry of the file and that names are unique.
 func (f File) Validate() error {
-	services := newUnique("a service that occurs once")
-	for i, entry := range f.Services {
-		path := fmt.Sprintf("services[%d]", i)
-		if err := under(path, entry.Validate()); err != nil {
-			return err
-		}
-		if err := services.add(path+".service", string(entry.Service)); err != nil {
-			return err
-		}
+	if _, err := checkServices(f.Services); err != nil {
+		return err
 	}
 	dataCentres := newUnique("a data centre that occurs once")
 	for i, entry := range f.DataCentres {
@@ -101,6 +94,22 @@
 	return f.checkBases()
 }
 
+// checkServices checks the entries of a document and that names are unique. It
+// returns the names.
+func checkServices(entries []ServiceEntry) (unique, error) {
+	services := newUnique("a service that occurs once")
+	for i, entry := range entries {
+		path := fmt.Sprintf("services[%d]", i)
+		if err := under(path, entry.Validate()); err != nil {
+			return services, err
+		}
+		if err := services.add(path+".service", string(entry.Service)); err != nil {
+			return services, err
+		}
+	}
+	return services, nil
+}
+
 func (f File) checkBases() error {
 	names := newUnique("an entry that occurs once")
 	for i, base := range f.BasedOn {
--- a/bulrushcatalogue/routing.go
+++ b/bulrushcatalogue/routing.go
@@ -78,27 +78,19 @@
 	if err := checkTags(rt); err != nil {
 		return err
 	}
-	services := newUnique("a service that occurs once")
-	known := make(map[bulrushchute.Service]bool, len(rt.Services))
-	for i, entry := range rt.Services {
-		path := fmt.Sprintf("services[%d]", i)
-		if err := under(path, entry.Validate()); err != nil {
-			return err
-		}
-		if err := services.add(path+".service", string(entry.Service)); err != nil {
-			return err
-		}
-		known[entry.Service] = true
+	services, err := checkServices(rt.Services)
+	if err != nil {
+		return err
 	}
-	return rt.checkTargets(known)
+	return rt.checkTargets(services)
 }
 
-func (rt RoutingTable) checkTargets(known map[bulrushchute.Service]bool) error {
+func (rt RoutingTable) checkTargets(services unique) error {
 	for i, route := range rt.Routes {
 		total := 0.0
 		for j, target := range route.Targets {
 			field := fmt.Sprintf("routes[%d].targets[%d].service", i, j)
-			if !known[target.Service] {
+			if !services.seen[string(target.Service)] {
 				return refuse(field, string(target.Service), "a service of the table")
 			}
 			total += target.Weight
--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -154,8 +154,9 @@
 	return candidates[m.config.Random.IntN(len(candidates))]
 }
 
-// joinCandidates returns, for the copy, the seeds until one of them has named members. For the comparison it
-// returns members of this data centre, or else any peer but the first.
+// joinCandidates returns, for the copy, the seeds until one of them has named
+// members. For the comparison it returns members of this data centre, or else
+// any peer but the first.
 func (m *Membership) joinCandidates() []bulrushchute.Address {
 	seeds := m.otherSeeds()
 	if m.join.stage == stageCopy {
@@ -170,21 +171,23 @@
 			candidates = append(candidates, seed)
 		}
 	}
-	for _, dc := range m.members.centreOrder {
-		candidates = append(candidates, m.candidatesIn(dc)...)
-	}
-	return candidates
+	return append(candidates, m.allCandidates()...)
 }
 
 func (m *Membership) copyCandidates(seeds []bulrushchute.Address) []bulrushchute.Address {
-	var named []bulrushchute.Address
-	for _, dc := range m.members.centreOrder {
-		named = append(named, m.candidatesIn(dc)...)
+	if named := m.allCandidates(); len(named) > 0 {
+		return named
 	}
-	if len(named) == 0 {
-		return seeds
+	return seeds
+}
+
+// allCandidates returns the members of all data centres, see candidatesIn.
+func (m *Membership) allCandidates() []bulrushchute.Address {
+	var candidates []bulrushchute.Address
+	for _, dc := range m.members.centreOrder {
+		candidates = append(candidates, m.candidatesIn(dc)...)
 	}
-	return named
+	return candidates
 }
 
 // candidatesIn leaves out suspected members, which would cost a timeout each.
--- a/bulrushmove/brake.go
+++ b/bulrushmove/brake.go
@@ -17,7 +17,7 @@
 // NewBrake returns a brake for a move.
 func NewBrake(move bulrushcatalogue.Move) *Brake {
 	b := &Brake{move: move, judge: NewJudge(BrakeLimit)}
-	if PeriodOf(move) == shortEvidencePeriod {
+	if isShort(move) {
 		b.judge.SetShort(shortBrakeLimit)
 	}
 	return b
@@ -25,12 +25,8 @@
 
 // Observe adds a sample that this node saw.
 func (b *Brake) Observe(sample Sample) {
-	counts := Counts{Requests: 1}
-	if sample.Failed {
-		counts.Failures = 1
-	} else if !sample.Warming {
-		counts.Latencies[BucketOf(sample.ElapsedMs)] = 1
-	}
+	var counts Counts
+	counts.observe(sample)
 	switch {
 	case b.move.IsOld(sample.Version):
 		b.judge.AddOld(sample.Route, counts)
@@ -52,7 +48,16 @@
 
 // PeriodOf returns the time between two reports of evidence on a move.
 func PeriodOf(move bulrushcatalogue.Move) bulrushchute.Millis {
-	if move.WithinMs > 0 && move.WithinMs < shortMove {
+	return periodOf(isShort(move))
+}
+
+// isShort reports whether an ordered move has too little time for ordinary stages.
+func isShort(move bulrushcatalogue.Move) bool {
+	return move.WithinMs > 0 && move.WithinMs < shortMove
+}
+
+func periodOf(short bool) bulrushchute.Millis {
+	if short {
 		return shortEvidencePeriod
 	}
 	return EvidencePeriod
--- a/bulrushmove/evidence.go
+++ b/bulrushmove/evidence.go
@@ -75,13 +75,7 @@
 	} else if sample.Version != r.move.ToVersion {
 		return
 	}
-	counts := r.countsFor(recordKey{version: version, route: sample.Route})
-	counts.Requests++
-	if sample.Failed {
-		counts.Failures++
-	} else if !sample.Warming {
-		counts.Latencies[BucketOf(sample.ElapsedMs)]++
-	}
+	r.countsFor(recordKey{version: version, route: sample.Route}).observe(sample)
 }
 
 func (r *Recorder) countsFor(key recordKey) *Counts {
--- a/bulrushmove/histogram.go
+++ b/bulrushmove/histogram.go
@@ -57,6 +57,16 @@
 	return counts
 }
 
+// observe adds one sample.
+func (c *Counts) observe(sample Sample) {
+	c.Requests++
+	if sample.Failed {
+		c.Failures++
+	} else if !sample.Warming {
+		c.Latencies[BucketOf(sample.ElapsedMs)]++
+	}
+}
+
 func (c *Counts) add(other Counts) {
 	c.Requests += other.Requests
 	c.Failures += other.Failures
--- a/bulrushmove/judge.go
+++ b/bulrushmove/judge.go
@@ -185,11 +185,9 @@
 		}
 		strongest = strongest.orStronger(evidence.tests.finding(name))
 	}
-	j.total.failures.unbounded = j.short
-	j.total.latency.unbounded = j.short
 	if tested {
-		j.total.failures.step(failures)
-		j.total.latency.step(latency)
+		j.total.failures.step(failures, j.short)
+		j.total.latency.step(latency, j.short)
 	}
 	strongest = strongest.orStronger(j.total.finding(AllRoutes))
 	strongest.Bad = strongest.Nats >= j.limitNats
@@ -208,8 +206,6 @@
 // those of all routes. It returns false when the new version had no requests.
 func (re *routeEvidence) step(frozen bool, allFailures, allLatency *increments) bool {
 	re.old.step(&re.pending[oldVersion])
-	re.tests.failures.unbounded = re.old.short
-	re.tests.latency.unbounded = re.old.short
 	re.stageOld += re.pending[oldVersion].Requests
 	counts := re.pending[newVersion]
 	re.pending = [2]Counts{}
@@ -219,11 +215,11 @@
 	re.requests += counts.Requests
 	re.stageRequests += counts.Requests
 	failures := incrementsOf(counts.Failures, counts.Requests, re.old.toleratedFailures(frozen))
-	re.tests.failures.step(failures)
+	re.tests.failures.step(failures, re.old.short)
 	allFailures.add(failures)
 	if tolerated, known := re.old.toleratedSlowness(frozen); known && !re.loaded {
 		latency := incrementsOf(counts.above(re.old.current.Bound), counts.answers(), tolerated)
-		re.tests.latency.step(latency)
+		re.tests.latency.step(latency, re.old.short)
 		allLatency.add(latency)
 	}
 	return true
--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -62,10 +62,7 @@
 
 // period is the time between two reports of evidence and two judgements.
 func (s State) period() bulrushchute.Millis {
-	if s.short() {
-		return shortEvidencePeriod
-	}
-	return EvidencePeriod
+	return periodOf(s.short())
 }
 
 const (
--- a/bulrushmove/sequential.go
+++ b/bulrushmove/sequential.go
@@ -54,9 +54,6 @@
 	ratios [len(alternatives)]float64
 	// most bounds what one step can add.
 	most increments
-	// unbounded lifts the bounds, for moves too short to wait for ten seconds of
-	// evidence.
-	unbounded bool
 }
 
 func newSequentialTest(most increments) sequentialTest {
@@ -67,9 +64,11 @@
 	return st
 }
 
-func (st *sequentialTest) step(steps increments) {
+// step takes the increments of one step. Unbounded lifts the bounds, for moves
+// too short to wait for ten seconds of evidence.
+func (st *sequentialTest) step(steps increments, unbounded bool) {
 	for i, nats := range steps {
-		if !st.unbounded {
+		if !unbounded {
 			nats = min(nats, st.most[i])
 		}
 		st.ratios[i] = (st.ratios[i] + restartWeight) * math.Exp(nats)
--- a/bulrushmove/share.go
+++ b/bulrushmove/share.go
@@ -95,12 +95,16 @@
 		copied := known.latest
 		lowered = &copied
 	}
+	return s.with(record.Service, known), lowered
+}
+
+func (s Shares) with(service bulrushchute.Service, known serviceShare) Shares {
 	services := maps.Clone(s.services)
 	if services == nil {
 		services = map[bulrushchute.Service]serviceShare{}
 	}
-	services[record.Service] = known
-	return Shares{services: services}, lowered
+	services[service] = known
+	return Shares{services: services}
 }
 
 // WithBrake returns shares in which a generation was found bad on this node,
@@ -117,12 +121,7 @@
 	if generation > known.braked {
 		known.braked, known.brakedReason = generation, reason
 	}
-	services := maps.Clone(s.services)
-	if services == nil {
-		services = map[bulrushchute.Service]serviceShare{}
-	}
-	services[service] = known
-	return Shares{services: services}, nil
+	return s.with(service, known), nil
 }
 
 // Of returns the share of a service's move in basis points. It is 0 for
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -201,11 +202,11 @@
 	if !spread {
 		return nil
 	}
-	prefix := key.Name
 	var names []string
 	c.membership.Table().Range(key.Topic, func(record bulrushchute.Record) bool {
-		if !record.Deleted && len(record.Key.Name) > len(prefix) && record.Key.Name[:len(prefix)] == prefix {
-			names = append(names, record.Key.Name[len(prefix):])
+		name, found := strings.CutPrefix(record.Key.Name, key.Name)
+		if found && name != "" && !record.Deleted {
+			names = append(names, name)
 		}
 		return true
 	})
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -47,6 +47,17 @@
 	wantedFrom bulrushchute.Millis
 }
 
+// attempt returns an attempt of the call on an instance.
+func (c call) attempt(now bulrushchute.Millis, target bulrushchute.InstanceID, retry bool) bulrushchute.Attempt {
+	attempt := c.template
+	attempt.ID = newAttemptID()
+	attempt.Target = target
+	attempt.Retry = retry
+	attempt.Deadline = c.info.Deadline
+	attempt.Remaining = c.info.Deadline - now
+	return attempt
+}
+
 // callResult is the end of a call. Answer is set for OutcomeAnswered.
 type callResult struct {
 	final  bulrushattempt.Final
@@ -119,14 +130,9 @@
 	if !found {
 		return
 	}
-	attempt := r.call.template
-	attempt.ID = newAttemptID()
-	attempt.Target = instance.ID
-	attempt.Retry = action.Retry
-	attempt.Deadline = r.call.info.Deadline
 	now := r.caller.clock.Now()
-	attempt.Remaining = attempt.Deadline - now
-	attempt.Insist = only || action.Attempt > 1
+	attempt := r.call.attempt(now, instance.ID, action.Retry)
+	attempt.Insist = only
 	if attempt.Objective > 0 {
 		attempt.Objective = max(1, r.call.wantedFrom+attempt.Objective-now)
 	}
@@ -149,7 +155,7 @@
 }
 
 // pick chooses an instance for an attempt. It also reports whether the request
-// has nowhere else to go.
+// has nowhere else to go, as after any first attempt.
 func (r *running) pick(action bulrushattempt.Action) (bulrushchute.Instance, bool, bool) {
 	now := r.caller.clock.Now()
 	view := r.caller.board.Read()
@@ -163,7 +169,7 @@
 		r.machine.NoBackend(now, action.Attempt)
 		return instance, false, false
 	}
-	only := r.lane.only(now, query, instance.ID)
+	only := action.Attempt > 1 || r.lane.only(now, query, instance.ID)
 	if !r.machine.Sent(now, action.Attempt, instance.ID) {
 		return instance, false, false
 	}
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -309,15 +309,12 @@
 		Kind:    bulrushchute.KindKeyMaps,
 		Name:    record.Key.Name,
 		Version: record.Version.Counter,
-		Value:   record.Value,
 	}
+	var keyMap bulrushkey.KeyMap
 	value, err := decompressValue(record.Value)
-	if err != nil {
-		klog.ErrorS(err, "key map not taken", "service", record.Key.Name, "version", object.Version)
-		return
+	if err == nil {
+		keyMap, err = bulrushkey.ParseMap(object.WithValue(value))
 	}
-	object.Value = value
-	keyMap, err := bulrushkey.ParseMap(object)
 	if err != nil {
 		klog.ErrorS(err, "key map not taken", "service", record.Key.Name, "version", object.Version)
 		return
@@ -433,8 +430,7 @@
 	rank := 0
 	c.membership.Range(func(member bulrushchute.Instance) bool {
 		counted := dataCentre == "" || member.DataCentre == dataCentre
-		counted = counted && member.State != bulrushchute.StateLeaving && member.State != bulrushchute.StateSuspect
-		if counted && member.ID != c.self && rankHash(purpose, member.ID) < own {
+		if counted && stays(member) && member.ID != c.self && rankHash(purpose, member.ID) < own {
 			rank++
 		}
 		return rank < limit
@@ -442,6 +438,11 @@
 	return rank
 }
 
+// stays reports whether a member can be relied on for a task of the fleet.
+func stays(member bulrushchute.Instance) bool {
+	return member.State != bulrushchute.StateLeaving && member.State != bulrushchute.StateSuspect
+}
+
 func rankHash(purpose string, id bulrushchute.InstanceID) uint64 {
 	return xxhash.Sum64String(purpose + "/" + string(id))
 }
--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -215,14 +215,18 @@
 
 // serve runs an attempt on the backend server, or refuses it before it is dispatched.
 func (g *guard) serve(ctx context.Context, attempt bulrushchute.Attempt) bulrushchute.Reply {
-	received := g.clock.Now()
-	deadline := min(received+attempt.Remaining, attempt.Deadline+g.clockSkew)
-	reply := g.serveUntil(ctx, attempt, deadline)
+	reply := g.serveUntil(ctx, attempt, deadlineHere(g.clock.Now(), attempt, g.clockSkew))
 	reply.ID = attempt.ID
 	reply.Load = g.load()
 	return reply
 }
 
+// deadlineHere returns the deadline of an attempt that has just been received,
+// on this node's clock.
+func deadlineHere(now bulrushchute.Millis, attempt bulrushchute.Attempt, clockSkew bulrushchute.Millis) bulrushchute.Millis {
+	return min(now+attempt.Remaining, attempt.Deadline+clockSkew)
+}
+
 func (g *guard) serveUntil(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
 	g.refreshPace(ctx)
 	if refusal := g.admit(ctx, attempt, deadline); refusal != nil {
@@ -341,15 +345,15 @@
 	})
 	elapsed := time.Since(begin)
 	g.takeReport(result.report)
-	g.finish(attempt, result, elapsed)
-	g.logFailure(attempt, backend.Server, result, milliseconds(elapsed))
-	g.report(attempt, backend, result, elapsed)
+	end := admissionResult(result, elapsed)
+	g.finish(attempt, result, end)
+	g.logFailure(attempt, backend.Server, result, end.ElapsedMs)
+	g.report(attempt, backend, result, end)
 	return replyOf(result)
 }
 
 // finish frees the slot, later if the backend server may still be at work.
-func (g *guard) finish(attempt bulrushchute.Attempt, result dispatchResult, elapsed time.Duration) {
-	end := admissionResult(result, elapsed)
+func (g *guard) finish(attempt bulrushchute.Attempt, result dispatchResult, end bulrushadmission.Result) {
 	if result.answer != nil || !result.started {
 		g.done(attempt.ID, end)
 		return
@@ -361,14 +365,15 @@
 	})
 }
 
-func (g *guard) report(attempt bulrushchute.Attempt, backend Announcement, result dispatchResult, elapsed time.Duration) {
-	kind := admissionResult(result, elapsed).Kind
+// report notes the end of a dispatch for the judgement of versions.
+func (g *guard) report(attempt bulrushchute.Attempt, backend Announcement, result dispatchResult, end bulrushadmission.Result) {
+	kind := end.Kind
 	if kind == bulrushchute.ResultNotSent && result.reason == bulrushchute.ReasonConnectionLost {
 		// A version whose servers accept no connections is bad, although no
 		// request ran.
 		kind = bulrushchute.ResultUnknown
 	}
-	sample, useful := bulrushmove.SampleOf(backend.Version, attempt.Route, kind, milliseconds(elapsed))
+	sample, useful := bulrushmove.SampleOf(backend.Version, attempt.Route, kind, end.ElapsedMs)
 	if !useful {
 		return
 	}
--- a/bulrushnode/keys.go
+++ b/bulrushnode/keys.go
@@ -75,14 +75,8 @@
 	if !found {
 		return notRun(bulrushchute.ReasonKeyHome, retryAfterDefault)
 	}
-	now := k.clock.Now()
-	attempt := prepared.template
-	attempt.ID = newAttemptID()
-	attempt.Target = home.ID
+	attempt := prepared.attempt(k.clock.Now(), home.ID, prepared.info.Retry)
 	attempt.Key = text
-	attempt.Retry = prepared.info.Retry
-	attempt.Deadline = prepared.info.Deadline
-	attempt.Remaining = attempt.Deadline - now
 	ctx, cancel := context.WithTimeout(ctx, attempt.Remaining.Duration())
 	defer cancel()
 	reply, err := k.exchange(ctx, home, attempt)
@@ -133,7 +127,7 @@
 	if err != nil {
 		return refused(bulrushchute.ReasonKeyFormat, 0)
 	}
-	deadline := min(k.clock.Now()+attempt.Remaining, attempt.Deadline+k.clockSkew)
+	deadline := deadlineHere(k.clock.Now(), attempt, k.clockSkew)
 	verdict, wait := k.offer(key, attempt)
 	switch verdict.Kind {
 	case bulrushkey.VerdictRun:
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -367,7 +367,7 @@
 	var all []ranked
 	n.control.do(ctx, func(bulrushchute.Millis) {
 		n.control.membership.Range(func(member bulrushchute.Instance) bool {
-			if member.DataCentre == n.settings.DataCentre && member.State != bulrushchute.StateSuspect && member.State != bulrushchute.StateLeaving {
+			if member.DataCentre == n.settings.DataCentre && stays(member) {
 				all = append(all, ranked{rankHash("seed", member.ID), member.Address})
 			}
 			return true
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -225,12 +225,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, instance := range f.all {
-		for !f.ready(ctx, instance) {
-			select {
-			case <-ctx.Done():
-				return errors.Errorf("node %s is not ready, its log is in %s", instance.Settings.PeerAddress, f.folder)
-			case <-time.After(readyPoll):
-			}
+		if !reached(ctx, func() bool { return f.ready(ctx, instance) }) {
+			return errors.Errorf("node %s is not ready, its log is in %s", instance.Settings.PeerAddress, f.folder)
 		}
 	}
 	return f.waitKeyMaps(ctx)
@@ -243,45 +239,47 @@
 	for _, instance := range f.all {
 		services[instance.Config.Backend.Service] = true
 	}
-	for {
+	var failed error
+	known := reached(ctx, func() bool {
 		maps, _, err := f.Store.List(ctx, bulrushchute.KindKeyMaps)
-		if err != nil {
-			return err
-		}
-		if len(maps) >= len(services) {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return errors.New("a service has no key map")
-		case <-time.After(readyPoll):
-		}
+		failed = err
+		return err != nil || len(maps) >= len(services)
+	})
+	if failed != nil {
+		return failed
+	}
+	if !known {
+		return errors.New("a service has no key map")
 	}
 	// The map reaches all nodes and its first mint time passes meanwhile.
-	pause := 3*clockSkewMs.Duration() + time.Second
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(pause):
-		return nil
+	bulrushtask.Pause(ctx, 3*clockSkewMs.Duration()+time.Second)
+	return ctx.Err()
+}
+
+// reached asks again and again and reports whether the answer was yes before
+// the context ended.
+func reached(ctx context.Context, ask func() bool) bool {
+	for !ask() {
+		bulrushtask.Pause(ctx, readyPoll)
+		if ctx.Err() != nil {
+			return false
+		}
 	}
+	return true
 }
 
 // WaitJoined waits until one instance is ready.
 func (f *Fleet) WaitJoined(ctx context.Context, instance *Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	for {
+	joined := reached(ctx, func() bool {
 		status, err := instance.Status(ctx)
-		if err == nil && status.State == "ready" {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Errorf("node %s has not joined, its log is in %s", instance.Settings.PeerAddress, f.folder)
-		case <-time.After(readyPoll):
-		}
+		return err == nil && status.State == "ready"
+	})
+	if !joined {
+		return errors.Errorf("node %s has not joined, its log is in %s", instance.Settings.PeerAddress, f.folder)
 	}
+	return nil
 }
 
 func (f *Fleet) ready(ctx context.Context, instance *Instance) bool {
