--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -155,7 +155,7 @@
 }
 
 // pick chooses an instance for an attempt. It also reports whether the request
-// has nowhere else to go, as after any first attempt.
+// has nowhere else to go, which every further attempt is taken to have.
 func (r *running) pick(action bulrushattempt.Action) (bulrushchute.Instance, bool, bool) {
 	now := r.caller.clock.Now()
 	view := r.caller.board.Read()
