Leave a peer that is silent during a join after 1 s

Cause: the deadline of a join's question was put off by each change in the number of records, and changes come from all sides during a rolling restart. A joining node whose first peer had been ended waited for up to 10 s.

--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -6,8 +6,12 @@
 )
 
 const (
-	// joinTimeout is the time without progress after which another peer is tried.
+	// joinTimeout is the time after which a peer that has sent a part of its
+	// records, and no more, is replaced by another.
 	joinTimeout = 3 * bulrushchute.Second
+	// answerTimeout is the time after which a peer that has sent nothing is
+	// replaced. It covers three round trips of the longest link, 300 ms.
+	answerTimeout = bulrushchute.Second
 	// contactTimeout is the time after which another peer is asked as well, before
 	// any has answered. After a fault that ended many nodes at once, the first
 	// peer asked is often not back yet.
@@ -38,7 +42,6 @@
 	// answered is set when the target has answered the last digest.
 	answered  bool
 	differing int
-	progress  int
 	deadline  bulrushchute.Millis
 	next      bulrushchute.Millis
 }
@@ -53,10 +56,6 @@
 		return actions
 	}
 	j := &m.join
-	if records := m.table.Stats().Records; records != j.progress {
-		j.progress = records
-		j.deadline = now + joinTimeout
-	}
 	switch {
 	case j.target == "" || now >= j.deadline:
 		return m.startStage(now, actions)
@@ -80,7 +79,7 @@
 func (m *Membership) compareJoin(now bulrushchute.Millis, actions []Action) []Action {
 	m.join.answered = false
 	m.join.rounds++
-	m.join.deadline = now + joinTimeout
+	m.join.deadline = now + answerTimeout
 	if m.table.Stats().Records <= 1 && len(m.joinCandidates()) > 1 {
 		m.join.deadline = now + contactTimeout
 	}
@@ -101,6 +100,14 @@
 	return m.startStage(now, actions)
 }
 
+// heardInJoin notes that a peer has sent records or a digest. Other peers send
+// changes all the time, which do not show that the one that was asked is alive.
+func (m *Membership) heardInJoin(now bulrushchute.Millis, from bulrushchute.Address) {
+	if !m.status.Joined && from == m.join.target {
+		m.join.deadline = now + joinTimeout
+	}
+}
+
 // compared follows the answer to a digest.
 func (m *Membership) compared(now bulrushchute.Millis, comparison bulrushspread.Comparison) {
 	if m.status.Joined || m.join.answered {
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -95,6 +95,7 @@
 		m.receiveAck(now, from, message)
 		return nil
 	}
+	m.heardInJoin(now, from)
 	_, known := m.members.byID[message.From]
 	actions := m.table.Receive(now, from, message)
 	if message.Records == nil || known {
--- a/bulrushmembership/membership_test.go
+++ b/bulrushmembership/membership_test.go
@@ -430,3 +430,25 @@
 	assert.Assert(t, held, "the change has not arrived")
 	assert.Assert(t, joiner.Status().Joined)
 }
+
+// Guards against a join that waits for a silent peer for as long as others send
+// changes. The peer was ended in the same rolling restart.
+func TestJoinLeavesSilentPeer(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(100 + seed)
+		f.fill(3, 12)
+		f.run(10 * bulrushchute.Second)
+		var addresses []bulrushchute.Address
+		for i, n := range f.nodes {
+			addresses = append(addresses, n.self.Address)
+			n.stopped = i%3 == 0
+		}
+		joiner := f.add(testInstance(0, 99), addresses...)
+		f.send(joiner, f.now, joiner.Introduce(f.now, addresses))
+		for i := range 20 {
+			f.nodes[1].table.Publish(f.now, testEntry(1, i))
+			f.run(200 * bulrushchute.Millisecond)
+		}
+		assert.Assert(t, joiner.Status().Joined, "seed %d", seed)
+	}
+}
