Copy records in messages for many buckets

Cause: a copy sent a message for each of up to 256 buckets in one tick. The queue of the connection to a peer holds 64 and drops the newest, which is the digest that ends the copy, so that the joining node waited for it (traced: 73 buckets, digest sent at 14.716 s, never received).

--- a/bulrushspread/digest.go
+++ b/bulrushspread/digest.go
@@ -36,6 +36,10 @@
 	limit int
 	// digest, if set, is sent at the end to answer the peer's own digest.
 	digest bool
+	// records and versions are collected for the next messages.
+	records     []bulrushchute.Record
+	recordBytes int
+	versions    []bulrushchute.RecordVersionOf
 }
 
 // Compare sends a digest to a node, which answers with what this table lacks.
@@ -235,24 +239,15 @@
 	return t.budget.bulk > 0 || t.budget.allows(classMember)
 }
 
-// transferStep sends one bucket, or the end of a transfer.
+// transferStep sends the buckets that fill a message, or the end of a transfer.
 func (t *Table) transferStep(actions []Action, p *peer) []Action {
 	tr := p.transfer
 	if tr.at >= len(tr.buckets) || tr.limit == 0 {
-		p.transfer = nil
-		if !tr.digest {
-			return actions
-		}
-		digest := t.digest(tr.shared)
-		return t.sendBulk(actions, p, bulrushchute.Control{Digest: &digest})
+		return t.endTransfer(actions, p)
 	}
-	b := tr.buckets[tr.at]
-	tr.at++
 	before := t.stats.BulkBytes + t.stats.SentBytes
-	if tr.whole[b] {
-		actions = t.sendBucketRecords(actions, p, b)
-	} else {
-		actions = t.sendBucketVersions(actions, p, b)
+	for sent := len(actions); tr.at < len(tr.buckets) && len(actions) == sent; tr.at++ {
+		actions = t.sendBucket(actions, p, tr.buckets[tr.at])
 	}
 	if tr.limit > 0 {
 		tr.limit = max(0, tr.limit-int(t.stats.BulkBytes+t.stats.SentBytes-before))
@@ -260,43 +255,57 @@
 	return actions
 }
 
-func (t *Table) sendBucketRecords(actions []Action, p *peer, b uint8) []Action {
-	var records []bulrushchute.Record
-	size := 0
-	flush := func() {
-		if len(records) > 0 {
-			actions = t.sendBulk(actions, p, bulrushchute.Control{Records: &bulrushchute.Records{Records: records}})
-		}
-		records, size = nil, 0
+func (t *Table) endTransfer(actions []Action, p *peer) []Action {
+	tr := p.transfer
+	actions = t.sendCollectedRecords(actions, p)
+	actions = t.sendCollectedVersions(actions, p)
+	p.transfer = nil
+	if !tr.digest {
+		return actions
 	}
-	for _, e := range t.buckets[b] {
-		if !inDigest(e, p.transfer.shared) {
-			continue
-		}
-		records = append(records, e.record)
-		size += sizeRecord(&e.record)
-		if size >= bulkBatchBytes {
-			flush()
+	digest := t.digest(tr.shared)
+	return t.sendBulk(actions, p, bulrushchute.Control{Digest: &digest})
+}
+
+// sendBucket collects the content of a bucket and sends what fills a message. A
+// message for each bucket would overflow the queue in which the transport keeps
+// what it has not yet sent to the peer.
+func (t *Table) sendBucket(actions []Action, p *peer, bucket uint8) []Action {
+	tr := p.transfer
+	for _, e := range t.buckets[bucket] {
+		switch {
+		case !inDigest(e, tr.shared):
+		case tr.whole[bucket]:
+			tr.records = append(tr.records, e.record)
+			tr.recordBytes += sizeRecord(&e.record)
+			if tr.recordBytes >= bulkBatchBytes {
+				actions = t.sendCollectedRecords(actions, p)
+			}
+		default:
+			tr.versions = append(tr.versions, bulrushchute.RecordVersionOf{Key: e.record.Key, Version: e.record.Version})
+			if len(tr.versions) == maxListed/16 {
+				actions = t.sendCollectedVersions(actions, p)
+			}
 		}
 	}
-	flush()
 	return actions
 }
 
-func (t *Table) sendBucketVersions(actions []Action, p *peer, b uint8) []Action {
-	var versions []bulrushchute.RecordVersionOf
-	for _, e := range t.buckets[b] {
-		if inDigest(e, p.transfer.shared) {
-			versions = append(versions, bulrushchute.RecordVersionOf{Key: e.record.Key, Version: e.record.Version})
-		}
-		if len(versions) == maxListed/16 {
-			actions = t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
-			versions = nil
-		}
+func (t *Table) sendCollectedRecords(actions []Action, p *peer) []Action {
+	records := p.transfer.records
+	if len(records) == 0 {
+		return actions
 	}
+	p.transfer.records, p.transfer.recordBytes = nil, 0
+	return t.sendBulk(actions, p, bulrushchute.Control{Records: &bulrushchute.Records{Records: records}})
+}
+
+func (t *Table) sendCollectedVersions(actions []Action, p *peer) []Action {
+	versions := p.transfer.versions
 	if len(versions) == 0 {
 		return actions
 	}
+	p.transfer.versions = nil
 	return t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
 }
 
--- a/bulrushspread/table_test.go
+++ b/bulrushspread/table_test.go
@@ -215,6 +215,36 @@
 	assert.Assert(t, answered)
 }
 
+// Guards against a copy in so many messages that the last of them, with the
+// digest that ends it, find the transport's queue for the peer full.
+func TestCopyTakesFewMessages(t *testing.T) {
+	table := New(meshStart, Config{Self: "n0", DataCentre: "kgl-1"})
+	for i := range 200 {
+		table.Publish(meshStart, memberRecord(i, 1))
+	}
+	question := bulrushchute.Digest{Buckets: make([]uint64, BucketCount), Shared: true, Reply: true}
+	var copied []Action
+	bytes := 0
+	for _, actions := range [][]Action{
+		table.Receive(meshStart, meshAddress(1), bulrushchute.Control{Digest: &question}),
+		table.Tick(meshStart + TickInterval),
+	} {
+		for _, a := range actions {
+			copied = append(copied, a)
+			bytes += Size(a.Message)
+		}
+	}
+	records := 0
+	for _, a := range copied {
+		if a.Message.Records != nil {
+			records += len(a.Message.Records.Records)
+		}
+	}
+	assert.Equal(t, records, 200)
+	assert.Assert(t, copied[len(copied)-1].Message.Digest != nil, "a digest ends the copy")
+	assert.Assert(t, len(copied) <= bytes/bulkBatchBytes+2, "%d messages for %d bytes", len(copied), bytes)
+}
+
 // Guards against a want whose announcer gave its place and is never asked again.
 func TestWantOutlivesGuest(t *testing.T) {
 	table := New(meshStart, Config{Self: "n0", DataCentre: "kgl-1"})
