Judge all routes of a short move by its own bounds

Cause: a route's baseline took the judge's short flag when it was made. Routes that were restored from a former holder, or reported before the first judgement, kept the bounds of long moves. The holder and the nodes also disagreed on orders of 60 to 61.5 s.

--- a/bulrushmove/baseline.go
+++ b/bulrushmove/baseline.go
@@ -57,12 +57,11 @@
 	fast     Counts
 	// current is the result of the last step.
 	current Baseline
-	// short is set for a move of less than a minute.
-	short bool
 }
 
-// step takes the old version's counts of one step.
-func (b *baseline) step(counts *Counts) {
+// step takes the old version's counts of one step. Short is set for a move of
+// less than a minute.
+func (b *baseline) step(counts *Counts, short bool) {
 	if b.slow.Requests > slowMemory {
 		b.slow.scale(slowDecay)
 	}
@@ -71,16 +70,16 @@
 		b.slow.add(*counts)
 		b.fast.add(*counts)
 	}
-	b.current = b.summary()
+	b.current = b.summary(short)
 }
 
-func (b *baseline) summary() Baseline {
+func (b *baseline) summary(short bool) Baseline {
 	if b.restored.Requests > b.slow.Requests {
 		return b.restored
 	}
 	answers := b.slow.answers()
 	margin := boundMargin
-	if b.short {
+	if short {
 		margin = shortBoundMargin
 	}
 	bound := min(b.slow.bucketOfQuantile(quantile)+margin, BucketCount-1)
--- a/bulrushmove/judge.go
+++ b/bulrushmove/judge.go
@@ -160,7 +160,6 @@
 	}
 	if j.routes[name] == nil {
 		j.routes[name] = &routeEvidence{tests: newMeasures()}
-		j.routes[name].old.short = j.short
 	}
 	return j.routes[name]
 }
@@ -180,7 +179,7 @@
 	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
 		evidence := j.routes[name]
 		evidence.loaded = j.short && j.share > trialShare && j.share < FullShare
-		if evidence.step(j.share >= FullShare, &failures, &latency) {
+		if evidence.step(j.share >= FullShare, j.short, &failures, &latency) {
 			tested = true
 		}
 		strongest = strongest.orStronger(evidence.tests.finding(name))
@@ -204,8 +203,8 @@
 
 // step takes the pending counts into the tests and adds the increments to
 // those of all routes. It returns false when the new version had no requests.
-func (re *routeEvidence) step(frozen bool, allFailures, allLatency *increments) bool {
-	re.old.step(&re.pending[oldVersion])
+func (re *routeEvidence) step(frozen, short bool, allFailures, allLatency *increments) bool {
+	re.old.step(&re.pending[oldVersion], short)
 	re.stageOld += re.pending[oldVersion].Requests
 	counts := re.pending[newVersion]
 	re.pending = [2]Counts{}
@@ -215,11 +214,11 @@
 	re.requests += counts.Requests
 	re.stageRequests += counts.Requests
 	failures := incrementsOf(counts.Failures, counts.Requests, re.old.toleratedFailures(frozen))
-	re.tests.failures.step(failures, re.old.short)
+	re.tests.failures.step(failures, short)
 	allFailures.add(failures)
 	if tolerated, known := re.old.toleratedSlowness(frozen); known && !re.loaded {
 		latency := incrementsOf(counts.above(re.old.current.Bound), counts.answers(), tolerated)
-		re.tests.latency.step(latency, re.old.short)
+		re.tests.latency.step(latency, short)
 		allLatency.add(latency)
 	}
 	return true
--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -44,7 +44,7 @@
 
 // short reports whether the move follows shortStages.
 func (s State) short() bool {
-	return s.CompleteByMs-s.OrderedAtMs < shortMove && s.OrderedAtMs > 0
+	return s.OrderedAtMs > 0 && s.CompleteByMs-s.OrderedAtMs < shortMove-orderMargin
 }
 
 // plan returns the share steps of the move.
--- a/bulrushmove/short_test.go
+++ b/bulrushmove/short_test.go
@@ -10,12 +10,18 @@
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 )
 
+// newShortJudge returns a judge of a short move.
+func newShortJudge() *Judge {
+	judge := NewJudge(HolderLimit)
+	judge.SetShort(shortLimit)
+	return judge
+}
+
 // shortRun feeds a judge the evidence of a short move: 30 requests a second, of
 // which the new version gets a share, for some seconds. It returns how many
 // requests the new version had when it was found bad, or all with false.
 func shortRun(random *rand.Rand, share, badRate, slowRate float64, seconds int) (int, bool) {
-	judge := NewJudge(HolderLimit)
-	judge.SetShort(shortLimit)
+	judge := newShortJudge()
 	judge.SetShare(int(share * FullShare))
 	given := 0
 	for range seconds * int(bulrushchute.Second/shortEvidencePeriod) {
@@ -78,6 +84,39 @@
 	}
 }
 
+// Guards against a short move that is judged by the bounds of long ones on the
+// routes that the judge met first: those that a former holder stored, and those
+// of evidence that arrived before the move's state.
+func TestShortMovesOnRoutesMetBefore(t *testing.T) {
+	cases := map[string]func(*Judge){
+		"restored": func(j *Judge) { j.Restore(map[string]Baseline{"views": {}}) },
+		"reported": func(j *Judge) { j.AddOld("views", Counts{}) },
+	}
+	run := func(judge *Judge) (Baseline, Finding) {
+		judge.SetShare(FullShare / 5)
+		random := rand.New(rand.NewPCG(1, 1))
+		old := Counts{Requests: 200}
+		for range 200 {
+			old.Latencies[BucketOf(200*random.ExpFloat64())]++
+		}
+		judge.AddOld("views", old)
+		judge.AddNew("views", Counts{Requests: 10, Failures: 10})
+		finding := judge.Step()
+		return judge.Baselines()["views"], finding
+	}
+	wantBaseline, wantFinding := run(newShortJudge())
+	for name, meet := range cases {
+		t.Run(name, func(t *testing.T) {
+			judge := NewJudge(HolderLimit)
+			meet(judge)
+			judge.SetShort(shortLimit)
+			baseline, finding := run(judge)
+			assert.DeepEqual(t, baseline, wantBaseline)
+			assert.DeepEqual(t, finding, wantFinding)
+		})
+	}
+}
+
 // Guards against an ordered move whose stages do not fit in before its limit.
 func TestShortPlanFits(t *testing.T) {
 	for _, within := range []bulrushchute.Millis{10_000, 12_000, 14_000, 16_000, 40_000} {
@@ -92,6 +131,15 @@
 	}
 }
 
+// Guards against a holder that takes a move for short while the nodes that
+// report to it take it for a long one.
+func TestHolderAndNodesAgreeOnShort(t *testing.T) {
+	for _, within := range []bulrushchute.Millis{2000, 14_000, 59_999, 60_000, 61_000, 61_500, 62_000} {
+		move := bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: within}
+		assert.Equal(t, State{}.withMove("board", move, 1000).short(), isShort(move), "within %d", within)
+	}
+}
+
 // Guards against a small share that is spread so thin that no server of the
 // new version ever carries an ordinary load.
 func TestTrialServers(t *testing.T) {
