Begin short moves at a tenth and let their trial last longer

Cause: the trial of a short move lasted its least time, 1 s, since the parts of the move's time count from the start of the first step.

Now 10% from the start, the trial from 0.59 (measured with 0.60).

--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -30,12 +30,14 @@
 
 // shortStages are the share steps of a move of less than shortMove. Its new
 // version may get a tenth of the requests and some more before it is found bad,
-// so that the few requests of such a time tell something. The step before the
-// last one lasts about a second and puts a high load on a part of its servers.
+// so that the few requests of such a time tell something. Latencies of servers
+// that have just started do not count, so the first step has to bring enough
+// requests after that. The step before the last one lasts until the answers of
+// its first requests are known and puts a high load on a part of the servers.
 var shortStages = [...]stage{
 	{share: 0},
-	{share: 600, latest: 0.02},
-	{share: 8500, earliest: 0.66, latest: 0.67},
+	{share: 1000, latest: 0.02},
+	{share: 8500, earliest: 0.59, latest: 0.60},
 	{share: FullShare, earliest: 0.78, latest: 0.79},
 }
 
--- a/bulrushmove/short_test.go
+++ b/bulrushmove/short_test.go
@@ -131,6 +131,21 @@
 	}
 }
 
+// Guards against a trial that ends before what fails under its load is known.
+// Answers end up to 1.1 s after their request, the deadline of most, and are
+// reported and judged in up to two periods.
+func TestTrialOutlastsItsAnswers(t *testing.T) {
+	const answers = 1100 * bulrushchute.Millisecond
+	for _, within := range []bulrushchute.Millis{12_000, 12_800, 14_000, 16_000} {
+		move := bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: within}
+		const ready = 1750 // the new version's servers start
+		state := State{}.withMove("board", move, 1000).withStage(1, 1000+ready)
+		trial, last := state.plan()[2], state.plan()[3]
+		lasts := state.at(last.earliest) - state.at(trial.earliest)
+		assert.Assert(t, lasts >= answers+2*state.period(), "within %d: %d", within, lasts)
+	}
+}
+
 // Guards against a good version that is rolled back because its servers could
 // not take all of the trial's share, so that the rest ran on the old version.
 // The counts are those of rollout_good, hanga, --seed 4, 3.3 s into the trial.
