--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -9,6 +9,9 @@
 	// joinTimeout is the time after which a peer that has sent a part of its
 	// records, and no more, is replaced by another.
 	joinTimeout = 3 * bulrushchute.Second
+	// copyTimeout bounds the time in which a peer answers a question. The records
+	// of 23,000 members take 3.4 s at the rate of copies.
+	copyTimeout = 5 * bulrushchute.Second
 	// answerTimeout is the time after which a peer that has sent nothing is
 	// replaced. It covers three round trips of the longest link, 300 ms.
 	answerTimeout = bulrushchute.Second
@@ -42,6 +45,7 @@
 	// answered is set when the target has answered the last digest.
 	answered  bool
 	differing int
+	asked     bulrushchute.Millis
 	deadline  bulrushchute.Millis
 	next      bulrushchute.Millis
 }
@@ -79,6 +83,7 @@
 func (m *Membership) compareJoin(now bulrushchute.Millis, actions []Action) []Action {
 	m.join.answered = false
 	m.join.rounds++
+	m.join.asked = now
 	m.join.deadline = now + answerTimeout
 	if m.table.Stats().Records <= 1 && len(m.joinCandidates()) > 1 {
 		m.join.deadline = now + contactTimeout
@@ -102,9 +107,10 @@
 
 // heardInJoin notes that a peer has sent records or a digest. Other peers send
 // changes all the time, which do not show that the one that was asked is alive.
+// It may send changes too, and not have got the question.
 func (m *Membership) heardInJoin(now bulrushchute.Millis, from bulrushchute.Address) {
 	if !m.status.Joined && from == m.join.target {
-		m.join.deadline = now + joinTimeout
+		m.join.deadline = min(now+joinTimeout, m.join.asked+copyTimeout)
 	}
 }
 
--- a/bulrushmembership/membership_test.go
+++ b/bulrushmembership/membership_test.go
@@ -452,3 +452,28 @@
 		assert.Assert(t, joiner.Status().Joined, "seed %d", seed)
 	}
 }
+
+// Guards against a join that waits for an answer to a question that was lost,
+// because the peer sends changes. The process that was asked had just been ended,
+// and its successor at the address did not get the question.
+func TestJoinAsksAgainWhenItsQuestionIsLost(t *testing.T) {
+	f := newFleet(17)
+	f.fill(1, 12)
+	f.run(10 * bulrushchute.Second)
+	var addresses []bulrushchute.Address
+	for _, n := range f.nodes {
+		addresses = append(addresses, n.self.Address)
+	}
+	joiner := f.add(testInstance(0, 99), addresses...)
+	f.cut = func(from, _ *testNode) bool { return from == joiner }
+	f.run(200 * bulrushchute.Millisecond)
+	f.cut = nil
+	target := f.at[joiner.join.target]
+	for i := range 40 {
+		f.post(target, f.now, Action{To: joiner.self.Address, Message: bulrushchute.Control{
+			From: target.self.ID, Records: &bulrushchute.Records{Records: []bulrushchute.Record{testEntry(1, i)}},
+		}})
+		f.run(200 * bulrushchute.Millisecond)
+	}
+	assert.Assert(t, joiner.Status().Joined)
+}
