--- a/cmd/bulrushbench/bulrushdemo/fault_test.go
+++ b/cmd/bulrushbench/bulrushdemo/fault_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
@@ -168,6 +169,17 @@
 	}
 }
 
+// Guards against a node that ended by itself and leaves no trace of why.
+func TestEndedNodeShowsItsLog(t *testing.T) {
+	fleet, instances := newFleet(t)
+	assert.NilError(t, fleet.Kill(instances[0]))
+	assert.NilError(t, instances[0].WaitExit())
+	var ended *bulrushdemo.EndedError
+	assert.Assert(t, errors.As(instances[0].Signal(syscall.SIGCONT), &ended))
+	assert.Equal(t, ended.State, "signal: killed")
+	assert.Assert(t, ended.Log != "")
+}
+
 // Guards against a node that needs the store to start: during an outage it
 // takes members and catalogue from the peers that its settings name.
 func TestNodeJoinsThroughPeersWhileTheStoreIsDown(t *testing.T) {
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -51,6 +51,7 @@
 	Backend  *bulrushstandin.Backend
 	Settings bulrushnode.Settings
 	command  *exec.Cmd
+	logPath  string
 	// exited is closed when the process has ended.
 	exited chan struct{}
 	// silent stops the announcements.
@@ -170,7 +171,8 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
-	logFile, err := os.Create(filepath.Join(f.folder, name+".log"))
+	instance.logPath = filepath.Join(f.folder, name+".log")
+	logFile, err := os.Create(instance.logPath)
 	if err != nil {
 		return errors.Wrap(err, "create the log file")
 	}
@@ -298,7 +300,38 @@
 
 // Signal sends a signal to the node's process.
 func (i *Instance) Signal(signal syscall.Signal) error {
-	return errors.Wrap(i.command.Process.Signal(signal), "signal node")
+	err := i.command.Process.Signal(signal)
+	if errors.Is(err, os.ErrProcessDone) {
+		return i.ended()
+	}
+	return errors.Wrap(err, "signal node")
+}
+
+// EndedError says that a node had ended by itself.
+type EndedError struct {
+	Node bulrushchute.Address
+	// State is the exit status or the signal that ended it.
+	State string
+	// Log is the end of the node's log.
+	Log string
+}
+
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("node %s had ended, %s, the end of its log:\n%s", e.Node, e.State, e.Log)
+}
+
+// shownLogBytes is how much of a log an EndedError shows.
+const shownLogBytes = 4096
+
+func (i *Instance) ended() error {
+	<-i.exited
+	ended := &EndedError{Node: i.Settings.PeerAddress, State: i.command.ProcessState.String()}
+	log, err := os.ReadFile(i.logPath)
+	if err != nil {
+		log = []byte(err.Error())
+	}
+	ended.Log = string(log[max(0, len(log)-shownLogBytes):])
+	return ended
 }
 
 // Leave drains the instance: the node ends when its work is done.
