--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -25,6 +25,9 @@
 	// drainReserve is what of the grace time is kept for the end of the process.
 	drainReserve = 700 * time.Millisecond
 	drainPoll    = 20 * time.Millisecond
+	// answerTime is the time in which callers get the answers of requests that
+	// the drain does not wait for.
+	answerTime = 100 * time.Millisecond
 	// quietTime is how long no request may have arrived before connections of
 	// callers are closed.
 	quietTime = 500 * time.Millisecond
@@ -52,6 +55,7 @@
 	// The last record is spread even if the drain took too long.
 	n.control.do(n.context, n.control.membership.Leave)
 	bulrushtask.Pause(n.context, leaveNotice)
+	callers.giveUp(n.context)
 	return firstError(err, n.stop(peers))
 }
 
@@ -60,6 +64,8 @@
 	listener net.Listener
 	server   *http.Server
 	entry    *entry
+	// cancel ends the contexts of all requests.
+	cancel context.CancelFunc
 }
 
 // close stops accepting connections, waits until requests that have arrived
@@ -78,6 +84,17 @@
 	return firstError(err, errors.Wrap(ce.server.Shutdown(ctx), "callers still connected"))
 }
 
+// giveUp answers the callers that still wait. Their connections would otherwise
+// be cut when the process is killed after the grace time.
+func (ce *callerEndpoint) giveUp(ctx context.Context) {
+	ce.cancel()
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	for ctx.Err() == nil && ce.entry.active.Load() > 0 {
+		bulrushtask.Pause(ctx, drainPoll)
+	}
+}
+
 // stop ends all goroutines and waits for them.
 func (n *Node) stop(peers *http.Server) error {
 	n.caller.tasks.Wait()
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -225,7 +225,10 @@
 	}
 	klog.InfoS("node started", "instance", n.id, "data_centre", n.settings.DataCentre,
 		"caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress)
+	requests, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelRequests()
 	callerServer := n.newHTTPServer("callers", n.entry)
+	callerServer.BaseContext = func(net.Listener) context.Context { return requests }
 	peerMux := http.NewServeMux()
 	peerMux.Handle(bulrushwire.PeerPath, n.server)
 	peerServer := n.newHTTPServer("peers", peerMux)
@@ -241,7 +244,7 @@
 	n.tasks.Start(readers, "move leases", n.moves.runLeases)
 	<-ctx.Done()
 	stopReaders()
-	err = n.drain(&callerEndpoint{listener: callers, server: callerServer, entry: n.entry}, peerServer)
+	err = n.drain(&callerEndpoint{listener: callers, server: callerServer, entry: n.entry, cancel: cancelRequests}, peerServer)
 	var expired *ExpiredError
 	if errors.As(context.Cause(ctx), &expired) {
 		return expired
