--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -28,9 +28,11 @@
 	// answerTime is the time in which callers get the answers of requests that
 	// the drain does not wait for.
 	answerTime = 100 * time.Millisecond
-	// quietTime is how long no request may have arrived before connections of
-	// callers are closed.
-	quietTime = 500 * time.Millisecond
+	// quietTime is how long no request may have arrived before idle connections
+	// of callers are closed. They are closed after quietLimit in any case, so
+	// that what arrives last has half of the users' grace time of 6 s.
+	quietTime  = 500 * time.Millisecond
+	quietLimit = 1500 * time.Millisecond
 )
 
 // drain ends the node without cutting a request: peers are told first, then
@@ -68,17 +70,25 @@
 	cancel context.CancelFunc
 }
 
-// close stops accepting connections, waits until requests that have arrived
-// are answered, and closes the connections. The server's own shutdown comes
-// last, because from its call on net/http drops requests that it reads on
-// connections it has already accepted.
+// close stops accepting connections, closes idle ones when no more requests
+// arrive, and waits until those that have arrived are answered. The server's own
+// shutdown comes last, because from its call on net/http drops requests that it
+// reads on connections it has already accepted.
 func (ce *callerEndpoint) close(ctx context.Context) error {
 	err := errors.Wrap(ce.listener.Close(), "close the listener for callers")
-	quietSince := time.Now()
-	for ctx.Err() == nil && time.Since(quietSince) < quietTime {
+	begin := time.Now()
+	arrived, quietSince := ce.entry.arrived.Load(), begin
+	for ctx.Err() == nil {
 		bulrushtask.Pause(ctx, drainPoll)
-		if ce.entry.busy() {
-			quietSince = time.Now()
+		if latest := ce.entry.arrived.Load(); latest != arrived {
+			arrived, quietSince = latest, time.Now()
+		}
+		if time.Since(quietSince) < quietTime && time.Since(begin) < quietLimit {
+			continue
+		}
+		ce.server.SetKeepAlivesEnabled(false) // closes idle connections
+		if ce.entry.active.Load() == 0 {
+			break
 		}
 	}
 	return firstError(err, errors.Wrap(ce.server.Shutdown(ctx), "callers still connected"))
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -40,8 +40,6 @@
 	// have come.
 	active  atomic.Int64
 	arrived atomic.Int64
-	// seen is the value of arrived at the last call of busy.
-	seen int64
 	// trustTenantHeader takes the tenant from a header instead of the
 	// caller's certificate.
 	trustTenantHeader bool
@@ -54,15 +52,6 @@
 	cause  error
 }
 
-// busy reports whether a request is being served or has come since the last
-// call. It is for one goroutine only.
-func (e *entry) busy() bool {
-	arrived := e.arrived.Load()
-	fresh := arrived != e.seen
-	e.seen = arrived
-	return fresh || e.active.Load() > 0
-}
-
 // ServeHTTP answers one request of a caller.
 func (e *entry) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	e.arrived.Add(1)
