--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -442,7 +442,9 @@
 	}
 }
 
-// wantedShards returns the shards with a move for which this node is a candidate.
+// wantedShards returns the shards with a move for which this node is a candidate
+// or whose lease it holds. The instances of a new version change the order of
+// candidates, and a new holder would start without evidence.
 func (m *moves) wantedShards(ctx context.Context) []int {
 	wanted := make(map[int]bool)
 	view := m.board.Read()
@@ -452,7 +454,8 @@
 	var shards []int
 	m.control.do(ctx, func(bulrushchute.Millis) {
 		for shard := range wanted {
-			if m.control.isCandidate(shardName(shard), "", moveCandidates) {
+			_, held := m.leases[shard].Held()
+			if held || m.control.isCandidate(shardName(shard), "", moveCandidates) {
 				shards = append(shards, shard)
 			}
 		}
--- a/bulrushnode/moves_test.go
+++ b/bulrushnode/moves_test.go
@@ -1,11 +1,14 @@
 package bulrushnode
 
 import (
+	"context"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushstore"
 )
@@ -47,3 +50,36 @@
 	publish(3, 2500)
 	assert.Equal(t, share(), 0, "a brake holds for its generation")
 }
+
+// Guards against a move that stands still and forgets its evidence when new
+// instances, those of its own new version, come before its holder by hash.
+func TestHolderKeepsItsLease(t *testing.T) {
+	n := newTestNode("dc-1")
+	ended := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { ended <- n.control.run(ctx) }()
+	defer func() {
+		stop()
+		assert.NilError(t, <-ended)
+	}()
+	entry := bulrushcatalogue.ServiceEntry{Service: "board", Move: &bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: 12_000}}
+	n.board.Update(func(view bulrushboard.View) bulrushboard.View {
+		return view.WithCatalogue(view.Catalogue.WithService(entry, 1))
+	})
+	shard := shardOf("board")
+	assert.DeepEqual(t, n.moves.wantedShards(ctx), []int{shard})
+	n.moves.stepLease(ctx, shard)
+	_, held := n.moves.leases[shard].Held()
+	assert.Assert(t, held)
+	for candidate := true; candidate; {
+		n.control.do(ctx, func(now bulrushchute.Millis) {
+			newTestNode("dc-1").control.membership.Table().Range(bulrushchute.TopicMember, func(record bulrushchute.Record) bool {
+				return n.control.membership.Table().Publish(now, record)
+			})
+			candidate = n.control.isCandidate(shardName(shard), "", moveCandidates)
+		})
+	}
+	assert.DeepEqual(t, n.moves.wantedShards(ctx), []int{shard})
+	n.moves.leases[shard] = bulrushstore.NewLease(n.store, n.clock, bulrushstore.LeaseSettings{Name: "other", Holder: n.id})
+	assert.Equal(t, len(n.moves.wantedShards(ctx)), 0, "not held and no candidate")
+}
