--- a/bulrushmove/plan.go
+++ b/bulrushmove/plan.go
@@ -36,7 +36,7 @@
 // its first requests are known and puts a high load on a part of the servers.
 var shortStages = [...]stage{
 	{share: 0},
-	{share: 1000, latest: 0.02},
+	{share: 1300, latest: 0.02},
 	{share: 8500, earliest: 0.59, latest: 0.60},
 	{share: FullShare, earliest: 0.78, latest: 0.79},
 }
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -29,8 +29,8 @@
 	// the drain does not wait for.
 	answerTime = 100 * time.Millisecond
 	// quietTime is how long no request may have arrived before idle connections
-	// of callers are closed. They are closed after quietLimit in any case, so
-	// that what arrives last has half of the users' grace time of 6 s.
+	// of callers are closed. They are closed after quietLimit in any case, which
+	// with drainNotice is half of a grace time of 6 s: the rest is for the answers.
 	quietTime  = 500 * time.Millisecond
 	quietLimit = 1500 * time.Millisecond
 )
@@ -86,7 +86,8 @@
 		if time.Since(quietSince) < quietTime && time.Since(begin) < quietLimit {
 			continue
 		}
-		ce.server.SetKeepAlivesEnabled(false) // closes idle connections
+		// Closes connections that are idle now. Others close with their next answer.
+		ce.server.SetKeepAlivesEnabled(false)
 		if ce.entry.active.Load() == 0 {
 			break
 		}
--- a/bulrushspread/peer.go
+++ b/bulrushspread/peer.go
@@ -161,7 +161,7 @@
 	if len(guests) == 0 {
 		return false
 	}
-	leaves := slices.MinFunc(guests, func(a, b *peer) int {
+	longest := slices.MinFunc(guests, func(a, b *peer) int {
 		if awaited := t.comparing[a.neighbour.Address]; awaited != t.comparing[b.neighbour.Address] {
 			if awaited {
 				return 1
@@ -170,7 +170,7 @@
 		}
 		return cmp.Compare(a.lastSeen, b.lastSeen)
 	})
-	t.dropPeers(func(p *peer) bool { return p == leaves })
+	t.dropPeers(func(p *peer) bool { return p == longest })
 	return true
 }
 
