--- a/bulrushmembership/fleet_test.go
+++ b/bulrushmembership/fleet_test.go
@@ -122,6 +122,14 @@
 	}
 }
 
+func (f *fleet) addresses() []bulrushchute.Address {
+	var addresses []bulrushchute.Address
+	for _, n := range f.nodes {
+		addresses = append(addresses, n.self.Address)
+	}
+	return addresses
+}
+
 // step advances the time by one tick interval.
 func (f *fleet) step() {
 	f.now += bulrushspread.TickInterval
--- a/bulrushmembership/membership_test.go
+++ b/bulrushmembership/membership_test.go
@@ -416,10 +416,7 @@
 	f := newFleet(15)
 	f.fill(3, 25)
 	f.run(10 * bulrushchute.Second)
-	var addresses []bulrushchute.Address
-	for _, n := range f.nodes {
-		addresses = append(addresses, n.self.Address)
-	}
+	addresses := f.addresses()
 	joiner := f.add(testInstance(0, 99), addresses...)
 	f.send(joiner, f.now, joiner.Introduce(f.now, addresses))
 	f.run(bulrushchute.Second)
@@ -438,9 +435,8 @@
 		f := newFleet(100 + seed)
 		f.fill(3, 12)
 		f.run(10 * bulrushchute.Second)
-		var addresses []bulrushchute.Address
+		addresses := f.addresses()
 		for i, n := range f.nodes {
-			addresses = append(addresses, n.self.Address)
 			n.stopped = i%3 == 0
 		}
 		joiner := f.add(testInstance(0, 99), addresses...)
@@ -460,10 +456,7 @@
 	f := newFleet(17)
 	f.fill(1, 12)
 	f.run(10 * bulrushchute.Second)
-	var addresses []bulrushchute.Address
-	for _, n := range f.nodes {
-		addresses = append(addresses, n.self.Address)
-	}
+	addresses := f.addresses()
 	joiner := f.add(testInstance(0, 99), addresses...)
 	f.cut = func(from, _ *testNode) bool { return from == joiner }
 	f.run(200 * bulrushchute.Millisecond)
