List the peers again until the store can be read

Cause: a node that started while the store was down introduced itself to an empty list for 3 s and looked again 2 s later.

--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -61,7 +61,7 @@
 
 // meet lists the seeds and introduces this node to them for some time.
 func (n *Node) meet(ctx context.Context, span bulrushchute.Millis) {
-	listed := n.joinStrangers(ctx)
+	listed, read := n.joinStrangers(ctx)
 	until := n.clock.Now() + span
 	for ctx.Err() == nil {
 		n.control.do(ctx, func(now bulrushchute.Millis) {
@@ -71,6 +71,9 @@
 			return
 		}
 		bulrushtask.Pause(ctx, introduceEvery)
+		if !read && ctx.Err() == nil {
+			listed, read = n.joinStrangers(ctx)
+		}
 	}
 }
 
@@ -115,14 +118,15 @@
 
 // joinStrangers contacts the nodes that the store lists for data centres of
 // which this node knows no member. Parts of the fleet that started without
-// knowing of each other are joined in this way. It returns all listed addresses.
-func (n *Node) joinStrangers(ctx context.Context) []bulrushchute.Address {
+// knowing of each other are joined in this way. It returns all listed addresses,
+// and false if the store could not be read.
+func (n *Node) joinStrangers(ctx context.Context) ([]bulrushchute.Address, bool) {
 	objects, _, err := n.store.List(ctx, bulrushchute.KindSeeds)
 	if err != nil {
 		if ctx.Err() == nil {
 			klog.V(1).InfoS("seeds not read", "error", err)
 		}
-		return nil
+		return nil, false
 	}
 	listed := make(map[bulrushchute.DataCentre][]bulrushchute.Address, len(objects))
 	for _, object := range objects {
@@ -140,7 +144,7 @@
 	for _, addresses := range listed {
 		all = append(all, addresses...)
 	}
-	return all
+	return all, true
 }
 
 // contact joins through the addresses, or compares records with them if this
--- /dev/null
+++ b/bulrushnode/bootstrap_test.go
@@ -0,0 +1,39 @@
+package bulrushnode
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushstore"
+)
+
+// Guards against a node that starts while the store is down and goes on without
+// peers, and with an old configuration, for seconds after the store is back.
+func TestStartDuringAnOutage(t *testing.T) {
+	store := bulrushstore.NewMemory()
+	settings := func() Settings {
+		return Settings{
+			DataCentre: "ub-1", CallerAddress: freeAddress(t), PeerAddress: freeAddress(t),
+			ClockSkewMs: DefaultClockSkewMs, GraceMs: minGraceMs,
+		}
+	}
+	first := runNode(settings(), store)
+	defer first.stop()
+	for listed := false; !listed; {
+		objects, _, err := store.List(t.Context(), bulrushchute.KindSeeds)
+		assert.NilError(t, err)
+		listed = len(objects) > 0
+		time.Sleep(10 * time.Millisecond)
+	}
+	store.SetDown(true)
+	second := runNode(settings(), store)
+	defer second.stop()
+	time.Sleep(2 * time.Second)
+	store.SetDown(false)
+	back := time.Now()
+	second.waitForMember(t, first.id)
+	assert.Assert(t, time.Since(back) < time.Second, "met after %s", time.Since(back))
+}
