Give the nodes of the TLS test a grace time

Cause: the settings of the test were not parsed, so the grace time was 0 and the drain's limit had passed before it began. The server's side of a connection whose answer had just been read could still count as active: "callers still connected".

--- a/bulrushnode/tls_node_test.go
+++ b/bulrushnode/tls_node_test.go
@@ -70,6 +70,7 @@
 		PeerAddress:   freeAddress(t),
 		SeedAddresses: seeds,
 		ClockSkewMs:   DefaultClockSkewMs,
+		GraceMs:       minGraceMs,
 		TLS: TLSSettings{
 			PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: own.key,
 			CallerCA: a.pem, CallerCertificate: own.certificate, CallerKey: own.key,
