Send a cold server nothing while its cold limit is not known

Cause: a node that started while the store was down for it had no catalogue for 1.2 s. It now refuses them as not ready, not run.

--- a/bulrushnode/guard.go
+++ b/bulrushnode/guard.go
@@ -31,6 +31,8 @@
 	waiting    map[bulrushchute.AttemptID]chan bulrushadmission.Release
 	backend    Announcement
 	client     *backendClient
+	// configured is set once the catalogue has told the service's limits.
+	configured bool
 	isolated   bool
 	healthy    bool
 	// draining is set for good when the node leaves; an announcement of its
@@ -111,6 +113,7 @@
 func (g *guard) configure(entry bulrushcatalogue.ServiceEntry) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.configured = true
 	settings := bulrushadmission.SettingsOf(entry)
 	g.warmMs = settings.Limits.WarmMs
 	g.healthPath = entry.WithDefaults().Probe.HealthPath
@@ -288,6 +291,9 @@
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonIsolated, RetryAfter: retryAfterDefault}
 	case g.backend.Service == "":
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterDefault}
+	case g.backend.Cold && !g.configured && !g.draining:
+		// A cold server crashes above its cold limit, which the catalogue tells.
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterStart}
 	case g.backend.Service != attempt.Service:
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonWrongService, RetryAfter: retryAfterDefault}
 	}
--- a/bulrushnode/guard_test.go
+++ b/bulrushnode/guard_test.go
@@ -53,6 +53,15 @@
 		"isolated": {func(g *guard, _ *bulrushchute.ManualClock, _ Announcement) {
 			g.setIsolated(true)
 		}, "board", bulrushchute.ReasonIsolated},
+		"cold, its cold limit is not known": {func(g *guard, _ *bulrushchute.ManualClock, announcement Announcement) {
+			announcement.Cold, announcement.ColdMs = true, 1000
+			g.announce(announcement)
+		}, "board", bulrushchute.ReasonNotReady},
+		"cold, its cold limit is known": {func(g *guard, _ *bulrushchute.ManualClock, announcement Announcement) {
+			announcement.Cold, announcement.ColdMs = true, 1000
+			g.announce(announcement)
+			g.configure(bulrushcatalogue.ServiceEntry{Service: "board", Limits: bulrushcatalogue.Limits{Slots: 2, Connections: 10, ColdSlots: 1, ColdPerS: 8}})
+		}, "board", ""},
 		"data centre withdrawn": {func(g *guard, _ *bulrushchute.ManualClock, _ Announcement) {
 			g.withdraw(true)
 		}, "board", bulrushchute.ReasonWithdrawn},
