Derive a trial from the judge's state

The evidence of a route kept a flag that each step set from the judge, and got two more of the judge's flags as arguments. The step is the judge's own now. No change in behaviour; the tests of bulrushmove pass unchanged.

--- a/bulrushmove/judge.go
+++ b/bulrushmove/judge.go
@@ -89,9 +89,6 @@
 	// since StartStage.
 	stageRequests float64
 	stageOld      float64
-	// loaded is set while the new version's servers carry more than an ordinary
-	// load, which is slower on a good version too.
-	loaded bool
 }
 
 const (
@@ -178,8 +175,7 @@
 	strongest := Finding{Nats: math.Inf(-1)}
 	for _, name := range slices.Sorted(maps.Keys(j.routes)) {
 		evidence := j.routes[name]
-		evidence.loaded = j.trial()
-		if evidence.step(j.share >= FullShare, j.short, &failures, &latency) {
+		if j.stepRoute(evidence, &failures, &latency) {
 			tested = true
 		}
 		strongest = strongest.orStronger(evidence.tests.finding(name))
@@ -196,7 +192,8 @@
 	return j.finding
 }
 
-// trial reports whether the new version's servers carry more than an ordinary load.
+// trial reports whether the new version's servers carry more than an ordinary
+// load, under which a good version is slower too.
 func (j *Judge) trial() bool {
 	return j.short && j.share > trialShare && j.share < FullShare
 }
@@ -206,10 +203,11 @@
 	return j.finding
 }
 
-// step takes the pending counts into the tests and adds the increments to
+// stepRoute takes a route's pending counts into the tests and adds the increments to
 // those of all routes. It returns false when the new version had no requests.
-func (re *routeEvidence) step(frozen, short bool, allFailures, allLatency *increments) bool {
-	re.old.step(&re.pending[oldVersion], short)
+func (j *Judge) stepRoute(re *routeEvidence, allFailures, allLatency *increments) bool {
+	frozen := j.share >= FullShare
+	re.old.step(&re.pending[oldVersion], j.short)
 	re.stageOld += re.pending[oldVersion].Requests
 	counts := re.pending[newVersion]
 	re.pending = [2]Counts{}
@@ -219,11 +217,11 @@
 	re.requests += counts.Requests
 	re.stageRequests += counts.Requests
 	failures := incrementsOf(counts.Failures, counts.Requests, re.old.toleratedFailures(frozen))
-	re.tests.failures.step(failures, short)
+	re.tests.failures.step(failures, j.short)
 	allFailures.add(failures)
-	if tolerated, known := re.old.toleratedSlowness(frozen); known && !re.loaded {
+	if tolerated, known := re.old.toleratedSlowness(frozen); known && !j.trial() {
 		latency := incrementsOf(counts.above(re.old.current.Bound), counts.answers(), tolerated)
-		re.tests.latency.step(latency, short)
+		re.tests.latency.step(latency, j.short)
 		allLatency.add(latency)
 	}
 	return true
