--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -50,9 +50,9 @@
 	bulrushtask.Pause(ctx, drainNotice)
 	n.guard.drain()
 	err := callers.close(ctx)
-	n.waitUntil(ctx, n.guard.empty)
+	waitUntil(ctx, n.guard.empty)
 	handover, cancelHandover := context.WithTimeout(ctx, keyHandover)
-	n.waitUntil(handover, func() bool { return !n.keys.isHome() })
+	waitUntil(handover, func() bool { return !n.keys.isHome() })
 	cancelHandover()
 	// The last record is spread even if the drain took too long.
 	n.control.do(n.context, n.control.membership.Leave)
@@ -101,9 +101,7 @@
 	ce.cancel()
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	for ctx.Err() == nil && ce.entry.active.Load() > 0 {
-		bulrushtask.Pause(ctx, drainPoll)
-	}
+	waitUntil(ctx, func() bool { return ce.entry.active.Load() == 0 })
 }
 
 // stop ends all goroutines and waits for them.
@@ -121,7 +119,7 @@
 	return err
 }
 
-func (n *Node) waitUntil(ctx context.Context, reached func() bool) {
+func waitUntil(ctx context.Context, reached func() bool) {
 	for ctx.Err() == nil && !reached() {
 		bulrushtask.Pause(ctx, drainPoll)
 	}
