--- a/bulrushnode/bootstrap_test.go
+++ b/bulrushnode/bootstrap_test.go
@@ -14,13 +14,7 @@
 // peers, and with an old configuration, for seconds after the store is back.
 func TestStartDuringAnOutage(t *testing.T) {
 	store := bulrushstore.NewMemory()
-	settings := func() Settings {
-		return Settings{
-			DataCentre: "ub-1", CallerAddress: freeAddress(t), PeerAddress: freeAddress(t),
-			ClockSkewMs: DefaultClockSkewMs, GraceMs: minGraceMs,
-		}
-	}
-	first := runNode(settings(), store)
+	first := runNode(nodeSettings(t), store)
 	defer first.stop()
 	for listed := false; !listed; {
 		objects, _, err := store.List(t.Context(), bulrushchute.KindSeeds)
@@ -29,7 +23,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	store.SetDown(true)
-	second := runNode(settings(), store)
+	second := runNode(nodeSettings(t), store)
 	defer second.stop()
 	time.Sleep(2 * time.Second)
 	store.SetDown(false)
--- a/bulrushnode/drain_test.go
+++ b/bulrushnode/drain_test.go
@@ -49,10 +49,9 @@
 	assert.NilError(t, err)
 	address := bulrushchute.Address(strings.TrimPrefix(backend.URL, "http://"))
 	n := slowNode{answered: make(chan int, 1)}
-	n.runningNode = runNode(Settings{
-		DataCentre: "ub-1", CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), BackendAddress: address,
-		ClockSkewMs: DefaultClockSkewMs, GraceMs: grace,
-	}, store)
+	settings := nodeSettings(t)
+	settings.BackendAddress, settings.GraceMs = address, grace
+	n.runningNode = runNode(settings, store)
 	for n.State() != bulrushboard.NodeReady {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/bulrushnode/tls_node_test.go
+++ b/bulrushnode/tls_node_test.go
@@ -62,22 +62,28 @@
 	return ""
 }
 
-func tlsNodeSettings(t *testing.T, a *authority, seeds ...bulrushchute.Address) Settings {
-	own := a.issue(t, "node", "127.0.0.1", time.Hour)
+// nodeSettings returns settings of a node with free addresses.
+func nodeSettings(t *testing.T) Settings {
 	return Settings{
 		DataCentre:    "ub-1",
 		CallerAddress: freeAddress(t),
 		PeerAddress:   freeAddress(t),
-		SeedAddresses: seeds,
 		ClockSkewMs:   DefaultClockSkewMs,
 		GraceMs:       minGraceMs,
-		TLS: TLSSettings{
-			PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: own.key,
-			CallerCA: a.pem, CallerCertificate: own.certificate, CallerKey: own.key,
-		},
 	}
 }
 
+func tlsNodeSettings(t *testing.T, a *authority, seeds ...bulrushchute.Address) Settings {
+	own := a.issue(t, "node", "127.0.0.1", time.Hour)
+	settings := nodeSettings(t)
+	settings.SeedAddresses = seeds
+	settings.TLS = TLSSettings{
+		PeerCA: a.pem, PeerCertificate: own.certificate, PeerKey: own.key,
+		CallerCA: a.pem, CallerCertificate: own.certificate, CallerKey: own.key,
+	}
+	return settings
+}
+
 // Guards against nodes that do not find each other over TLS, again after one
 // is restarted with the same settings, and against a caller listener that
 // still takes plain requests.
