--- a/bulrushnode/target.go
+++ b/bulrushnode/target.go
@@ -51,13 +51,10 @@
 		r.total += target.Weight
 	}
 	start := random.Float64() * r.total
-	for i, target := range route.Targets {
-		r.credit[i] = start * target.Weight / r.total
-		if i > 0 {
-			r.credit[0] -= r.credit[i]
-		}
+	for i := 1; i < len(r.credit); i++ {
+		r.credit[i] = start * route.Targets[i].Weight / r.total
+		r.credit[0] -= r.credit[i]
 	}
-	r.credit[0] -= start * route.Targets[0].Weight / r.total
 	return r
 }
 
