--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -166,7 +166,7 @@
 	c.moves.tick(now)
 	c.publishMembers()
 	c.publishWeights()
-	if !c.patient && now-c.startedAt >= joinPatience {
+	if !c.patient && c.waited(now) {
 		c.patient = true
 		c.updateState(c.membership.Status())
 	}
@@ -270,10 +270,15 @@
 	}
 }
 
+// waited reports whether joinPatience has passed.
+func (c *control) waited(now bulrushchute.Millis) bool {
+	return now-c.startedAt >= joinPatience
+}
+
 // updateState derives the node's state from the membership and the catalogue.
 func (c *control) updateState(status bulrushmembership.Status) {
 	c.board.Update(func(view bulrushboard.View) bulrushboard.View {
-		return view.WithState(nodeState(status, view.Catalogue, c.draining, c.clock.Now()-c.startedAt >= joinPatience))
+		return view.WithState(nodeState(status, view.Catalogue, c.draining, c.waited(c.clock.Now())))
 	})
 }
 
