bulrushadmission: use the last slots only after answers from the others

A server that is overloaded from its start was never seen with fewer slots in use, so that its slowdown by full slots was taken for its usual latency.

--- a/bulrushadmission/feedback.go
+++ b/bulrushadmission/feedback.go
@@ -44,8 +44,8 @@
 	if result.Kind == bulrushchute.ResultAnswered && !result.Overloaded {
 		c.recordLatency(rs, elapsedMs)
 	}
-	if rs.onLastSlots && result.Kind == bulrushchute.ResultAnswered && rs.baseline.established() {
-		c.lastSlots.observe(c.now, ratio)
+	if result.Kind == bulrushchute.ResultAnswered {
+		c.recordLastSlots(rs, ratio)
 	}
 	if rs.epoch != c.epoch {
 		return
@@ -57,6 +57,17 @@
 	}
 }
 
+// recordLastSlots records an answer for the comparison of the last slots with the
+// others.
+func (c *Controller) recordLastSlots(rs *requestState, ratio float64) {
+	switch {
+	case !rs.onLastSlots:
+		c.lastSlots.observeReference()
+	case rs.baseline.established():
+		c.lastSlots.observe(c.now, ratio)
+	}
+}
+
 // elapsedMs returns the reported latency, or the one measured by the
 // controller's clock if the report is missing or implausible.
 func (c *Controller) elapsedMs(rs *requestState, result Result) float64 {
--- a/bulrushadmission/last_slots.go
+++ b/bulrushadmission/last_slots.go
@@ -14,6 +14,11 @@
 	// times as many requests are in flight, each of which may take 1.18 times as
 	// long.
 	maxLastSlotsRatio = 1.18
+	// lastSlotsMinReference is the number of answers to requests dispatched to the
+	// other slots before the last ones are used. Without these answers, the mean
+	// latency of a server that is overloaded from its start would include the
+	// slowdown by the last slots.
+	lastSlotsMinReference = minBaselineSamples
 	// lastSlotsRetryInterval is the time after which the last slots are tried
 	// again on a server that was slower with them.
 	lastSlotsRetryInterval = 20 * bulrushchute.Second
@@ -28,12 +33,21 @@
 type lastSlotsMonitor struct {
 	latencyRatio float64
 	samples      int
+	// reference is the number of answers to requests that were dispatched to the
+	// other slots, up to lastSlotsMinReference.
+	reference    int
 	blockedUntil bulrushchute.Millis
 }
 
 // allowed reports whether the last slots may be used.
 func (lm *lastSlotsMonitor) allowed(now bulrushchute.Millis) bool {
-	return now >= lm.blockedUntil
+	return lm.reference >= lastSlotsMinReference && now >= lm.blockedUntil
+}
+
+// observeReference records an answer to a request that was dispatched to one of
+// the other slots.
+func (lm *lastSlotsMonitor) observeReference() {
+	lm.reference = min(lm.reference+1, lastSlotsMinReference)
 }
 
 // observe records the latency ratio of a request that was dispatched to one of
@@ -44,5 +58,5 @@
 	if lm.samples < lastSlotsMinSamples || lm.latencyRatio < maxLastSlotsRatio {
 		return
 	}
-	*lm = lastSlotsMonitor{blockedUntil: now + lastSlotsRetryInterval}
+	*lm = lastSlotsMonitor{reference: lm.reference, blockedUntil: now + lastSlotsRetryInterval}
 }
