Refuse at once during a slowdown that outlasts the objective

The hold assumed slowdowns of 60 to 260 ms, took those of over 700 ms for lasting and started work in them, and any second attempt insisted.

Change: the admission learns how long slowdowns last. Only the last possible attempt insists, and is not started if it would not be answered before its deadline. Slow refusals do not count towards the three attempts (three more, with a bucket of their own), and the entry node avoids the instance for the expected rest of the slowdown.

--- a/bulrushadmission/cold_rate.go
+++ b/bulrushadmission/cold_rate.go
@@ -77,6 +77,9 @@
 // ObserveCold records how much longer the server says it will be cold.
 func (c *Controller) ObserveCold(now, remaining bulrushchute.Millis) []Release {
 	releases := c.beginEvent(now)
+	if remaining > 0 && !c.coldRate.active(c.now) {
+		c.slowdown.resetBaseline()
+	}
 	c.coldRate.observe(c.now, remaining)
 	return c.endEvent(releases)
 }
--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -128,7 +128,7 @@
 		return releases
 	}
 	c.nextExpiry = Never
-	slow := c.slowdown.transient(c.now)
+	slow := c.slowdown.elevated()
 	var expired []*requestState
 	c.queue.each(func(rs *requestState) {
 		if rs.expiresAt <= c.now || (slow && rs.heldUntil <= c.now) {
--- a/bulrushadmission/feedback.go
+++ b/bulrushadmission/feedback.go
@@ -41,7 +41,8 @@
 	rs.lowLoad = rs.lowLoad && len(c.running) <= c.lowLoadThreshold()
 	signal := c.assess(rs, result, elapsedMs)
 	ratio := rs.baseline.latencyRatio(elapsedMs)
-	if result.Kind == bulrushchute.ResultAnswered && !result.Overloaded {
+	// The latency during a slowdown is not that of the route.
+	if result.Kind == bulrushchute.ResultAnswered && !result.Overloaded && rs.slowdownFactor <= slowdownThreshold {
 		c.recordLatency(rs, elapsedMs)
 	}
 	if result.Kind == bulrushchute.ResultAnswered {
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -63,6 +63,10 @@
 	if refused {
 		return c.refuseNew(rs, reason)
 	}
+	if rs.heldUntil <= c.now && c.hasCapacity() {
+		c.dispatch(rs)
+		return Decision{Verdict: Admitted}
+	}
 	victim, reason, room := c.pickVictim(rs)
 	if !room {
 		return c.refuseNew(rs, reason)
@@ -89,7 +93,14 @@
 	if timeout := c.now + c.settings.Limits.QueueMs; timeout < lastStart {
 		rs.expiresAt, rs.expiryReason = timeout, bulrushchute.ReasonQueueTimeout
 	}
-	rs.heldUntil = c.holdUntil(rs)
+	rs.heldUntil = Never
+	if c.slowdown.elevated() {
+		plan := c.planHold(rs)
+		if plan.refuse {
+			return bulrushchute.ReasonSlow, true
+		}
+		rs.heldUntil = plan.until
+	}
 	wait, _ := c.slotWaitMs(c.queuedAhead(rs) + 1)
 	if rs.expiresAt > c.now && c.now+bulrushchute.Millis(wait) <= rs.expiresAt {
 		return "", false
--- a/bulrushadmission/request_state.go
+++ b/bulrushadmission/request_state.go
@@ -29,6 +29,9 @@
 	overdueAt bulrushchute.Millis
 	overdue   bool
 	cancelled bool
+	// slowdownFactor is the slowdown of the server's machine at dispatch, as a
+	// multiple of its baseline.
+	slowdownFactor float64
 	// missesObjective is set when the objective could not be met even by
 	// dispatching the request at once.
 	missesObjective bool
@@ -146,6 +149,7 @@
 	rs.usage.inFlight++
 	rs.running = true
 	rs.dispatchedAt = c.now
+	rs.slowdownFactor = c.slowdown.factor()
 	rs.lowLoad = len(c.running) <= c.lowLoadThreshold()
 	rs.onLastSlots = len(c.running) > c.softSlots()
 	rs.epoch = c.epoch
--- a/bulrushadmission/slot_time.go
+++ b/bulrushadmission/slot_time.go
@@ -102,6 +102,8 @@
 	switch reason {
 	case bulrushchute.ReasonLeaving, bulrushchute.ReasonWithdrawn:
 		return bulrushchute.Refusal{Reason: reason, RetryAfter: unavailableRetryAfter}
+	case bulrushchute.ReasonSlow:
+		return bulrushchute.Refusal{Reason: reason, RetryAfter: max(1, c.slowdown.expectedEnd(c.now))}
 	default:
 		return bulrushchute.Refusal{Reason: reason, RetryAfter: c.retryAfter()}
 	}
--- a/bulrushadmission/slowdown.go
+++ b/bulrushadmission/slowdown.go
@@ -6,26 +6,13 @@
 
 const (
 	// slowdownThreshold is the multiple of the server's baseline slowdown above
-	// which new requests are held back.
+	// which new requests are held back or refused.
 	slowdownThreshold = 1.6
 	// slowdownWindow is the length of the windows whose lowest slowdown is the
-	// baseline. A cold or permanently slow server is thus compared with itself.
-	slowdownWindow = 800 * bulrushchute.Millisecond
-	// maxReadingAge is how long a reading of the server's load is used. Noisy
-	// neighbours start and stop loading the machine about every 150 ms.
+	// baseline. A permanently slow server is thus compared with itself.
+	slowdownWindow = 5 * bulrushchute.Second
+	// maxReadingAge is how long a reading of the server's load is used.
 	maxReadingAge = 20 * bulrushchute.Millisecond
-	// persistentSlowdownAge is the age from which a slowdown is attributed to
-	// the server itself and not to a neighbour, so that waiting for its end
-	// does not pay off.
-	persistentSlowdownAge = 700 * bulrushchute.Millisecond
-	// Bounds on the time for which a request is held back: less than half of
-	// the time for which a neighbour usually loads the machine, and nearly twice
-	// that time.
-	minHold = 60 * bulrushchute.Millisecond
-	maxHold = 260 * bulrushchute.Millisecond
-	// serviceTimeMargin is the multiple of a route's mean latency that is
-	// subtracted from the request's objective to compute the hold time.
-	serviceTimeMargin = 1.15
 	// softSlotShare is the share of the slots used while the server reports its
 	// load, except when the last slots are allowed. Some servers slow down when
 	// they are nearly full.
@@ -36,9 +23,10 @@
 // detect noisy neighbours.
 //
 // The server shares its machine with neighbours, each of which may load it for
-// some 100 ms at a time. A request that is started during that time takes
-// several times as long. Holding it back until the neighbour is done, or
-// sending it elsewhere, finishes sooner than starting it at once.
+// some time. A request that is started during that time takes several times as
+// long. Holding it back until the neighbour is done, or sending it elsewhere,
+// finishes sooner than starting it at once. Which of them is better depends on
+// how long such times last, which the tracker learns.
 type slowdownTracker struct {
 	// reported is set once the server has reported a slowdown.
 	reported bool
@@ -53,6 +41,7 @@
 	windowMin   float64
 	previousMin float64
 	windowStart bulrushchute.Millis
+	durations   slowDurations
 }
 
 // baseline returns the server's slowdown without a noisy neighbour.
@@ -71,25 +60,54 @@
 	}
 }
 
+// resetBaseline makes the latest reading the baseline. It is called when the
+// server becomes cold, which makes it slower than before for its own reasons.
+func (st *slowdownTracker) resetBaseline() {
+	st.windowMin, st.previousMin, st.windowStart = st.latest, st.latest, st.readAt
+}
+
 func (st *slowdownTracker) elevated() bool {
 	return st.reported && st.latest > slowdownThreshold*st.baseline()
 }
 
+// factor returns the latest slowdown as a multiple of the baseline, at least 1.
+func (st *slowdownTracker) factor() float64 {
+	if !st.reported || st.baseline() <= 0 {
+		return 1
+	}
+	return max(1, st.latest/st.baseline())
+}
+
 func (st *slowdownTracker) observe(now bulrushchute.Millis, slowdown float64) {
-	wasElevated := st.elevated()
+	wasElevated, previousAt := st.elevated(), st.readAt
 	st.updateMin(now, slowdown)
 	st.reported = true
 	st.readAt = now
 	st.latest = slowdown
-	if st.elevated() && !wasElevated {
+	switch {
+	case st.elevated() && !wasElevated:
 		st.elevatedSince = now
+	case wasElevated && !st.elevated():
+		st.durations.record(previousAt-st.elevatedSince, now-st.elevatedSince)
 	}
 }
 
-// transient reports whether the slowdown is elevated but recent enough that
-// waiting for its end is likely to be faster than starting a request now.
-func (st *slowdownTracker) transient(now bulrushchute.Millis) bool {
-	return st.elevated() && now-st.elevatedSince < persistentSlowdownAge
+// endsWithin returns the probability that the current slowdown ends within the
+// given time.
+func (st *slowdownTracker) endsWithin(now, wait bulrushchute.Millis) float64 {
+	return st.durations.endsWithin(now-st.elevatedSince, wait)
+}
+
+// expectedEnd returns the time after which the current slowdown is over with an
+// even chance.
+func (st *slowdownTracker) expectedEnd(now bulrushchute.Millis) bulrushchute.Millis {
+	return st.durations.medianRest(now - st.elevatedSince)
+}
+
+// needsDurations reports whether the end of the current slowdown should be
+// observed to learn how long slowdowns last.
+func (st *slowdownTracker) needsDurations(now bulrushchute.Millis) bool {
+	return st.elevated() && st.durations.wanted() && now-st.elevatedSince < maxObservedDuration
 }
 
 // stale reports whether the load must be read again before the slowdown is
@@ -102,7 +120,11 @@
 func (c *Controller) ObserveLoad(now bulrushchute.Millis, load bulrushchute.BackendLoad) []Release {
 	releases := c.beginEvent(now)
 	if load.Slowdown > 0 {
+		wasElevated := c.slowdown.elevated()
 		c.slowdown.observe(c.now, load.Slowdown)
+		if c.slowdown.elevated() && !wasElevated {
+			releases = c.planHolds(releases)
+		}
 	}
 	return c.endEvent(releases)
 }
@@ -123,14 +145,16 @@
 	return now - c.slowdown.readAt, c.slowdown.latest
 }
 
-// HasQueued reports whether any request is queued.
-func (c *Controller) HasQueued() bool {
-	return c.queue.waiting > 0
+// NeedsPolling reports whether the server's load should be read repeatedly,
+// because requests are queued or to observe the end of a slowdown.
+func (c *Controller) NeedsPolling(now bulrushchute.Millis) bool {
+	c.advanceClock(now)
+	return c.queue.waiting > 0 || c.slowdown.needsDurations(c.now)
 }
 
 // canDispatch reports whether a request may be dispatched now.
 func (c *Controller) canDispatch() bool {
-	return c.hasCapacity() && !c.slowdown.transient(c.now)
+	return c.hasCapacity() && !c.slowdown.elevated()
 }
 
 // hasCapacity reports whether the limits permit another request, regardless of
@@ -138,30 +162,3 @@
 func (c *Controller) hasCapacity() bool {
 	return len(c.running) < c.limit() && c.coldRate.allows(c.now)
 }
-
-// holdUntil returns the time until which a request is held back during a
-// transient slowdown. A request that has no objective, or can no longer meet
-// it, is held for up to maxHold. The hold ends before the wait expires.
-func (c *Controller) holdUntil(rs *requestState) bulrushchute.Millis {
-	if !c.slowdown.reported {
-		return Never
-	}
-	hold := maxHold
-	if rs.request.Objective > 0 {
-		slack := rs.request.Objective - bulrushchute.Millis(serviceTimeMargin*rs.baseline.meanMs)
-		if slack > 0 {
-			hold = max(minHold, min(hold, slack))
-		}
-	}
-	return min(c.now+hold, rs.expiresAt-1)
-}
-
-// endHold ends the wait of a request whose hold time is over. A request with
-// Insist set is dispatched despite the slowdown if capacity permits; all others
-// are refused.
-func (c *Controller) endHold(rs *requestState, releases []Release) []Release {
-	if rs.request.Insist && c.hasCapacity() {
-		return c.admitQueued(rs, releases)
-	}
-	return c.refuseQueued(rs, bulrushchute.ReasonSlow, releases)
-}
--- a/bulrushadmission/slowdown_test.go
+++ b/bulrushadmission/slowdown_test.go
@@ -98,9 +98,9 @@
 		wantBy       bulrushchute.Millis
 	}{
 		"machine recovers":                    {false, 60, true, 60},
-		"another backend server can take it":  {false, 10_000, false, maxHold},
-		"no other backend server can take it": {true, 10_000, true, maxHold},
-		"recovers after maxHold":              {true, 400, true, maxHold},
+		"another backend server can take it":  {false, 10_000, false, defaultHold},
+		"no other backend server can take it": {true, 10_000, true, defaultHold},
+		"recovers after the hold":             {true, 400, true, defaultHold},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/bulrushadmission/types.go
+++ b/bulrushadmission/types.go
@@ -15,9 +15,9 @@
 	// Objective is the time left of the latency objective, 0 if there is none, as
 	// in bulrushchute.Attempt.
 	Objective bulrushchute.Millis
-	// Insist is set when no other backend server can take the request, which is
-	// assumed of every attempt after the first. At the end of its hold during a
-	// slowdown, the request is then dispatched if there is capacity.
+	// Insist is set when no other backend server can take the request. At the end
+	// of its hold during a slowdown, the request is then dispatched if there is
+	// capacity and it is expected to be answered before its deadline.
 	Insist bool
 }
 
--- a/bulrushattempt/action.go
+++ b/bulrushattempt/action.go
@@ -42,6 +42,9 @@
 	// Exclude lists the instances already tried, for ActionSend. The node must
 	// not modify it.
 	Exclude []bulrushchute.InstanceID
+	// Last is set when no other attempt may follow if this one is refused because
+	// of a slowdown.
+	Last bool
 	// Hedge is set when the attempt is a hedge of an outstanding one.
 	Hedge bool
 	// Retry is set when a layer above already retries the request, or when an
--- a/bulrushattempt/budget.go
+++ b/bulrushattempt/budget.go
@@ -6,8 +6,11 @@
 
 // Default limits on the attempts of one service on one entry node.
 const (
-	// MaxAttempts bounds the attempts of one request, including a hedge.
-	MaxAttempts = 3
+	// MaxAttempts bounds the attempts of one request, including a hedge. Up to
+	// MaxSlowRefusals attempts that were refused because of a slowdown of the
+	// server's machine do not count.
+	MaxAttempts     = 3
+	MaxSlowRefusals = 3
 
 	// Each request adds a number of thousandths of a token to a bucket, which
 	// holds at most a burst of whole tokens.
@@ -15,6 +18,8 @@
 	retryBurst      = 10
 	refusalPermille = 500
 	refusalBurst    = 20
+	slowPermille    = 1000
+	slowBurst       = 20
 	hedgePermille   = 50
 	hedgeBurst      = 5
 
@@ -63,13 +68,18 @@
 }
 
 func (tb *tokenBucket) take() bool {
-	if tb.level < unitsPerToken {
+	if !tb.available() {
 		return false
 	}
 	tb.level -= unitsPerToken
 	return true
 }
 
+// available reports whether take would succeed.
+func (tb *tokenBucket) available() bool {
+	return tb.level >= unitsPerToken
+}
+
 func (tb *tokenBucket) refund() {
 	tb.level = min(tb.level+unitsPerToken, tb.burstUnits)
 }
@@ -80,21 +90,24 @@
 	// retries pays for attempts after a failure, or after a refusal by the
 	// backend server itself.
 	retries tokenBucket
-	// refusals pays for attempts after all other refusals and after attempts
-	// that were not sent.
+	// refusals pays for attempts after other refusals and after attempts that were
+	// not sent.
 	refusals tokenBucket
-	hedges   tokenBucket
-	latency  latencyHistogram
+	// slowRefusals pays for attempts after a refusal because of a slowdown.
+	slowRefusals tokenBucket
+	hedges       tokenBucket
+	latency      latencyHistogram
 }
 
 // NewBudgets returns budgets with full buckets, except for hedges: their bucket
 // starts empty, so that hedges never exceed their ratio to all requests.
 func NewBudgets(now bulrushchute.Millis) *Budgets {
 	return &Budgets{
-		retries:  newTokenBucket(retryPermille, retryBurst, retryBurst),
-		refusals: newTokenBucket(refusalPermille, refusalBurst, refusalBurst),
-		hedges:   newTokenBucket(hedgePermille, hedgeBurst, 0),
-		latency:  latencyHistogram{halvedAt: now},
+		retries:      newTokenBucket(retryPermille, retryBurst, retryBurst),
+		refusals:     newTokenBucket(refusalPermille, refusalBurst, refusalBurst),
+		slowRefusals: newTokenBucket(slowPermille, slowBurst, slowBurst),
+		hedges:       newTokenBucket(hedgePermille, hedgeBurst, 0),
+		latency:      latencyHistogram{halvedAt: now},
 	}
 }
 
@@ -119,5 +132,6 @@
 func (b *Budgets) countRequest() {
 	b.retries.deposit()
 	b.refusals.deposit()
+	b.slowRefusals.deposit()
 	b.hedges.deposit()
 }
--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -53,6 +53,9 @@
 	// hedged is set once the request was due for a hedge, also when the budget
 	// did not permit it.
 	hedged bool
+	// slowRefusals is the number of attempts that were refused because of a
+	// slowdown of the server's machine.
+	slowRefusals int
 	// errorAttempt is the number of the last attempt that ended with
 	// ResultServerError, 0 for none. The caller receives that answer unless a later
 	// attempt succeeds.
@@ -216,6 +219,7 @@
 		Kind:    ActionSend,
 		Attempt: len(m.attempts),
 		Exclude: m.tried[:len(m.tried):len(m.tried)],
+		Last:    m.slowRefusals >= MaxSlowRefusals || !m.budgets.slowRefusals.available(),
 		Hedge:   hedge,
 		Retry:   retry,
 	}
@@ -289,8 +293,12 @@
 		m.retryAfter = end.RetryAfter
 	}
 	bucket := &m.budgets.refusals
-	if end.Reached {
+	switch {
+	case end.Reached:
 		bucket = &m.budgets.retries
+	case end.Reason == bulrushchute.ReasonSlow:
+		m.slowRefusals++
+		bucket = &m.budgets.slowRefusals
 	}
 	m.retryOrEnd(!nonRetryableReasons[end.Reason], bucket)
 }
@@ -316,7 +324,7 @@
 // and RequestInfo.Attempts, the limit of the request's route, which counts only
 // the attempts that may have run.
 func (m *Machine) maySendAnother() bool {
-	if len(m.attempts) >= MaxAttempts {
+	if len(m.attempts)-min(m.slowRefusals, MaxSlowRefusals) >= MaxAttempts {
 		return false
 	}
 	return m.info.Attempts <= 0 || m.countMayHaveRun() < m.info.Attempts
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -105,7 +105,7 @@
 		call:         request,
 		serviceState: serviceState,
 		machine:      machine,
-		results:      make(chan attemptResult, bulrushattempt.MaxAttempts),
+		results:      make(chan attemptResult, bulrushattempt.MaxAttempts+bulrushattempt.MaxSlowRefusals),
 		cancels:      make(map[int]context.CancelFunc),
 		answers:      make(map[int]*bulrushchute.Answer),
 	}
@@ -166,9 +166,8 @@
 }
 
 // pick chooses an instance for an attempt. The first bool reports whether the
-// attempt should insist because no other instance can take the request, which is
-// assumed of every attempt after the first. The second is false if no attempt can
-// be sent.
+// attempt should insist because no other instance can take the request. The second
+// is false if no attempt can be sent.
 func (ac *activeCall) pick(action bulrushattempt.Action) (bulrushchute.Instance, bool, bool) {
 	now := ac.runner.clock.Now()
 	view := ac.runner.board.Read()
@@ -182,7 +181,7 @@
 		ac.machine.NoBackend(now, action.Attempt)
 		return instance, false, false
 	}
-	insist := action.Attempt > 1 || ac.serviceState.isOnlyChoice(now, query, instance.ID)
+	insist := action.Last || ac.serviceState.isOnlyChoice(now, query, instance.ID)
 	if !ac.machine.Sent(now, action.Attempt, instance.ID) {
 		return instance, false, false
 	}
@@ -205,6 +204,9 @@
 	if err == nil {
 		observation.Load = &reply.Load
 	}
+	if result.end.Reason == bulrushchute.ReasonSlow {
+		observation.SlowFor = result.end.RetryAfter
+	}
 	ac.serviceState.observe(ac.runner.clock.Now(), observation)
 	sample, ok := bulrushmove.SampleOf(instance.Version, attempt.Route, observation.Result, observation.ElapsedMs)
 	if ok {
--- a/bulrushnode/load_reader.go
+++ b/bulrushnode/load_reader.go
@@ -109,7 +109,11 @@
 	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.notifyWaiters(a.controller.ObserveLoad(a.clock.Now(), *report.Load))
+	now := a.clock.Now()
+	a.notifyWaiters(a.controller.ObserveLoad(now, *report.Load))
+	if a.controller.NeedsPolling(now) {
+		a.wakeLoadPoller()
+	}
 }
 
 func (a *admission) observeCold(report bulrushchute.BackendReport) {
@@ -126,7 +130,8 @@
 }
 
 // runLoadPoller reads the load repeatedly while requests are queued, so that
-// they start as soon as a slowdown of the server's machine ends.
+// they start as soon as a slowdown of the server's machine ends, and while the
+// controller learns how long slowdowns last.
 func (a *admission) runLoadPoller(ctx context.Context) error {
 	for {
 		select {
@@ -134,7 +139,7 @@
 			return nil
 		case <-a.pollWake:
 		}
-		for ctx.Err() == nil && a.hasQueued() {
+		for ctx.Err() == nil && a.needsPolling() {
 			bulrushtask.Pause(ctx, loadPollInterval)
 			a.refreshLoad(ctx)
 			a.tick()
@@ -142,8 +147,8 @@
 	}
 }
 
-func (a *admission) hasQueued() bool {
+func (a *admission) needsPolling() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.controller.HasQueued()
+	return a.controller.NeedsPolling(a.clock.Now())
 }
--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -167,7 +167,13 @@
 	c.lastFailureAt = now
 }
 
-func (c *candidate) observeRefusal(now bulrushchute.Millis) {
+// observeRefusal starts the backoff after a refusal. During a slowdown, the
+// instance itself knows better how long it will refuse.
+func (c *candidate) observeRefusal(now, slowFor bulrushchute.Millis) {
+	if slowFor > 0 {
+		c.backoffUntil = now + min(slowFor, maxBackoff)
+		return
+	}
 	c.backoffUntil = now + min(initialBackoff<<min(c.refusals, 10), maxBackoff)
 	c.refusals++
 }
--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -148,7 +148,7 @@
 	case bulrushchute.ResultNotSent:
 		r.observeFailure(now, c, notSentWeight)
 	case bulrushchute.ResultNotRun:
-		c.observeRefusal(now)
+		c.observeRefusal(now, observation.SlowFor)
 	case bulrushchute.ResultCancelled:
 		r.observeCancelled(now, c, observation.ElapsedMs)
 	}
--- a/message.go
+++ b/message.go
@@ -52,8 +52,7 @@
 	Objective Millis `cbor:"20,keyasint,omitempty"`
 	// Insist tells the admission node to dispatch the attempt at the end of its
 	// hold during a slowdown of the backend server if there is capacity, instead
-	// of refusing it. It is set when no other backend server can take the request,
-	// which is assumed of every attempt after the first.
+	// of refusing it. It is set when no other backend server can take the request.
 	Insist bool `cbor:"21,keyasint,omitempty"`
 }
 
--- a/request.go
+++ b/request.go
@@ -152,6 +152,9 @@
 	// Load is the load that the reply carried, nil when there was no reply.
 	Load   *Load
 	Result ResultKind
+	// SlowFor is the expected rest of the slowdown because of which the instance
+	// refused the attempt, 0 for any other result.
+	SlowFor Millis
 }
 
 // ResultKind classifies how an attempt ended.
