bulrushcaller: serve pipelined requests side by side

Change: a connection loop of our own on the parser of net/http. It reads ahead within read_ahead_requests and read_ahead_bytes, serves idempotent requests side by side and others alone, answers in order, cancels all requests of a caller that leaves, and starts none behind a response that closes the connection.

--- /dev/null
+++ b/bulrushcaller/connection.go
@@ -0,0 +1,346 @@
+package bulrushcaller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushtask"
+)
+
+const (
+	// parserBufferBytes is the size of the parser's buffer. The bytes in it may
+	// belong to later requests, so the limit on headers is exact only to this size.
+	parserBufferBytes = 4 << 10
+	// lingerTimeout is how long the caller may take to read the last response.
+	// Closing a connection with unread bytes resets it, which can destroy a
+	// response that is still on its way.
+	lingerTimeout = 500 * time.Millisecond
+	// handshakeTimeout bounds a TLS handshake.
+	handshakeTimeout = 10 * time.Second
+)
+
+// connection is one connection of a caller. Its goroutines are the pump, which
+// reads from the socket; the parser, which starts the requests; the handlers; and
+// the responder, which sends the responses in order.
+type connection struct {
+	server *Server
+	socket net.Conn
+	input  *input
+	reader *bufio.Reader
+	// cancel ends the contexts of all requests.
+	cancel context.CancelFunc
+	tasks  *bulrushtask.Group
+	tls    *tls.ConnectionState
+	// responses holds the responses of the requests that were started, oldest
+	// first. Its capacity bounds the requests that are read ahead.
+	responses chan *response
+
+	mutex sync.Mutex
+	// parsing is set from the first byte of a request until it is started.
+	parsing bool
+	// started and finished count the requests, and aheadBytes the bytes of the
+	// bodies of those in between.
+	started    int
+	finished   int
+	aheadBytes int
+	// stopped is set when no further request may be started.
+	stopped bool
+}
+
+func newConnection(server *Server, socket net.Conn, cancel context.CancelFunc) *connection {
+	in := newInput()
+	return &connection{
+		server: server, socket: socket, input: in, cancel: cancel,
+		reader:    bufio.NewReaderSize(in, parserBufferBytes),
+		tasks:     bulrushtask.NewGroup(nil),
+		responses: make(chan *response, server.settings.ReadAheadRequests),
+	}
+}
+
+// serve serves requests until the connection ends.
+func (c *connection) serve(ctx context.Context) {
+	defer c.tasks.Wait()
+	defer func() { _ = c.socket.Close() }()
+	if err := c.handshake(ctx); err != nil {
+		rejectPlainText(err)
+		if c.server.OnRejected != nil {
+			c.server.OnRejected(c.socket.RemoteAddr().String(), err.Error())
+		}
+		return
+	}
+	pumpEnded := make(chan struct{})
+	c.tasks.Start(ctx, "pump", func(context.Context) error {
+		defer close(pumpEnded)
+		err := c.input.pump(c.socket)
+		// The caller has gone, or serve has closed the socket.
+		c.cancel()
+		return err
+	})
+	c.tasks.Start(ctx, "parser", func(ctx context.Context) error {
+		defer close(c.responses)
+		return c.parse(ctx)
+	})
+	c.respond()
+	c.input.discard()
+	c.linger(pumpEnded)
+}
+
+// handshake completes the TLS handshake, if the connection uses TLS.
+func (c *connection) handshake(ctx context.Context) error {
+	secured, ok := c.socket.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	state := secured.ConnectionState()
+	c.tls = &state
+	return nil
+}
+
+// rejectPlainText answers a caller that does not use TLS.
+func rejectPlainText(err error) {
+	var malformed tls.RecordHeaderError
+	if errors.As(err, &malformed) && malformed.Conn != nil {
+		// The connection is closed in any case.
+		_, _ = malformed.Conn.Write((&requestError{status: http.StatusBadRequest}).response().encode(true))
+	}
+}
+
+// linger closes the sending side and waits until the caller has closed its own.
+func (c *connection) linger(pumpEnded <-chan struct{}) {
+	if halfCloser, ok := c.socket.(interface{ CloseWrite() error }); ok && halfCloser.CloseWrite() == nil {
+		timer := time.NewTimer(lingerTimeout)
+		defer timer.Stop()
+		select {
+		case <-pumpEnded:
+		case <-timer.C:
+		}
+	}
+}
+
+// closeIfIdle closes the connection if it has no request.
+func (c *connection) closeIfIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.started == c.finished && !c.parsing && c.input.empty() {
+		c.stopped = true
+		_ = c.socket.Close()
+	}
+}
+
+// parse reads requests and starts them, until the connection ends or must not be
+// used further.
+func (c *connection) parse(ctx context.Context) error {
+	var previous *response
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			return err
+		}
+		if !c.beginParsing() {
+			return nil
+		}
+		next, err := c.readRequest(ctx, previous)
+		var rejected *requestError
+		switch {
+		case errors.As(err, &rejected):
+			next = rejected.response()
+		case err != nil:
+			c.endParsing()
+			return err
+		}
+		if previous != nil && !(previous.runsAhead && next.runsAhead) {
+			previous.wait(ctx)
+		}
+		if ctx.Err() != nil || !c.start(ctx, next) || next.last {
+			return ctx.Err()
+		}
+		previous = next
+	}
+}
+
+// beginParsing reports whether another request may be read, and keeps closeIfIdle
+// from closing the connection meanwhile.
+func (c *connection) beginParsing() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.parsing = !c.stopped
+	return c.parsing
+}
+
+func (c *connection) endParsing() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.parsing = false
+}
+
+// start passes the request to the handler, or returns false if the connection
+// takes no further request. The request then counts as unread.
+func (c *connection) start(ctx context.Context, next *response) bool {
+	if !c.countStart(next) {
+		return false
+	}
+	c.responses <- next
+	if next.status != 0 {
+		close(next.done)
+		return true
+	}
+	c.tasks.Start(ctx, "request", func(context.Context) error {
+		defer close(next.done)
+		next.serve(c.server.handler)
+		return nil
+	})
+	return true
+}
+
+// countStart counts a request that is about to be started, unless the connection
+// takes no further one.
+func (c *connection) countStart(next *response) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.parsing = c.reader.Buffered() > 0
+	if c.stopped {
+		return false
+	}
+	c.started++
+	c.aheadBytes += next.bodyBytes
+	return true
+}
+
+// readRequest reads the next request with its whole body.
+func (c *connection) readRequest(ctx context.Context, previous *response) (*response, error) {
+	settings := c.server.settings
+	timeout := time.AfterFunc(settings.HeaderTimeout.Duration(), func() { _ = c.socket.Close() })
+	c.input.limit(int64(settings.MaxHeaderBytes + parserBufferBytes - c.reader.Buffered()))
+	request, err := http.ReadRequest(c.reader)
+	timeout.Stop()
+	exceeded := c.input.exceeded()
+	c.input.unlimit()
+	switch {
+	case exceeded:
+		return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge}
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed):
+		return nil, err
+	case err != nil:
+		return nil, &requestError{status: http.StatusBadRequest, cause: err}
+	}
+	if rejected := checkRequest(request); rejected != nil {
+		return nil, rejected
+	}
+	return c.readBody(ctx, request, previous)
+}
+
+// readBody reads the body and returns the response to fill in.
+func (c *connection) readBody(ctx context.Context, request *http.Request, previous *response) (*response, error) {
+	arrivedAt := c.server.clock.Now()
+	limit := c.server.settings.MaxBodyBytes
+	if request.Body != http.NoBody && request.Body != nil {
+		if expectsContinue(request) {
+			if err := c.sendContinue(ctx, previous); err != nil {
+				return nil, err
+			}
+		}
+		c.awaitBytes(ctx, previous)
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	if err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		return nil, &requestError{status: http.StatusBadRequest, cause: err}
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	request.RemoteAddr = c.socket.RemoteAddr().String()
+	request.TLS = c.tls
+	next := newResponse(request.WithContext(withArrival(ctx, arrivedAt)))
+	next.runsAhead = c.server.handler.RunsAhead(next.request)
+	next.bodyBytes = len(body)
+	next.last = request.Close || !request.ProtoAtLeast(1, 1) || int64(len(body)) > limit
+	return next, nil
+}
+
+// awaitBytes waits until the bodies that were read ahead are within their limit.
+func (c *connection) awaitBytes(ctx context.Context, previous *response) {
+	c.mutex.Lock()
+	exceeded := c.aheadBytes >= c.server.settings.ReadAheadBytes
+	c.mutex.Unlock()
+	if exceeded && previous != nil {
+		previous.wait(ctx)
+	}
+}
+
+// sendContinue asks the caller for the body of a request. The interim response
+// must not come before the responses to earlier requests.
+func (c *connection) sendContinue(ctx context.Context, previous *response) error {
+	if previous != nil {
+		previous.wait(ctx)
+	}
+	_, err := io.WriteString(c.socket, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
+// respond sends the responses in the order of their requests. It returns after the
+// last one.
+func (c *connection) respond() {
+	failed := false
+	for next := range c.responses {
+		<-next.done
+		closing := c.finish(next)
+		if !failed {
+			_, err := c.socket.Write(next.encode(closing))
+			failed = err != nil
+		}
+		close(next.sent)
+		if closing || failed {
+			c.stop()
+		}
+	}
+}
+
+// finish counts a response, and reports whether the connection ends after it. If a
+// response asks for that while requests behind it have been started, the
+// connection ends after the last of these.
+func (c *connection) finish(next *response) bool {
+	closing := c.server.isClosing() || next.wantsClose()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.finished++
+	c.aheadBytes -= next.bodyBytes
+	c.stopped = c.stopped || closing
+	return c.stopped && c.finished == c.started
+}
+
+// stop ends the parser.
+func (c *connection) stop() {
+	c.mutex.Lock()
+	c.stopped = true
+	c.mutex.Unlock()
+	c.input.end()
+}
+
+type arrivalKey struct{}
+
+func withArrival(ctx context.Context, at bulrushchute.Millis) context.Context {
+	return context.WithValue(ctx, arrivalKey{}, at)
+}
+
+// ArrivedAt returns when the server read the headers of a request, and false for a
+// request of another server. The time that the request then waited for others of
+// its connection counts towards its deadline.
+func ArrivedAt(ctx context.Context) (bulrushchute.Millis, bool) {
+	at, ok := ctx.Value(arrivalKey{}).(bulrushchute.Millis)
+	return at, ok
+}
--- /dev/null
+++ b/bulrushcaller/input.go
@@ -0,0 +1,133 @@
+package bulrushcaller
+
+import (
+	"io"
+	"math"
+	"net"
+	"sync"
+)
+
+const (
+	// socketReadBytes is the size of one read from the socket.
+	socketReadBytes = 4 << 10
+	// maxUnparsedBytes limits the bytes that are read from the socket before they
+	// are parsed.
+	maxUnparsedBytes = 64 << 10
+)
+
+// input reads from a socket ahead of the parser, so that the end of the connection
+// is noticed while requests are being served.
+type input struct {
+	mutex sync.Mutex
+	// changed is signalled when any of the fields below changes.
+	changed  *sync.Cond
+	unparsed []byte
+	// err is set once nothing more can be read from the socket.
+	err error
+	// discarding is set once the parser has stopped.
+	discarding bool
+	// budget is the number of bytes that the parser may read. It limits the size of
+	// headers.
+	budget int64
+}
+
+func newInput() *input {
+	in := &input{budget: math.MaxInt64}
+	in.changed = sync.NewCond(&in.mutex)
+	return in
+}
+
+// pump reads from the socket until that fails, and returns the error.
+func (in *input) pump(socket net.Conn) error {
+	buffer := make([]byte, socketReadBytes)
+	for {
+		n, err := socket.Read(buffer)
+		in.add(buffer[:n], err)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// add appends bytes read from the socket. It blocks while too many are unparsed.
+func (in *input) add(data []byte, err error) {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	if !in.discarding {
+		in.unparsed = append(in.unparsed, data...)
+	}
+	if err != nil {
+		in.err = err
+	}
+	in.changed.Broadcast()
+	for len(in.unparsed) >= maxUnparsedBytes && !in.discarding && in.err == nil {
+		in.changed.Wait()
+	}
+}
+
+// Read implements io.Reader for the parser.
+func (in *input) Read(data []byte) (int, error) {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	if in.budget <= 0 {
+		return 0, io.EOF
+	}
+	for len(in.unparsed) == 0 && in.err == nil {
+		in.changed.Wait()
+	}
+	if len(in.unparsed) == 0 {
+		return 0, in.err
+	}
+	n := copy(data[:min(int64(len(data)), in.budget)], in.unparsed)
+	in.budget -= int64(n)
+	in.unparsed = in.unparsed[:copy(in.unparsed, in.unparsed[n:])]
+	in.changed.Broadcast()
+	return n, nil
+}
+
+// limit sets the number of bytes that may be read until unlimit. It is exceeded
+// when the parser reaches the end of the input although the connection is open.
+func (in *input) limit(budget int64) {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	in.budget = budget
+}
+
+func (in *input) unlimit() {
+	in.limit(math.MaxInt64)
+}
+
+// exceeded reports whether the parser has used up the budget.
+func (in *input) exceeded() bool {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	return in.budget <= 0
+}
+
+// empty reports whether the parser has read everything that has arrived.
+func (in *input) empty() bool {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	return len(in.unparsed) == 0
+}
+
+// discard drops what is unparsed and whatever arrives from now on.
+func (in *input) discard() {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	in.discarding = true
+	in.unparsed = nil
+	in.changed.Broadcast()
+}
+
+// end makes the parser's reads fail once it has read what is unparsed.
+func (in *input) end() {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	if in.err == nil {
+		in.err = net.ErrClosed
+	}
+	in.unparsed = nil
+	in.discarding = true
+	in.changed.Broadcast()
+}
--- /dev/null
+++ b/bulrushcaller/server.go
@@ -0,0 +1,180 @@
+package bulrushcaller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushtask"
+)
+
+const (
+	// minAcceptDelay is the delay after a failure to accept a connection, such as a
+	// lack of file descriptors. It doubles up to maxAcceptDelay.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
+	// closePollInterval is how often Shutdown checks for open connections.
+	closePollInterval = 10 * time.Millisecond
+)
+
+// Handler serves requests.
+type Handler interface {
+	http.Handler
+	// RunsAhead reports whether a request may be served at the same time as other
+	// requests of its connection. It must be true only for idempotent requests.
+	RunsAhead(request *http.Request) bool
+}
+
+// Settings configure a Server.
+type Settings struct {
+	// MaxHeaderBytes limits the request line and headers of a request.
+	MaxHeaderBytes int
+	// MaxBodyBytes limits the body of a request that is read before it is served.
+	// The handler gets one byte more of a longer body and must reject it.
+	MaxBodyBytes int64
+	// HeaderTimeout is the time from the first byte of a request after which its
+	// connection is closed if its headers are incomplete.
+	HeaderTimeout bulrushchute.Millis
+	// ReadAheadRequests and ReadAheadBytes limit what is read from a connection
+	// before its oldest response has been sent: the number of requests after the
+	// oldest one, and the bytes of their bodies.
+	ReadAheadRequests int
+	ReadAheadBytes    int
+}
+
+// Server serves the requests of callers. It is safe for concurrent use.
+type Server struct {
+	settings Settings
+	handler  Handler
+	clock    bulrushchute.Clock
+	tasks    *bulrushtask.Group
+	// OnRejected is called for each connection whose TLS handshake failed. It must
+	// be set before Serve and may be nil.
+	OnRejected func(remote, reason string)
+
+	mutex       sync.Mutex
+	connections map[*connection]struct{}
+	closing     bool
+}
+
+// NewServer returns a server that passes requests to the handler.
+func NewServer(settings Settings, handler Handler, clock bulrushchute.Clock) *Server {
+	return &Server{
+		settings: settings, handler: handler, clock: clock,
+		tasks: bulrushtask.NewGroup(nil), connections: make(map[*connection]struct{}),
+	}
+}
+
+// Serve accepts connections until the listener is closed, and returns nil then.
+// The contexts of requests derive from ctx.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	delay := minAcceptDelay
+	for {
+		socket, err := listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			bulrushtask.Pause(ctx, delay)
+			delay = min(2*delay, maxAcceptDelay)
+			continue
+		}
+		delay = minAcceptDelay
+		s.tasks.Start(ctx, "caller", func(ctx context.Context) error {
+			s.serveSocket(ctx, socket)
+			return nil
+		})
+	}
+}
+
+// serveSocket serves one connection until it ends.
+func (s *Server) serveSocket(ctx context.Context, socket net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := newConnection(s, socket, cancel)
+	if !s.add(c) {
+		_ = socket.Close()
+		return
+	}
+	defer s.remove(c)
+	c.serve(ctx)
+}
+
+// add registers a connection, and returns false if the server is closing.
+func (s *Server) add(c *connection) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closing {
+		return false
+	}
+	s.connections[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *connection) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.connections, c)
+}
+
+func (s *Server) isClosing() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.closing
+}
+
+// CloseIdle closes the connections that have no request now, and the others after
+// the responses to the requests that have been read.
+func (s *Server) CloseIdle() {
+	s.mutex.Lock()
+	s.closing = true
+	open := make([]*connection, 0, len(s.connections))
+	for c := range s.connections {
+		open = append(open, c)
+	}
+	s.mutex.Unlock()
+	for _, c := range open {
+		c.closeIfIdle()
+	}
+}
+
+// Shutdown is CloseIdle, but also waits until all connections are closed. When the
+// context ends first, it returns the context's error and leaves the remaining ones
+// open. The listener must be closed before.
+func (s *Server) Shutdown(ctx context.Context) error {
+	for {
+		s.CloseIdle()
+		if s.openConnections() == 0 {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		bulrushtask.Pause(ctx, closePollInterval)
+	}
+}
+
+func (s *Server) openConnections() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.connections)
+}
+
+// Close closes all connections and waits until their requests have ended. The
+// listener must be closed and the context of Serve must have ended before.
+func (s *Server) Close() {
+	s.mutex.Lock()
+	s.closing = true
+	for c := range s.connections {
+		_ = c.socket.Close()
+	}
+	s.mutex.Unlock()
+	s.tasks.Wait()
+}
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcaller"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -69,16 +70,14 @@
 // callerEndpoint is the listener and the server for callers.
 type callerEndpoint struct {
 	listener     net.Listener
-	server       *http.Server
+	server       *bulrushcaller.Server
 	entryHandler *entryHandler
 	// cancel cancels the contexts of all requests.
 	cancel context.CancelFunc
 }
 
 // close stops accepting connections, closes idle ones once no more requests
-// arrive, and waits until all received requests have ended. It calls the
-// server's Shutdown last, because from then on net/http drops requests that it
-// reads from connections it has already accepted.
+// arrive, and waits until all received requests have ended.
 func (ce *callerEndpoint) close(ctx context.Context) error {
 	err := errors.Wrap(ce.listener.Close(), "close the listener for callers")
 	start := time.Now()
@@ -91,9 +90,7 @@
 		if time.Since(lastArrivalAt) < idleCloseDelay && time.Since(start) < maxIdleCloseDelay {
 			continue
 		}
-		// This closes connections that are idle now. The others are closed after
-		// their next response.
-		ce.server.SetKeepAlivesEnabled(false)
+		ce.server.CloseIdle()
 		if ce.entryHandler.active.Load() == 0 {
 			break
 		}
@@ -102,13 +99,16 @@
 }
 
 // cancelRequests cancels the remaining requests, so that their callers get a
-// response. Otherwise their connections would be cut when the process is killed
-// after the grace time.
+// response, and closes the connections. Otherwise these would be cut when the
+// process is killed after the grace time.
 func (ce *callerEndpoint) cancelRequests(ctx context.Context) {
 	ce.cancel()
 	ctx, cancel := context.WithTimeout(ctx, finalResponseTimeout)
 	defer cancel()
-	waitUntil(ctx, func() bool { return ce.entryHandler.active.Load() == 0 })
+	if err := ce.server.Shutdown(ctx); err != nil {
+		klog.V(1).InfoS("callers still connected at the end of the drain", "error", err)
+	}
+	ce.server.Close()
 }
 
 // stop stops all goroutines and waits for their end.
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -14,6 +14,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushattempt"
 	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcaller"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmetric"
 	"bulrushchute.example/bulrushchute/bulrushwire"
@@ -83,6 +84,22 @@
 	})
 }
 
+// RunsAhead implements bulrushcaller.Handler. A request that is rejected without
+// being run counts as idempotent.
+func (eh *entryHandler) RunsAhead(request *http.Request) bool {
+	parsed, err := eh.protocol.ReadRequest(request)
+	if err != nil {
+		return true
+	}
+	catalogue := eh.board.Read().Catalogue
+	if parsed.Service != "" {
+		entry, exists := catalogue.Service(parsed.Service)
+		return !exists || bulrushcatalogue.Resolve(entry, request.Method, requestTarget(request)).Idempotent
+	}
+	route := matchHostRoute(catalogue, request)
+	return route == nil || route.Idempotent
+}
+
 func (eh *entryHandler) serve(ctx context.Context, view bulrushboard.View, prepared call, key string) callResult {
 	switch view.State {
 	case bulrushboard.NodeStarting:
@@ -183,8 +200,7 @@
 		entry, exists := catalogue.Service(parsed.Service)
 		return routeMatch{entry: entry, policy: bulrushcatalogue.Resolve(entry, request.Method, requestTarget(request))}, exists
 	}
-	path, _, _ := strings.Cut(requestTarget(request), "?")
-	route := catalogue.Routing().Match(request.Host, path)
+	route := matchHostRoute(catalogue, request)
 	if route == nil {
 		return routeMatch{}, false
 	}
@@ -192,6 +208,12 @@
 	return routeMatch{entry: entry, policy: route.RequestPolicy()}, exists
 }
 
+// matchHostRoute returns the route of the request's host and path, or nil.
+func matchHostRoute(catalogue bulrushcatalogue.Set, request *http.Request) *bulrushcatalogue.HostRoute {
+	path, _, _ := strings.Cut(requestTarget(request), "?")
+	return catalogue.Routing().Match(request.Host, path)
+}
+
 // requestTarget returns the path and query exactly as the caller sent them.
 func requestTarget(request *http.Request) string {
 	if strings.HasPrefix(request.RequestURI, "/") {
@@ -208,13 +230,16 @@
 	if err != nil {
 		return call{}, err
 	}
-	now := eh.clock.Now()
+	arrivedAt, known := bulrushcaller.ArrivedAt(request.Context())
+	if !known {
+		arrivedAt = eh.clock.Now()
+	}
 	info := bulrushchute.RequestInfo{
 		Service:    match.entry.Service,
 		Route:      policy.Route,
 		Tenant:     eh.tenantOf(request),
 		Class:      class,
-		Deadline:   deadlineOf(now, policy.TimeoutMs, parsed),
+		Deadline:   deadlineOf(arrivedAt, policy.TimeoutMs, parsed),
 		Objective:  policy.ObjectiveMs,
 		Attempts:   policy.Attempts,
 		Idempotent: policy.Idempotent,
@@ -238,8 +263,8 @@
 		Caller:     eh.ownService(),
 		Objective:  info.Objective,
 	}
-	firstRequestedAt := now - eh.waitEstimator.waited(policy, parsed.Timeout)
-	return call{info: info, template: template, subset: match.entry.Subset, arrivedAt: now, firstRequestedAt: firstRequestedAt}, nil
+	firstRequestedAt := arrivedAt - eh.waitEstimator.waited(policy, parsed.Timeout)
+	return call{info: info, template: template, subset: match.entry.Subset, arrivedAt: arrivedAt, firstRequestedAt: firstRequestedAt}, nil
 }
 
 func moveInProgress(entry bulrushcatalogue.ServiceEntry) bool {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -1,6 +1,7 @@
 package bulrushnode
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
@@ -14,6 +15,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcaller"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmetric"
 	"bulrushchute.example/bulrushchute/bulrushsocket"
@@ -235,12 +237,11 @@
 		"caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress)
 	requestCtx, cancelRequests := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelRequests()
-	callerServer := n.newHTTPServer("callers", n.entryHandler)
-	callerServer.BaseContext = func(net.Listener) context.Context { return requestCtx }
+	callerServer := n.newCallerServer()
 	peerMux := http.NewServeMux()
 	peerMux.Handle(bulrushwire.PeerPath, n.server)
 	peerServer := n.newHTTPServer("peers", peerMux)
-	n.start("callers", func(context.Context) error { return ignoreClosed(callerServer.Serve(callerListener)) })
+	n.start("callers", func(context.Context) error { return callerServer.Serve(requestCtx, callerListener) })
 	n.start("peers", func(context.Context) error { return ignoreClosed(peerServer.Serve(peerListener)) })
 	n.start("control", n.control.run)
 	n.start("announcer", n.runSelfUpdates)
@@ -271,6 +272,18 @@
 	return err
 }
 
+func (n *Node) newCallerServer() *bulrushcaller.Server {
+	server := bulrushcaller.NewServer(bulrushcaller.Settings{
+		MaxHeaderBytes:    http.DefaultMaxHeaderBytes,
+		MaxBodyBytes:      bulrushwire.MaxBodyBytes,
+		HeaderTimeout:     bulrushchute.MillisOf(readHeaderTimeout),
+		ReadAheadRequests: cmp.Or(n.settings.ReadAheadRequests, DefaultReadAheadRequests),
+		ReadAheadBytes:    cmp.Or(n.settings.ReadAheadBytes, DefaultReadAheadBytes),
+	}, n.entryHandler, n.clock)
+	server.OnRejected = newConnRefusalLog(n.clock, "callers").log
+	return server
+}
+
 func (n *Node) newHTTPServer(listener string, handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -53,6 +53,11 @@
 	// nodes together may send in a burst. With 0, each node has a burst of its own,
 	// independent of the others.
 	RetrySlack float64 `json:"retry_slack,omitempty"`
+	// ReadAheadRequests and ReadAheadBytes limit the pipelined requests that are read
+	// from a caller's connection before the oldest response has been sent: their
+	// number, and the bytes of their bodies. 0 selects the defaults.
+	ReadAheadRequests int `json:"read_ahead_requests,omitempty"`
+	ReadAheadBytes    int `json:"read_ahead_bytes,omitempty"`
 	// GraceMs is the maximum time that a node may take to shut down.
 	GraceMs bulrushchute.Millis `json:"grace_ms,omitempty"`
 	// StoreURL is the base URL of the object store.
@@ -76,6 +81,14 @@
 // the longest default timeout of the catalogue.
 const DefaultGraceMs = bulrushchute.Minute
 
+// Defaults and upper limits of read_ahead_requests and read_ahead_bytes.
+const (
+	DefaultReadAheadRequests = 16
+	maxReadAheadRequests     = 1024
+	DefaultReadAheadBytes    = 256 << 10
+	maxReadAheadBytes        = 64 << 20
+)
+
 // minGraceMs leaves enough time to inform the peers before the shutdown.
 const minGraceMs = 3 * bulrushchute.Second
 
@@ -113,6 +126,12 @@
 	if s.GraceMs < minGraceMs {
 		return &bulrushchute.FieldError{Field: "grace_ms", Value: strconv.Itoa(int(s.GraceMs)), Allowed: "3000 or more"}
 	}
+	if err := checkRange("read_ahead_requests", s.ReadAheadRequests, maxReadAheadRequests); err != nil {
+		return err
+	}
+	if err := checkRange("read_ahead_bytes", s.ReadAheadBytes, maxReadAheadBytes); err != nil {
+		return err
+	}
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
@@ -143,6 +162,14 @@
 	return nil
 }
 
+// checkRange allows 0, which selects the default, to maximum.
+func checkRange(field string, value, maximum int) error {
+	if value >= 0 && value <= maximum {
+		return nil
+	}
+	return &bulrushchute.FieldError{Field: field, Value: strconv.Itoa(value), Allowed: "1 to " + strconv.Itoa(maximum)}
+}
+
 // checkAddress allows only IP addresses as hosts, because nodes do not resolve
 // names.
 func checkAddress(field string, address bulrushchute.Address) error {
