Serve sooner after all nodes were stopped, with the current catalogue

Change: a node that has not joined after 150 ms reads the current catalogue from the store and serves. It joins alone only after the list of seeds was read. It introduces itself after 100, 200 and 400 ms instead of every 250 ms.

Test: TestStartsWithTheCurrentCatalogue fails on the code before.

--- a/bulrushmembership/api.go
+++ b/bulrushmembership/api.go
@@ -14,8 +14,11 @@
 	Self bulrushchute.Instance
 	// Seeds are the addresses of nodes to join through. Without seeds, the
 	// node starts a new fleet.
-	Seeds  []bulrushchute.Address
-	Random *rand.Rand
+	Seeds []bulrushchute.Address
+	// SeedsPending is set when the addresses to join through are not known yet. The
+	// node does not join alone until SetSeeds has been called.
+	SeedsPending bool
+	Random       *rand.Rand
 
 	// OnMember is called for each member whose record or state changed. The
 	// state is StateDead if the member died or left.
--- a/bulrushmembership/join.go
+++ b/bulrushmembership/join.go
@@ -59,7 +59,9 @@
 		return actions
 	}
 	if len(m.otherSeeds()) == 0 {
-		m.finishJoin(now)
+		if !m.config.SeedsPending {
+			m.finishJoin(now)
+		}
 		return actions
 	}
 	j := &m.join
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -230,9 +230,11 @@
 	m.table.Publish(now, suspicionRecord(m.self.ID, m.self.ID, m.self.Incarnation, rankDead, now))
 }
 
-// SetSeeds replaces the addresses to join through.
+// SetSeeds replaces the addresses to join through. Without any, the node joins
+// alone.
 func (m *Membership) SetSeeds(seeds []bulrushchute.Address) {
 	m.seeds = seeds
+	m.config.SeedsPending = false
 }
 
 // SetExtraPeers sets the nodes to exchange heartbeats with in addition to the
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -20,8 +20,10 @@
 	bootstrapInterval = 2 * time.Second
 	// A node that has just started introduces itself to the listed addresses
 	// repeatedly, because other nodes may be starting at the same time.
-	introduceInterval = 250 * time.Millisecond
-	introduceDuration = 3 * bulrushchute.Second
+	// The interval doubles up to maxIntroduceInterval.
+	minIntroduceInterval = 100 * time.Millisecond
+	maxIntroduceInterval = 400 * time.Millisecond
+	introduceDuration    = 3 * bulrushchute.Second
 	// maxSeedWriteDelay is the maximum random delay before a node that starts adds
 	// itself to the list, so that nodes which start together do not write at once.
 	maxSeedWriteDelay = 600 * time.Millisecond
@@ -69,6 +71,7 @@
 func (n *Node) introduceToSeeds(ctx context.Context, duration bulrushchute.Millis) {
 	listed, read := n.readAndContactSeeds(ctx)
 	deadline := n.clock.Now() + duration
+	interval := minIntroduceInterval
 	for ctx.Err() == nil {
 		n.control.do(ctx, func(now bulrushchute.Millis) {
 			n.control.introduce(now, listed)
@@ -76,7 +79,8 @@
 		if n.clock.Now() >= deadline {
 			return
 		}
-		bulrushtask.Pause(ctx, introduceInterval)
+		bulrushtask.Pause(ctx, interval)
+		interval = min(2*interval, maxIntroduceInterval)
 		if !read && ctx.Err() == nil {
 			listed, read = n.readAndContactSeeds(ctx)
 		}
@@ -146,26 +150,30 @@
 		listed[bulrushchute.DataCentre(object.Name)] = addresses
 	}
 	n.control.do(ctx, func(now bulrushchute.Millis) {
-		n.control.contact(now, n.control.unknownDataCentreAddresses(listed))
+		n.control.contact(now, listed)
 	})
+	return allAddresses(listed), true
+}
+
+func allAddresses(listed map[bulrushchute.DataCentre][]bulrushchute.Address) []bulrushchute.Address {
 	var all []bulrushchute.Address
 	for _, addresses := range listed {
 		all = append(all, addresses...)
 	}
-	return all, true
+	return all
 }
 
-// contact joins through the addresses, or compares records with the nodes there
-// if this node has already joined.
-func (c *control) contact(now bulrushchute.Millis, addresses []bulrushchute.Address) {
-	if len(addresses) == 0 {
-		return
-	}
+// contact joins through the listed addresses. If this node has already joined, it
+// compares records with the nodes of data centres of which it knows no other
+// member.
+func (c *control) contact(now bulrushchute.Millis, listed map[bulrushchute.DataCentre][]bulrushchute.Address) {
 	if !c.membership.Status().Joined {
-		c.membership.SetSeeds(addresses)
+		if c.seedAddresses == 0 {
+			c.membership.SetSeeds(allAddresses(listed))
+		}
 		return
 	}
-	for _, address := range addresses {
+	for _, address := range c.unknownDataCentreAddresses(listed) {
 		c.send(c.membership.Table().Compare(now, address))
 	}
 }
--- a/bulrushnode/bootstrap_test.go
+++ b/bulrushnode/bootstrap_test.go
@@ -1,12 +1,16 @@
 package bulrushnode
 
 import (
+	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushstore"
 )
 
@@ -32,3 +36,51 @@
 	second.waitForMember(t, first.id)
 	assert.Assert(t, time.Since(regainedAt) < time.Second, "peer discovered only after %s", time.Since(regainedAt))
 }
+
+// laggingStore is a store whose stale reads lag behind and whose list of seeds is
+// read slowly.
+type laggingStore struct {
+	*bulrushstore.Memory
+	old []bulrushchute.Object
+}
+
+func (s *laggingStore) ListStale(_ context.Context, kind bulrushchute.Kind) ([]bulrushchute.Object, uint64, error) {
+	if kind == bulrushchute.KindServices {
+		return s.old, 1, nil
+	}
+	return nil, 1, nil
+}
+
+func (s *laggingStore) List(ctx context.Context, kind bulrushchute.Kind) ([]bulrushchute.Object, uint64, error) {
+	if kind == bulrushchute.KindSeeds {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return s.Memory.List(ctx, kind)
+}
+
+// Guards against a node that serves with an outdated catalogue: it starts, reads
+// the catalogue from a replica that lags behind, and counts itself as joined before
+// it has read through which nodes to join.
+func TestStartsWithTheCurrentCatalogue(t *testing.T) {
+	memory := bulrushstore.NewMemory()
+	old, err := memory.Create(t.Context(), newServiceObject(t, "board", 1000))
+	assert.NilError(t, err)
+	store := &laggingStore{Memory: memory, old: []bulrushchute.Object{old}}
+	current := newServiceObject(t, "board", 2000)
+	current.Version = old.Version
+	_, err = memory.Update(t.Context(), current)
+	assert.NilError(t, err)
+	n := runNode(nodeSettings(t), store)
+	defer n.stop()
+	for n.State() != bulrushboard.NodeReady {
+		time.Sleep(time.Millisecond)
+	}
+	entry, _ := n.board.Read().Catalogue.Service("board")
+	assert.Equal(t, entry.TimeoutMs, bulrushchute.Millis(2000))
+}
+
+func newServiceObject(t *testing.T, service bulrushchute.Service, timeout bulrushchute.Millis) bulrushchute.Object {
+	entry, err := json.Marshal(bulrushcatalogue.ServiceEntry{Service: service, Owner: "test", TimeoutMs: timeout})
+	assert.NilError(t, err)
+	return bulrushchute.Object{Kind: bulrushchute.KindServices, Name: string(service), Value: entry}
+}
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -19,9 +19,9 @@
 // Within this time, nodes learn about failed instances and changed load.
 const retryAfterDefault = bulrushchute.Second
 
-// retryAfterStarting is the Retry-After while a node starts, which takes less
-// than a second.
-const retryAfterStarting = 300 * bulrushchute.Millisecond
+// retryAfterStarting is the Retry-After while a node starts, which usually
+// takes less than half a second.
+const retryAfterStarting = 150 * bulrushchute.Millisecond
 
 // exchanger sends an attempt to an instance, over the network or directly to
 // this node, and returns the reply.
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -23,7 +23,8 @@
 const controlQueueSize = 4096
 
 // joinTimeout is the time after which a node that has not joined serves callers
-// anyway, with the backend servers that it knows. These include its own.
+// anyway, with the backend servers that it knows. These include its own. It does so
+// even earlier if it has read the current catalogue from the store itself.
 const joinTimeout = 500 * bulrushchute.Millisecond
 
 // inboundControl is a received control message with the address of its sender.
@@ -61,6 +62,12 @@
 	// joinTimedOut is set once joinTimeout has elapsed and the node's state has
 	// been updated.
 	joinTimedOut bool
+	// catalogueConfirmed is set once this node has read the current catalogue from
+	// the store, not from a replica that may lag behind.
+	catalogueConfirmed bool
+	// seedAddresses is the number of addresses in the settings through which the
+	// node joins. If it is 0, those in the store are used.
+	seedAddresses int
 	// expire makes Node.Run return an *ExpiredError.
 	expire func()
 }
@@ -71,6 +78,7 @@
 		startedAt: n.clock.Now(),
 
 		serveIsolated:   n.settings.ServeIsolated,
+		seedAddresses:   len(n.settings.SeedAddresses),
 		board:           n.board,
 		transport:       n.client,
 		admission:       n.admission,
@@ -89,6 +97,7 @@
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
 		Self:         self,
 		Seeds:        n.settings.SeedAddresses,
+		SeedsPending: len(n.settings.SeedAddresses) == 0 && !n.settings.FirstStart,
 		Random:       newRandom(string(self.ID), "membership"),
 		OnMember:     c.onMember,
 		OnDataCentre: c.onReachability,
@@ -283,19 +292,30 @@
 // sets it on the board.
 func (c *control) updateState(status bulrushmembership.Status) {
 	c.board.Update(func(view bulrushboard.View) bulrushboard.View {
-		return view.WithState(nodeState(status, view.Catalogue, c.draining, c.joinTimeoutElapsed(c.clock.Now())))
+		return view.WithState(nodeState(status, view.Catalogue, c.draining, c.mayServeUnjoined()))
 	})
 }
 
-// nodeState returns the state of a node. joinTimedOut is set when the join has
-// taken so long that probably no peer is reachable.
-func nodeState(status bulrushmembership.Status, catalogue bulrushcatalogue.Set, draining, joinTimedOut bool) bulrushboard.NodeState {
+// mayServeUnjoined reports whether the node serves callers although it has not
+// joined.
+func (c *control) mayServeUnjoined() bool {
+	return c.catalogueConfirmed || c.joinTimeoutElapsed(c.clock.Now())
+}
+
+// confirmCatalogue records that this node has read the current catalogue.
+func (c *control) confirmCatalogue() {
+	c.catalogueConfirmed = true
+	c.updateState(c.membership.Status())
+}
+
+// nodeState returns the state of a node.
+func nodeState(status bulrushmembership.Status, catalogue bulrushcatalogue.Set, draining, mayServeUnjoined bool) bulrushboard.NodeState {
 	switch {
 	case draining:
 		return bulrushboard.NodeDraining
 	case status.Isolated:
 		return bulrushboard.NodeIsolated
-	case !catalogue.HasServices() || !status.Joined && !joinTimedOut:
+	case !catalogue.HasServices() || !status.Joined && !mayServeUnjoined:
 		return bulrushboard.NodeStarting
 	default:
 		return bulrushboard.NodeReady
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -24,6 +24,10 @@
 	readersPerDataCentre = 2
 	// rankInterval is how often a node checks whether it is among the readers.
 	rankInterval = time.Second
+	// confirmDelay is the time for which a node that starts waits for its peers'
+	// copy of the catalogue before it asks the store for the current one. Nodes that
+	// start among others that run have joined by then and cost the store nothing.
+	confirmDelay = 150 * time.Millisecond
 	// settleDuration is the time after the start in which a node discovers others.
 	settleDuration     = 2500 * bulrushchute.Millisecond
 	settlePollInterval = 250 * time.Millisecond
@@ -90,6 +94,7 @@
 			retryDelay = min(2*retryDelay, maxWatchRetryDelay)
 		}
 	}
+	r.confirm(ctx)
 	for ctx.Err() == nil && !r.node.settled() {
 		bulrushtask.Pause(ctx, settlePollInterval)
 		if r.node.board.Read().Catalogue.HasServices() {
@@ -102,6 +107,25 @@
 	}
 }
 
+// confirm reads the current catalogue from the store if this node has not joined by
+// then, so that it can serve callers although its peers are starting too. After a
+// fault that stopped all nodes, joining takes up to a second.
+func (r *reader) confirm(ctx context.Context) {
+	bulrushtask.Pause(ctx, confirmDelay)
+	if r.node.settings.FirstStart || r.node.board.Read().State != bulrushboard.NodeStarting {
+		return
+	}
+	for _, kind := range r.kinds {
+		objects, revision, err := r.node.store.List(ctx, kind)
+		if err != nil {
+			klog.V(1).InfoS("catalogue not confirmed at the start", "kind", kind, "error", err)
+			return
+		}
+		r.publishList(ctx, kind, objects, revision)
+	}
+	r.node.control.do(ctx, func(bulrushchute.Millis) { r.node.control.confirmCatalogue() })
+}
+
 func (r *reader) listAndPublish(ctx context.Context, kind bulrushchute.Kind) error {
 	list := r.node.store.List
 	if stale, ok := r.node.store.(bulrushchute.StaleLister); ok {
