Confirm the first announcement after a start

Change: until the server's health check succeeds or it announces itself again, the first announcement of a process is not taken for a server that takes work.

Test: TestLateAnnouncementAfterTheStart.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -52,6 +52,11 @@
 	// initialReadNeeded is set when the load of a backend server that has just
 	// started must be read.
 	initialReadNeeded bool
+	// unconfirmed is set from the first announcement after the start of this process
+	// until the server's health check succeeds or a further announcement arrives. The
+	// first one may have been delayed, and a former process may have acknowledged
+	// that the server is leaving.
+	unconfirmed bool
 	// pollWake wakes runLoadPoller when a request is queued.
 	pollWake chan struct{}
 	// coldRateFactor is Settings.ColdRateFactor.
@@ -90,6 +95,7 @@
 		Connections: announcement.Connections,
 		Cold:        announcement.Cold,
 	}
+	a.unconfirmed = a.backend.Service == "" && a.protocols.backend.ReportsLoad()
 	if announcement.sameProcess(a.backend) {
 		a.notifyWaiters(a.controller.UpdateAnnouncement(now, limits))
 	} else {
@@ -107,6 +113,13 @@
 	}
 }
 
+// confirm records that the backend server has announced itself again.
+func (a *admission) confirm() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.unconfirmed = false
+}
+
 // replaceClient creates a client with the connection limit in force. The
 // connections of the previous client close when their requests end.
 func (a *admission) replaceClient(address bulrushchute.Address) {
@@ -211,7 +224,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	switch {
-	case a.backend.Service == "" || !a.healthy:
+	case a.backend.Service == "" || !a.healthy || a.unconfirmed:
 		return a.backend, bulrushchute.StateStarting
 	case a.backend.State == BackendDraining:
 		return a.backend, bulrushchute.StateLeaving
@@ -308,6 +321,8 @@
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonIsolated, RetryAfter: retryAfterDefault}
 	case a.backend.Service == "":
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterDefault}
+	case a.unconfirmed && !a.draining:
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterStarting}
 	case a.backend.Cold && !a.configured && !a.draining:
 		// A cold server crashes above its cold limit, which only the catalogue
 		// states.
--- a/bulrushnode/admission_test.go
+++ b/bulrushnode/admission_test.go
@@ -158,3 +158,48 @@
 	(&entryHandler{protocol: nativeProtocol{}}).writeResult(recorder, callResult{final: answeredFinal(), answer: reply.Answer})
 	assert.Equal(t, recorder.Header().Get("Content-Length"), "1234")
 }
+
+// reportingProtocol is a protocol whose servers report their load.
+type reportingProtocol struct {
+	nativeProtocol
+}
+
+func (reportingProtocol) ReportsLoad() bool { return true }
+
+// Guards against sending requests to a server that is leaving, by a process that
+// does not know that: it has just started, and the first announcement that it gets
+// was sent before the server began to leave.
+func TestLateAnnouncementAfterTheStart(t *testing.T) {
+	cases := map[string]struct {
+		healthStatus  int
+		announceAgain bool
+		wantRefused   bool
+	}{
+		"server says that it is leaving":  {http.StatusServiceUnavailable, false, true},
+		"announced again":                 {http.StatusServiceUnavailable, true, false},
+		"server says that it is in order": {http.StatusOK, false, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if request.URL.Path == bulrushcatalogue.DefaultHealthPath {
+					writer.WriteHeader(tc.healthStatus)
+				}
+			}))
+			defer server.Close()
+			clock := bulrushchute.NewManualClock(1_000_000)
+			a := newAdmission(t.Context(), clock, DefaultClockSkewMs, Options{Backend: reportingProtocol{}}.protocols())
+			a.announce(Announcement{
+				Service: "board", Version: "v1", Slots: 2, Connections: 10, State: BackendServing,
+				Address: bulrushchute.Address(strings.TrimPrefix(server.URL, "http://")),
+			})
+			if tc.announceAgain {
+				a.confirm()
+			}
+			reply := a.serve(t.Context(), attemptTo("board", 1, clock))
+			assert.Equal(t, reply.Refusal != nil, tc.wantRefused, "%+v", reply)
+			_, state := a.state()
+			assert.Equal(t, state.TakesWork(), !tc.wantRefused)
+		})
+	}
+}
--- a/bulrushnode/load_reader.go
+++ b/bulrushnode/load_reader.go
@@ -83,6 +83,9 @@
 	if err == nil {
 		a.observeReport(answer.Report)
 		a.observeCold(answer.Report)
+		if answer.Status < http.StatusInternalServerError {
+			a.confirm()
+		}
 	} else {
 		// Requests proceed without a reading, as with a server that reports no
 		// load.
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -320,6 +320,9 @@
 	if err := announcement.checkHost(n.settings.BackendAddress); err != nil {
 		return err
 	}
+	if n.admission.latestAnnouncement().Service != "" {
+		n.admission.confirm()
+	}
 	if announcement == n.admission.latestAnnouncement() {
 		return nil
 	}
