Tell known members of the own server before the node has joined

Cause: after the last fault, nodes know each other within 50 ms but not each other's servers: these announce themselves later, and a changed record spreads only among joined nodes. One second after the start some nodes still refused requests as no_backend_server, or insisted on the one server that they knew.

Change: in the first 3 s, a node sends its changed record to the members that it knows, 64 at most.

Test: TestAnnouncesItsServerBeforeItHasJoined fails on the code before.

--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -116,6 +116,17 @@
 	c.send(c.membership.Introduce(now, unknown))
 }
 
+// introduceToMembers sends this node's changed record to members that it knows. Until
+// it has joined, its changes reach them in no other way.
+func (c *control) introduceToMembers(now bulrushchute.Millis) {
+	var addresses []bulrushchute.Address
+	c.membership.Range(func(member bulrushchute.Instance) bool {
+		addresses = append(addresses, member.Address)
+		return len(addresses) < maxIntroductions
+	})
+	c.send(c.membership.Introduce(now, addresses))
+}
+
 // hasNoPeers reports whether this node is the only member that it knows.
 func (n *Node) hasNoPeers(ctx context.Context) bool {
 	count := 0
--- a/bulrushnode/bootstrap_test.go
+++ b/bulrushnode/bootstrap_test.go
@@ -84,3 +84,37 @@
 	assert.NilError(t, err)
 	return bulrushchute.Object{Kind: bulrushchute.KindServices, Name: string(service), Value: entry}
 }
+
+// recordingTransport keeps the control messages that a node sends.
+type recordingTransport struct {
+	bulrushchute.Transport
+	sent map[bulrushchute.Address][]bulrushchute.Control
+}
+
+func (rt *recordingTransport) Send(to bulrushchute.Address, message bulrushchute.Control) {
+	rt.sent[to] = append(rt.sent[to], message)
+}
+
+// Guards against nodes that know each other but not each other's backend servers.
+// Load pattern: all nodes start at the same time, after a fault, and learn of their
+// own servers only after they have introduced themselves.
+func TestAnnouncesItsServerBeforeItHasJoined(t *testing.T) {
+	n := New(nodeSettings(t), bulrushstore.NewMemory(), bulrushchute.WallClock{})
+	peer := New(nodeSettings(t), bulrushstore.NewMemory(), bulrushchute.WallClock{})
+	now := n.clock.Now()
+	transport := &recordingTransport{sent: map[bulrushchute.Address][]bulrushchute.Control{}}
+	n.control.transport = transport
+	introduction := peer.control.membership.Introduce(now, []bulrushchute.Address{n.settings.PeerAddress})[0].Message
+	introduction.From = peer.id
+	n.control.membership.Receive(now, peer.settings.PeerAddress, introduction)
+
+	n.admission.announce(Announcement{Service: "board", Address: "127.0.0.1:9", Slots: 4, State: BackendServing})
+	n.control.updateSelf(now, n.admission, true)
+	for _, message := range transport.sent[peer.settings.PeerAddress] {
+		message.From = n.id
+		peer.control.membership.Receive(now, n.settings.PeerAddress, message)
+	}
+	known, found := peer.control.membership.Member(n.id)
+	assert.Assert(t, found)
+	assert.Equal(t, known.Service, bulrushchute.Service("board"))
+}
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -378,6 +378,9 @@
 		return false
 	}
 	c.membership.Update(now, updated)
+	if now-c.startedAt < introduceDuration {
+		c.introduceToMembers(now)
+	}
 	if backend.Service != "" {
 		c.keys.setService(now, backend.Service)
 	}
