Follow a store that comes back from an older copy

The store's era (Store-Era) becomes the upper bits of every version, so that whatever compares versions compares eras too: a version of an earlier era matches no object, no write and no watch. Leases of an earlier era end at once, and none is acquired before a term that was begun until then has expired. The configuration is ordered by the operator's own version first, so that the copy's older one is never taken, not even through a node that starts meanwhile. A move order that is written again keeps its generation and outcome; outcomes are announced again; epochs continue from the share in force. A missing or bad era is logged and taken for the last one seen.

The in-memory store gets the drill (Copy, Restore). Not covered: a move whose state object is not in the copy begins anew with its whole time limit.

Tests: TestStoreEra, TestStoreEraIsInvalid, TestRestoreBeginsANewEra, TestLeaseIsVoidAfterARestore, TestConfigurationSurvivesARestoreOfTheStore, TestRestoredCopyHoldsDeletions, TestMoveOrderSurvivesARestoreOfTheStore, TestEpochsAfterARestoreOfTheStore.

--- a/bulrushcatalogue/move_order.go
+++ b/bulrushcatalogue/move_order.go
@@ -28,7 +28,17 @@
 
 // WithMoveOrder returns a copy of the set with the order at a store version.
 // The service's entry then includes the move, unless it has a move of its own.
+//
+// An order that is known from an earlier era of the store keeps its generation and
+// its outcome: the store was restored from a copy, and the operator has written the
+// order again.
 func (s Set) WithMoveOrder(order MoveOrder, version uint64) Set {
+	if known, ok := s.orderedMoves.get(order.Service); ok && known.sameOrder(order) && bulrushchute.EraOf(known.Generation) < bulrushchute.EraOf(version) {
+		order.Generation = known.Generation
+		if order.Outcome == "" {
+			order.Outcome = known.Outcome
+		}
+	}
 	move := &Move{
 		Generation: order.Generation,
 		ToVersion:  order.ToVersion,
@@ -39,6 +49,16 @@
 	return s
 }
 
+func (m *Move) sameOrder(order MoveOrder) bool {
+	return m.ToVersion == order.ToVersion && m.WithinMs == order.WithinMs
+}
+
+// OrderedMove returns the move of a service's order, or nil if there is none.
+func (s Set) OrderedMove(service bulrushchute.Service) *Move {
+	move, _ := s.orderedMoves.get(service)
+	return move
+}
+
 // WithoutMoveOrder returns a copy of the set in which the order was deleted at
 // a store version.
 func (s Set) WithoutMoveOrder(service bulrushchute.Service, version uint64) Set {
--- a/bulrushcatalogue/routing.go
+++ b/bulrushcatalogue/routing.go
@@ -131,15 +131,16 @@
 // Routing is the routing table in force, indexed by host. It must not be
 // modified. The zero value matches no request.
 type Routing struct {
-	Label   string
-	Version uint64
+	Label string
+	// Version is ordered by the operator's own version, then by that of the store.
+	Version bulrushchute.RecordVersion
 	Callers CallerLimits
 	// byHost holds the routes of each host, longest prefix first.
 	byHost     map[string][]*HostRoute
 	routeCount int
 }
 
-func newRouting(table RoutingTable, version uint64) Routing {
+func newRouting(table RoutingTable, version bulrushchute.RecordVersion) Routing {
 	byHost := make(map[string][]*HostRoute)
 	for i := range table.Routes {
 		route := &table.Routes[i]
@@ -154,7 +155,7 @@
 
 // InForce reports whether a routing table is in force.
 func (r Routing) InForce() bool {
-	return r.Version > 0
+	return r.byHost != nil
 }
 
 // RouteCount returns the number of routes.
@@ -186,11 +187,11 @@
 }
 
 // WithRouting returns a copy of the set with the table and its service entries
-// at a store version. Services that only the previous table contained are
+// at a version. Services that only the previous table contained are
 // marked as deleted. A version that is not newer than the known one changes
 // nothing.
-func (s Set) WithRouting(table RoutingTable, version uint64) Set {
-	if version <= s.routing.Version {
+func (s Set) WithRouting(table RoutingTable, version bulrushchute.RecordVersion) Set {
+	if s.routing.InForce() && !s.routing.Version.Less(version) {
 		return s
 	}
 	services := maps.Clone(s.services)
@@ -198,11 +199,11 @@
 		services = make(map[bulrushchute.Service]versionedEntry[ServiceEntry])
 	}
 	for name := range s.tableServices {
-		services[name] = versionedEntry[ServiceEntry]{version: version, deleted: true}
+		services[name] = versionedEntry[ServiceEntry]{version: version.Counter, deleted: true}
 	}
 	tableServices := make(map[bulrushchute.Service]bool, len(table.Services))
 	for _, entry := range table.Services {
-		services[entry.Service] = versionedEntry[ServiceEntry]{entry: entry.clone(), version: version}
+		services[entry.Service] = versionedEntry[ServiceEntry]{entry: entry.clone(), version: version.Counter}
 		tableServices[entry.Service] = true
 	}
 	s.services = services
--- a/bulrushcatalogue/routing_test.go
+++ b/bulrushcatalogue/routing_test.go
@@ -12,6 +12,10 @@
 	return ServiceEntry{Service: service, Owner: "towpath"}.WithDefaults()
 }
 
+func storeVersion(version uint64) bulrushchute.RecordVersion {
+	return bulrushchute.RecordVersion{Counter: version}
+}
+
 func newTable(prefixes ...string) RoutingTable {
 	table := RoutingTable{Label: "7", Services: []ServiceEntry{newEntry("board")}}
 	for _, prefix := range prefixes {
@@ -26,7 +30,7 @@
 // Guards against sending a request to the route of a shorter prefix or of
 // another host.
 func TestRoutingMatch(t *testing.T) {
-	routing := newRouting(newTable("/a/", "/", "/a/b/"), 1)
+	routing := newRouting(newTable("/a/", "/", "/a/b/"), storeVersion(1))
 	cases := map[string]struct{ host, path, want string }{
 		"longest prefix":   {"board.example", "/a/b/c", "r/a/b/"},
 		"shorter prefix":   {"board.example", "/a/c", "r/a/"},
@@ -52,11 +56,11 @@
 	first := newTable("/a/")
 	second := newTable()
 	second.Services = []ServiceEntry{newEntry("ledger")}
-	set := Set{}.WithRouting(first, 4).WithRouting(second, 6).WithRouting(first, 5)
+	set := Set{}.WithRouting(first, storeVersion(4)).WithRouting(second, storeVersion(6)).WithRouting(first, storeVersion(5))
 	_, board := set.Service("board")
 	_, ledger := set.Service("ledger")
 	assert.Assert(t, !board && ledger)
-	assert.Equal(t, set.Routing().Version, uint64(6))
+	assert.Equal(t, set.Routing().Version, storeVersion(6))
 	assert.Assert(t, set.Routing().Match("board.example", "/a/") == nil)
 }
 
@@ -85,7 +89,7 @@
 // Guards against an ordered move that the service's entry does not include, or
 // still includes after its order was deleted.
 func TestMoveOrder(t *testing.T) {
-	set := Set{}.WithRouting(newTable("/a/"), 4)
+	set := Set{}.WithRouting(newTable("/a/"), storeVersion(4))
 	order := MoveOrder{Service: "board", Generation: 9, ToVersion: "v2", WithinMs: 12_000}
 	entry, _ := set.WithMoveOrder(order, 9).Service("board")
 	assert.Assert(t, entry.Move != nil && entry.Move.ToVersion == "v2")
@@ -93,3 +97,23 @@
 	entry, _ = set.WithMoveOrder(order, 9).WithoutMoveOrder("board", 10).Service("board")
 	assert.Assert(t, entry.Move == nil)
 }
+
+// Guards against a move that starts again, or loses its outcome, because the store
+// was restored from a copy and the operator wrote the order again at another
+// revision. An order for another version is a new move.
+func TestMoveOrderSurvivesARestoreOfTheStore(t *testing.T) {
+	order := MoveOrder{Service: "board", Generation: bulrushchute.StoreVersion(1, 70), ToVersion: "v2", WithinMs: 16_000, Outcome: MoveRolledBack}
+	set := Set{}.WithMoveOrder(order, bulrushchute.StoreVersion(1, 80))
+
+	again := order
+	again.Generation, again.Outcome = bulrushchute.StoreVersion(2, 65), ""
+	restored := set.WithMoveOrder(again, bulrushchute.StoreVersion(2, 65)).OrderedMove("board")
+	assert.Equal(t, restored.Generation, order.Generation)
+	assert.Equal(t, restored.Outcome, MoveRolledBack)
+
+	next := again
+	next.ToVersion = "v3"
+	replaced := set.WithMoveOrder(next, bulrushchute.StoreVersion(2, 66)).OrderedMove("board")
+	assert.Equal(t, replaced.Generation, next.Generation)
+	assert.Equal(t, replaced.Outcome, MoveOutcome(""))
+}
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -38,6 +38,9 @@
 	// newestBrake is the newest brake received, including those received before
 	// the state was read.
 	newestBrake ShareRecord
+	// epochFloor is the newest epoch of a share in force. The stored state may have an
+	// earlier one after the store was restored from a copy.
+	epochFloor uint64
 	// observedEpoch is the newest epoch received since the state was last read.
 	observedEpoch uint64
 	// lastPublished is the last share record that this holder published.
@@ -69,6 +72,12 @@
 	}
 }
 
+// SetEpochFloor sets the epoch of the share in force. The epochs that this holder
+// writes are later.
+func (c *Controller) SetEpochFloor(epoch uint64) {
+	c.epochFloor = epoch
+}
+
 // SetServers sets the number of backend servers that accept requests.
 func (c *Controller) SetServers(now bulrushchute.Millis, servers ServerCounts) {
 	if servers.Old > 0 || c.servers.Old > 0 || c.oldLastSeenAt == 0 {
--- a/bulrushmove/controller_test.go
+++ b/bulrushmove/controller_test.go
@@ -365,3 +365,29 @@
 	}
 	assert.Equal(t, h.state(t).Outcome, bulrushmove.OutcomeRolledBack)
 }
+
+// Guards against a share that no node takes because the store was restored from a
+// copy: the stored state, or its absence, leads to epochs that are earlier than that
+// of the share in force.
+func TestEpochsAfterARestoreOfTheStore(t *testing.T) {
+	cases := map[string]struct {
+		// ranFor is how long the move had run when the copy was made.
+		ranFor bulrushchute.Millis
+	}{
+		"no state in the copy": {0},
+		"first stage":          {20 * bulrushchute.Second},
+		"later stage":          {2*bulrushchute.Minute + 25*bulrushchute.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			const inForce = 40
+			h := newHarness(1)
+			h.run(tc.ranFor)
+			h.replaceController("b")
+			h.setMove(1)
+			h.controller.SetEpochFloor(inForce)
+			h.run(bulrushchute.Second)
+			assert.Assert(t, h.state(t).Epoch > inForce, "epoch %d", h.state(t).Epoch)
+		})
+	}
+}
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -66,6 +66,7 @@
 	if c.move == nil {
 		return nil
 	}
+	previous.Epoch = max(previous.Epoch, c.epochFloor)
 	return c.writeState(now, previous.withMove(c.service, *c.move, now))
 }
 
@@ -73,7 +74,7 @@
 // conditional update of a previous holder fails, even if that holder was paused
 // in the middle of the update.
 func (c *Controller) fence(now bulrushchute.Millis, state State) []Action {
-	state.Epoch++
+	state.Epoch = max(state.Epoch, c.epochFloor) + 1
 	return c.writeState(now, state)
 }
 
--- a/bulrushmove/state.go
+++ b/bulrushmove/state.go
@@ -159,6 +159,17 @@
 	AtMs        bulrushchute.Millis  `json:"at_ms"`
 }
 
+// OutcomeEvent returns the event object of an ordered move's outcome as the
+// catalogue has it.
+func OutcomeEvent(service bulrushchute.Service, move bulrushcatalogue.Move) bulrushchute.Object {
+	outcome := OutcomeCompleted
+	if move.Outcome == bulrushcatalogue.MoveRolledBack {
+		outcome = OutcomeRolledBack
+	}
+	state := State{Service: service, Generation: move.Generation, ToVersion: move.ToVersion, Outcome: outcome}
+	return state.eventObject()
+}
+
 // eventObject returns the event object of the state's outcome. Its name does not
 // depend on the writer, so the store rejects a second one.
 func (s State) eventObject() bulrushchute.Object {
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -227,21 +227,21 @@
 	return unknown
 }
 
-// knownObjects returns the names of the objects of a kind that have a record and
-// are not deleted.
-func (c *control) knownObjects(kind bulrushchute.Kind) []string {
+// knownObjects returns the objects of a kind that have a record and are not deleted:
+// their versions by their names.
+func (c *control) knownObjects(kind bulrushchute.Kind) map[string]uint64 {
 	// Without an object name, key.Name is the common prefix of the kind's records.
 	key, replicated := recordKeyOf(bulrushchute.Object{Kind: kind})
 	if !replicated {
 		return nil
 	}
-	var names []string
+	versions := make(map[string]uint64)
 	c.membership.Table().Range(key.Topic, func(record bulrushchute.Record) bool {
 		name, found := strings.CutPrefix(record.Key.Name, key.Name)
 		if found && name != "" && !record.Deleted {
-			names = append(names, name)
+			versions[name] = record.Version.Counter
 		}
 		return true
 	})
-	return names
+	return versions
 }
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -65,6 +65,8 @@
 	// catalogueConfirmed is set once this node has read the current catalogue from
 	// the store, not from a replica that may lag behind.
 	catalogueConfirmed bool
+	// restored holds what is known about restores of the store.
+	restored restoredCopy
 	// seedAddresses is the number of addresses in the settings through which the
 	// node joins. If it is 0, those in the store are used.
 	seedAddresses int
@@ -400,7 +402,7 @@
 		return set, nil
 	case kind == bulrushchute.KindRouting:
 		routing, err := bulrushcatalogue.ParseRouting(record.Value)
-		return set.WithRouting(routing, version), err
+		return set.WithRouting(routing, record.Version), err
 	case kind == bulrushchute.KindMoveOrders && record.Deleted:
 		return set.WithoutMoveOrder(bulrushchute.Service(name), version), nil
 	case kind == bulrushchute.KindMoveOrders:
@@ -495,7 +497,7 @@
 	}
 	c.membership.Table().Publish(now, bulrushchute.Record{
 		Key:     key,
-		Version: bulrushchute.RecordVersion{Counter: object.Version},
+		Version: recordVersionOf(object),
 		Value:   compressValue(object.Value),
 		Deleted: deleted,
 	})
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -111,6 +111,13 @@
 	return m
 }
 
+// voidLeases ends the terms of all leases after the store was restored from a copy.
+func (m *moves) voidLeases() {
+	for _, lease := range m.leases {
+		lease.Void()
+	}
+}
+
 func shardName(shard int) string {
 	return "moves-" + strconv.Itoa(shard)
 }
@@ -300,6 +307,9 @@
 		}
 		controller.SetLease(expiresAt)
 		controller.SetMove(entry.Move)
+		if share, known := view.Shares.Latest(service); known {
+			controller.SetEpochFloor(share.Epoch)
+		}
 		if entry.Move != nil {
 			controller.SetServers(now, countServers(view.Members(service).Instances, *entry.Move))
 		}
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -142,6 +142,7 @@
 	n.control = newControl(n, n.self)
 	n.keys.control = n.control
 	n.moves.control = n.control
+	n.followEras()
 	n.entryHandler = &entryHandler{
 		clock:             clock,
 		board:             n.board,
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -269,13 +269,14 @@
 // lists the last kind first to get the revision, because that kind has few objects.
 func (r *reader) listIfChanged(ctx context.Context, verifiedRevision uint64) (uint64, error) {
 	var latestRevision uint64
+	complete := true
 	for i := range r.kinds {
 		kind := r.kinds[len(r.kinds)-1-i]
 		objects, revision, err := r.node.store.List(ctx, kind)
 		if err != nil {
 			return verifiedRevision, err
 		}
-		r.publishList(ctx, kind, objects, revision)
+		complete = r.publishList(ctx, kind, objects, revision) && complete
 		if i == 0 {
 			latestRevision = revision
 		}
@@ -283,26 +284,44 @@
 			break
 		}
 	}
+	if bulrushchute.EraOf(verifiedRevision) < bulrushchute.EraOf(latestRevision) && verifiedRevision > 0 {
+		r.rewriteOutcomes(ctx)
+	}
+	if !complete {
+		// Lists all kinds again at the next check. The era is kept.
+		return bulrushchute.StoreVersion(bulrushchute.EraOf(latestRevision), 0), nil
+	}
 	return latestRevision, nil
 }
 
 // publishList publishes all listed objects of a kind. Objects that are known but
 // not listed were deleted while no watch was running. They are published as
-// deleted at the list's revision, which is later than their last version.
-func (r *reader) publishList(ctx context.Context, kind bulrushchute.Kind, objects []bulrushchute.Object, revision uint64) {
+// deleted at the list's revision, which is later than their last version. It returns
+// false if something was held back because the store was restored from a copy.
+func (r *reader) publishList(ctx context.Context, kind bulrushchute.Kind, objects []bulrushchute.Object, revision uint64) bool {
+	complete := true
 	r.node.control.do(ctx, func(now bulrushchute.Millis) {
-		listed := make(map[string]bool, len(objects))
+		c := r.node.control
+		c.restored.observe(now, bulrushchute.EraOf(revision))
+		known := c.knownObjects(kind)
 		for _, object := range objects {
-			listed[object.Name] = true
-			r.node.control.publishObject(now, object, false)
+			version, exists := known[object.Name]
+			delete(known, object.Name)
+			if exists && c.restored.holds(now, version) && replacesOrder(c.board.Read().Catalogue, object) {
+				complete = false
+				continue
+			}
+			c.publishObject(now, object, false)
 		}
-		for _, name := range r.node.control.knownObjects(kind) {
-			if !listed[name] {
-				deleted := bulrushchute.Object{Kind: kind, Name: name, Version: revision}
-				r.node.control.publishObject(now, deleted, true)
+		for name, version := range known {
+			if c.restored.holds(now, version) {
+				complete = false
+				continue
 			}
+			c.publishObject(now, bulrushchute.Object{Kind: kind, Name: name, Version: revision}, true)
 		}
 	})
+	return complete
 }
 
 // seeds is the value of an object of the kind seeds. There is one object for each
--- a/bulrushnode/tls_node_test.go
+++ b/bulrushnode/tls_node_test.go
@@ -24,8 +24,12 @@
 }
 
 func runNode(settings Settings, store bulrushchute.Store) runningNode {
+	return runNodeWithOptions(settings, store, Options{})
+}
+
+func runNodeWithOptions(settings Settings, store bulrushchute.Store, options Options) runningNode {
 	ctx, cancel := context.WithCancel(context.Background())
-	running := runningNode{New(settings, store, bulrushchute.WallClock{}), cancel, make(chan error, 1)}
+	running := runningNode{NewWithOptions(settings, store, bulrushchute.WallClock{}, options), cancel, make(chan error, 1)}
 	go func() { running.done <- running.Run(ctx) }()
 	return running
 }
--- a/bulrushstore/lease.go
+++ b/bulrushstore/lease.go
@@ -59,12 +59,15 @@
 	settings LeaseSettings
 
 	// callMu serialises calls to the store and guards renewals, observed, object,
-	// observedAt and exists; mu guards epoch and expiresAt.
+	// observedAt and exists; mu guards epoch, expiresAt and voidSince.
 	callMu sync.Mutex
 	mu     sync.Mutex
 	// epoch is the epoch of the current term, 0 if there is none.
 	epoch     uint64
 	expiresAt bulrushchute.Millis
+	// voidSince is when this node learned that the store was restored from a copy,
+	// 0 if it never was.
+	voidSince bulrushchute.Millis
 	renewals  uint64
 	// observed is the record as last read or written.
 	observed leaseRecord
@@ -137,12 +140,29 @@
 	if err := l.readRecord(ctx); err != nil {
 		return err
 	}
-	if l.exists && !l.acquirable() {
+	if !l.voidEnded() || l.exists && !l.acquirable() {
 		return nil
 	}
 	return l.claim(ctx, l.observed.Epoch+1)
 }
 
+// Void ends the term because the store was restored from a copy. The copy does not
+// show who held the lease last, so no record of it lets this node acquire the lease
+// before a term that was begun until now has expired.
+func (l *Lease) Void() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.epoch = 0
+	l.voidSince = l.clock.Now()
+}
+
+// voidEnded reports whether every term from before the last restore has expired.
+func (l *Lease) voidEnded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.voidSince == 0 || l.clock.Now() >= l.voidSince+l.settings.Duration+l.settings.ClockMargin
+}
+
 // acquirable reports whether the observed record lets this node acquire the
 // lease. It is called only while this node does not hold the lease, so a record
 // that names this node is from an expired term.
@@ -209,6 +229,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if sentAt <= l.voidSince {
+		// The store was restored during the call.
+		return nil
+	}
 	l.epoch = epoch
 	l.expiresAt = sentAt + l.settings.Duration
 	return nil
--- a/bulrushstore/memory.go
+++ b/bulrushstore/memory.go
@@ -25,6 +25,11 @@
 	historyLength int
 	faults        FaultSource
 	down          bool
+	// minWatched is the version from which a watch misses no change since the last
+	// restore.
+	minWatched uint64
+	// onEra are called when a copy is restored.
+	onEra []func(era uint64)
 	// changed is closed and replaced after each change of an object and when the
 	// store goes down or comes back, to wake the watches.
 	changed chan struct{}
@@ -335,7 +340,7 @@
 		return nil, nil, &bulrushchute.UnavailableError{Operation: string(VerbWatch), Cause: errStoreDown}
 	}
 	c := m.collection(kind)
-	if revision < c.compacted {
+	if revision < max(c.compacted, m.minWatched) {
 		return nil, nil, &GoneError{Kind: kind, Revision: revision}
 	}
 	var events []bulrushchute.StoreEvent
--- a/store.go
+++ b/store.go
@@ -39,9 +39,12 @@
 type Object struct {
 	Kind Kind
 	Name string
-	// Version is the store's revision of the object. The revisions of all objects
-	// come from one increasing sequence.
+	// Version is the store's revision of the object, see StoreVersion. The versions of
+	// all objects come from one increasing sequence.
 	Version uint64
+	// OperatorVersion is the version that the operator gave the object, 0 for
+	// objects without one. An object never goes back to an earlier one.
+	OperatorVersion uint64
 	// Value is a JSON document.
 	Value []byte
 }
@@ -53,6 +56,34 @@
 	return o
 }
 
+// eraShift is the number of bits of a version that hold the revision.
+const eraShift = 40
+
+// StoreVersion returns the version of a revision in an era of the store. A store
+// that was restored from a copy begins a new era, in which it gives out earlier
+// revisions again. Versions of a later era are greater than all those of earlier
+// ones.
+func StoreVersion(era, revision uint64) uint64 {
+	return era<<eraShift | revision
+}
+
+// EraOf returns the era of a version.
+func EraOf(version uint64) uint64 {
+	return version >> eraShift
+}
+
+// RevisionOf returns the store's own revision of a version.
+func RevisionOf(version uint64) uint64 {
+	return version & (1<<eraShift - 1)
+}
+
+// EraReporter is implemented by a Store that may be restored from a copy.
+type EraReporter interface {
+	// OnEra sets the function that is called with each era later than the first one
+	// seen. The call must not block.
+	OnEra(notify func(era uint64))
+}
+
 // StoreEvent is a change that a watch reports.
 type StoreEvent struct {
 	Object  Object
