Use the last slots whenever they are allowed, and state when a cold server is due

With the last slots in use only while something waits, a request was measured against the others first, and refused as busy when that wait was long, although slots were free. And the Retry-After of a cold server did not know its rate: callers came back after 100 ms for their only second try and were refused again.

Tests: TestRetryAfterOfAColdServer, TestNotBusyWhileSlotsAreFree, both red before.

--- a/bulrushadmission/cold_rate.go
+++ b/bulrushadmission/cold_rate.go
@@ -63,6 +63,24 @@
 	rl.dispatches = append(rl.dispatches[:0], rl.dispatches[first:]...)
 }
 
+// waitFor returns the time until the given number of further requests may have been
+// dispatched.
+func (rl *coldRateLimiter) waitFor(now bulrushchute.Millis, requests int) bulrushchute.Millis {
+	if !rl.active(now) {
+		return 0
+	}
+	rl.dropExpired(now)
+	perWindow := int(max(1, rl.factor*rl.perS))
+	excess := len(rl.dispatches) + requests - perWindow
+	if excess <= 0 {
+		return 0
+	}
+	// The requests beyond those of the current window follow in later ones.
+	windows := bulrushchute.Millis((excess - 1) / perWindow)
+	first := rl.dispatches[min((excess-1)%perWindow, len(rl.dispatches)-1)]
+	return min(rl.until, first+(windows+1)*coldRateWindow+1) - now
+}
+
 // nextDispatch returns when the next request may be dispatched, or Never if the
 // limit does not delay it.
 func (rl *coldRateLimiter) nextDispatch(now bulrushchute.Millis) bulrushchute.Millis {
--- a/bulrushadmission/hold_test.go
+++ b/bulrushadmission/hold_test.go
@@ -190,3 +190,42 @@
 	}
 	t.Fatal("neither started nor refused before the deadline")
 }
+
+// Guards against a Retry-After that leads callers back while a cold server still
+// takes no more requests. Load pattern: after a fault all servers are cold, and more
+// requests arrive in the first moments than they may take in a second.
+func TestRetryAfterOfAColdServer(t *testing.T) {
+	now := bulrushchute.Millis(1000)
+	c := newReportingController(now)
+	c.ObserveCold(now, 3000)
+	var refusal *bulrushchute.Refusal
+	for n := 0; refusal == nil; n++ {
+		request := testRequest(n, now)
+		decision := c.Offer(now, request)
+		switch decision.Verdict {
+		case Admitted:
+			c.Done(now, request.ID, Result{Kind: bulrushchute.ResultAnswered, ElapsedMs: 20})
+		case Refused:
+			refusal = &decision.Refusal
+		}
+	}
+	assert.Assert(t, refusal.RetryAfter >= coldRateWindow, "retry after %d ms", refusal.RetryAfter)
+}
+
+// Guards against refusing a request as busy while slots are free. Load pattern: a
+// server whose requests suddenly take much longer, with most of its slots in use.
+func TestNotBusyWhileSlotsAreFree(t *testing.T) {
+	now := bulrushchute.Millis(1000)
+	c := newReportingController(now)
+	for n := range 2 * minBaselineSamples {
+		assert.Equal(t, c.Offer(now, testRequest(n, now)).Verdict, Admitted)
+		now += fastMs
+		c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 1})
+		c.Done(now, testRequest(n, now).ID, Result{Kind: bulrushchute.ResultAnswered})
+	}
+	for n := range 9 {
+		c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 1})
+		assert.Equal(t, c.Offer(now, testRequest(100+n, now)).Verdict, Admitted, "%d of 9 slots in use", n)
+		now += 2 * fastMs
+	}
+}
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -133,7 +133,7 @@
 	if c.slowdown.reported {
 		// The server reports directly what the adaptive limit and the ramp
 		// would have to infer.
-		if c.queue.waiting > 0 && c.lastSlots.allowed(c.now) {
+		if c.lastSlots.allowed(c.now) {
 			return limit
 		}
 		return max(1, min(limit, c.softSlots()))
@@ -146,8 +146,7 @@
 }
 
 // softSlots returns the number of slots used while the server reports its load.
-// The slots above it, the last slots, are used only while requests are queued,
-// and only if lastSlotsMonitor allows it.
+// The slots above it, the last slots, are used only if lastSlotsMonitor allows it.
 func (c *Controller) softSlots() int {
 	return int(softSlotShare * float64(c.slots()))
 }
