--- a/bulrushcaller/connection.go
+++ b/bulrushcaller/connection.go
@@ -162,7 +162,8 @@
 			c.endParsing()
 			return err
 		}
-		if previous != nil && !(previous.runsAhead && next.runsAhead) {
+		sideBySide := previous != nil && previous.runsAhead && next.runsAhead
+		if previous != nil && !sideBySide {
 			previous.wait(ctx)
 		}
 		if ctx.Err() != nil || !c.start(ctx, next) || next.last {
--- a/bulrushcaller/server_test.go
+++ b/bulrushcaller/server_test.go
@@ -98,7 +98,7 @@
 	t.Cleanup(func() {
 		cancel()
 		_ = listener.Close()
-		<-served
+		assert.NilError(t, <-served)
 		tc.server.Close()
 	})
 	tc.socket, err = net.Dial("tcp", listener.Addr().String())
