--- a/bulrushattempt/machine_test.go
+++ b/bulrushattempt/machine_test.go
@@ -258,3 +258,16 @@
 		})
 	}
 }
+
+// Guards against insisting on a slowed server while others can be tried, and against
+// a request that nobody starts because each server leaves it to the next one.
+func TestLastAttemptIsMarked(t *testing.T) {
+	m := New(bulrushchute.RequestInfo{Deadline: deadline}, NewBudgets(0), 0)
+	for refusals := range MaxSlowRefusals + 1 {
+		action := m.Next(0)
+		assert.Equal(t, action.Kind, ActionSend)
+		assert.Equal(t, action.Last, refusals == MaxSlowRefusals, "after %d refusals", refusals)
+		m.Sent(0, action.Attempt, bulrushchute.InstanceID(rune('a'+refusals)))
+		m.Ended(0, action.Attempt, ends["slow"])
+	}
+}
--- a/bulrushrouting/router_test.go
+++ b/bulrushrouting/router_test.go
@@ -377,3 +377,16 @@
 		}
 	}
 }
+
+// Guards against asking a server again before the slowdown for which it refused is
+// expected to end, and against avoiding it for longer. Load pattern: machines that
+// neighbours slow down for half a second, with other servers free.
+func TestPickAvoidsASlowedInstance(t *testing.T) {
+	router := newTestRouter(member("a", "own"), member("b", "own"))
+	for range 8 {
+		router.Started(0, "a")
+		router.Observe(0, bulrushchute.Observation{Instance: "a", Result: bulrushchute.ResultNotRun, SlowFor: 500})
+	}
+	assert.Equal(t, pickCounts(router, 499, bulrushchute.PickQuery{})["a"], 0)
+	assert.Assert(t, pickCounts(router, 500, bulrushchute.PickQuery{})["a"] > 0)
+}
--- a/cmd/bulrushbench/bulrushdemo/demo.go
+++ b/cmd/bulrushbench/bulrushdemo/demo.go
@@ -217,8 +217,8 @@
 	idempotent := false
 	limits := bulrushcatalogue.Limits{Slots: 10, Connections: 240, Queue: 40, QueueMs: 200, ColdSlots: 1, WarmMs: 3000}
 	services := []bulrushcatalogue.ServiceEntry{
-		{Service: boardService, Owner: "towpath", Class: "critical", TimeoutMs: 1000, StableVersion: oldVersion, Limits: limits, Move: move},
-		{Service: ledgerService, Owner: "towpath", Class: "critical", TimeoutMs: 2000, StableVersion: oldVersion, Limits: limits, Move: move,
+		{Service: boardService, Owner: "crews", Class: "critical", TimeoutMs: 1000, StableVersion: oldVersion, Limits: limits, Move: move},
+		{Service: ledgerService, Owner: "crews", Class: "critical", TimeoutMs: 2000, StableVersion: oldVersion, Limits: limits, Move: move,
 			Routes: []bulrushcatalogue.Route{{Name: "file", Prefix: "/filings", Methods: []string{"POST"}, Idempotent: &idempotent}}},
 	}
 	for _, service := range services {
