Log and expose what the holder of a move knows when it decides

The holder now writes the line "move judged" when this changes, at most once a period of evidence, and serves it as bulrush_moves.

--- a/bulrushmove/judge.go
+++ b/bulrushmove/judge.go
@@ -93,8 +93,11 @@
 	// and newVersion.
 	pending [2]Counts
 	tests   measureTests
-	// newRequests counts the requests of the new version in all stages.
+	// oldRequests and newRequests count the requests of the old and the new version
+	// in all stages, newFailures those of the new version that failed.
+	oldRequests float64
 	newRequests float64
+	newFailures float64
 	// stageNewRequests and stageOldRequests count the requests of the new and the
 	// old version since StartStage.
 	stageNewRequests float64
@@ -222,6 +225,7 @@
 func (j *Judge) stepRoute(re *routeEvidence, combinedFailures, combinedLatency *increments) bool {
 	frozen := j.share >= FullShare
 	re.baseline.step(&re.pending[oldVersion], j.short)
+	re.oldRequests += re.pending[oldVersion].Requests
 	re.stageOldRequests += re.pending[oldVersion].Requests
 	counts := re.pending[newVersion]
 	re.pending = [2]Counts{}
@@ -229,6 +233,7 @@
 		return false
 	}
 	re.newRequests += counts.Requests
+	re.newFailures += counts.Failures
 	re.stageNewRequests += counts.Requests
 	failures := incrementsOf(counts.Failures, counts.Requests, re.baseline.toleratedFailureRate(frozen))
 	re.tests.failures.step(failures, j.short)
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -69,6 +70,8 @@
 	recorder           *bulrushmove.Recorder
 	recorderGeneration uint64
 	brakes             map[bulrushchute.Service]*brakeState
+	// progress holds what this node last knew of each move that it decides on.
+	progress map[bulrushchute.Service]bulrushmove.Progress
 
 	// Only control's goroutine accesses the fields below.
 	controllers map[bulrushchute.Service]*bulrushmove.Controller
@@ -96,6 +99,7 @@
 		tasks:       bulrushtask.NewGroup(nil),
 		context:     n.context,
 		brakes:      make(map[bulrushchute.Service]*brakeState),
+		progress:    make(map[bulrushchute.Service]bulrushmove.Progress),
 		controllers: make(map[bulrushchute.Service]*bulrushmove.Controller),
 		holders:     make(map[string]moveHolder),
 	}
@@ -314,9 +318,38 @@
 			controller.SetServers(now, countServers(view.Members(service).Instances, *entry.Move))
 		}
 		m.runActions(now, service, controller.Tick(now))
+		m.recordProgress(service, controller)
 	}
 }
 
+// recordProgress keeps what the holder knows of a move for the metrics, and logs
+// it when that has changed.
+func (m *moves) recordProgress(service bulrushchute.Service, controller *bulrushmove.Controller) {
+	progress, judged := controller.Progress()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	previous := m.progress[service]
+	if !judged {
+		delete(m.progress, service)
+		return
+	}
+	m.progress[service] = progress
+	if progress == previous {
+		return
+	}
+	klog.InfoS("move judged", "service", service, "generation", progress.Generation, "epoch", progress.Epoch,
+		"share_bp", progress.Share, "requests", progress.Requests, "new_requests", progress.NewRequests,
+		"new_failures", progress.NewFailures, "finding", progress.Finding, "suspicious", progress.Suspicious,
+		"rollback_reason", progress.RollbackReason)
+}
+
+// metrics returns what this node last knew of each move that it decides on.
+func (m *moves) metrics() map[bulrushchute.Service]bulrushmove.Progress {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return maps.Clone(m.progress)
+}
+
 // servicesWithMove returns the services with a move that has no outcome yet.
 func servicesWithMove(catalogue bulrushcatalogue.Set) []bulrushchute.Service {
 	var services []bulrushchute.Service
--- a/bulrushnode/status.go
+++ b/bulrushnode/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
@@ -128,10 +129,11 @@
 	return entries
 }
 
-// PublishMetrics publishes the node's metrics as an expvar variable. It must be
+// PublishMetrics publishes the node's metrics as expvar variables. It must be
 // called at most once per process.
 func (n *Node) PublishMetrics() {
 	n.recorder.Publish("bulrush_requests")
+	expvar.Publish("bulrush_moves", expvar.Func(func() any { return n.moves.metrics() }))
 }
 
 func (a *admission) probeCounts() map[string]uint64 {
