Add failing tests for bad versions that get too many requests

A simulation of a short rollout, request by request, with the delays of reports, records and store calls.

--- /dev/null
+++ b/bulrushmove/exposure_test.go
@@ -0,0 +1,121 @@
+package bulrushmove_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmove"
+)
+
+// Services with the load of those on which bad versions got too many requests.
+var (
+	busyRollout = rollout{
+		ratePerS: 68, within: 16 * bulrushchute.Second, oldServers: 3, slots: 18, routeShares: []float64{0.67, 0.33},
+	}
+	quietRollout = rollout{
+		ratePerS: 30, within: 14 * bulrushchute.Second, oldServers: 3, slots: 9, routeShares: []float64{0.67, 0.33},
+	}
+)
+
+var versionFaults = map[string]versionFault{
+	"errors":        {failureRate: 0.3},
+	"slow":          {slowRate: 0.45, slowdown: 8},
+	"slightly slow": {slowRate: 0.3, slowdown: 5},
+	"one route":     {failureRate: 0.38, onlyRoute: 2},
+	"late":          {failureRate: 0.45, after: 3 * bulrushchute.Second},
+}
+
+const rolloutSeeds = 100
+
+// checkExposure simulates a rollout of a bad version with rolloutSeeds seeds and
+// checks that no run exceeds the limits, nor ends in the version's favour.
+func checkExposure(t *testing.T, r rollout) {
+	t.Helper()
+	over, completed := 0, 0
+	for seed := range uint64(rolloutSeeds) {
+		r.seed = seed
+		result := r.run()
+		if !result.withinExposure() {
+			over++
+		}
+		if result.outcome == bulrushmove.OutcomeCompleted {
+			completed++
+		}
+	}
+	assert.Assert(t, over == 0 && completed == 0, "of %d: %d over the limits, %d completed", rolloutSeeds, over, completed)
+}
+
+// Guards against a version that gets more than its limit of requests in the stage
+// under high load, before the answers to the first of them are reported.
+func TestHighLoadStageStaysWithinExposure(t *testing.T) {
+	cases := map[string]rollout{"busy": busyRollout, "quiet": quietRollout}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			r.fault = versionFault{failureRate: 0.45, minRunning: r.slots / 3}
+			checkExposure(t, r)
+		})
+	}
+}
+
+// Guards against a bad version that gets all requests because too few of its
+// answers are known to suspect it.
+func TestFullShareNeedsEvidence(t *testing.T) {
+	for name, fault := range versionFaults {
+		t.Run(name, func(t *testing.T) {
+			for _, r := range []rollout{busyRollout, quietRollout} {
+				r.fault = fault
+				checkExposure(t, r)
+			}
+		})
+	}
+}
+
+// Guards against a bad version that is judged from no evidence after the lease of
+// its holder has lapsed because the store was silent.
+func TestEvidenceOutlastsLease(t *testing.T) {
+	for name, fault := range versionFaults {
+		t.Run(name, func(t *testing.T) {
+			for _, r := range []rollout{busyRollout, quietRollout} {
+				for _, downFrom := range []bulrushchute.Millis{2500, 4000, 6000, 8000} {
+					r.fault, r.storeDownFrom, r.storeDownFor = fault, downFrom, 5*bulrushchute.Second
+					checkExposure(t, r)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a bad version that gets its limit of requests once more from each
+// new holder.
+func TestNewHolderStaysWithinExposure(t *testing.T) {
+	for name, fault := range versionFaults {
+		t.Run(name, func(t *testing.T) {
+			for _, r := range []rollout{busyRollout, quietRollout} {
+				for _, lostAt := range []bulrushchute.Millis{2500, 5000, 8000, 11_000} {
+					r.fault, r.holderLostAt = fault, lostAt
+					checkExposure(t, r)
+				}
+			}
+		})
+	}
+}
+
+// Guards against limits that good versions fail: at most 1 in 50 may be rolled back
+// by chance.
+func TestGoodVersionsCompleteWithinLimits(t *testing.T) {
+	cases := map[string]rollout{"busy": busyRollout, "quiet": quietRollout}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			completed := 0
+			for seed := range uint64(rolloutSeeds) {
+				r.seed = seed
+				if r.run().outcome == bulrushmove.OutcomeCompleted {
+					completed++
+				}
+			}
+			assert.Assert(t, completed >= rolloutSeeds*49/50, "%d of %d completed", completed, rolloutSeeds)
+		})
+	}
+}
