Choose canaries outside of withdrawn data centres

While a data centre is withdrawn, the first server of the new version by ID could lie in it. The nodes then sent it the share of the canaries, found it withdrawn, and used the old version: the new version got no request and was judged on nothing.

Servers in a withdrawn data centre are passed over when the canaries are chosen. TestCanaryOutsideWithdrawnDataCentre failed before (0 of 100 requests at a share of 85%) and passes.

--- a/bulrushnode/service_state.go
+++ b/bulrushnode/service_state.go
@@ -172,7 +172,7 @@
 	canaries := bulrushmove.CanaryServers(share, countServers(members, *entry.Move).Old)
 	var others []bulrushchute.InstanceID
 	for _, member := range members {
-		if member.Version != entry.Move.ToVersion || !member.State.TakesWork() {
+		if member.Version != entry.Move.ToVersion || !canServe(view, member) {
 			continue
 		}
 		if canaries > 0 {
@@ -184,6 +184,12 @@
 	return others
 }
 
+// canServe reports whether an instance takes work and its data centre is not
+// withdrawn.
+func canServe(view bulrushboard.View, instance bulrushchute.Instance) bool {
+	return instance.State.TakesWork() && !view.DataCentres.Weights[instance.DataCentre].Withdrawn
+}
+
 // oldVersionQuery restricts a query to the version that a move replaces. If the
 // move does not name it, this is any version but the new one.
 func oldVersionQuery(query bulrushchute.PickQuery, move bulrushcatalogue.Move) bulrushchute.PickQuery {
