bulrushmove: go on judging a move after the lease has lapsed

When the store was silent for longer than a lease lasts, the holder dropped all evidence, and the share stayed in force with nobody judging it.

The holder now keeps its evidence, lowers the share on it without the lease, as any node may, and goes on with it if no other holder has written the state meanwhile. Deadlines are still its business only while it holds the lease. TestLowersShareWithoutLease failed before.

--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -132,8 +132,8 @@
 // once per evidence period.
 func (c *Controller) Tick(now bulrushchute.Millis) []Action {
 	if now >= c.leaseUntil {
-		c.dropHolderState(now)
-		return nil
+		c.loseLease(now)
+		return c.lowerShareOnEvidence(now)
 	}
 	if !c.store.canCall(now) {
 		return c.lowerShareWhileWaiting(now)
@@ -145,13 +145,15 @@
 	return c.decide(now)
 }
 
-// dropHolderState discards the state that is valid only while the lease is held.
-// Evidence is collected from zero under the next lease.
-func (c *Controller) dropHolderState(now bulrushchute.Millis) {
-	if c.store.loaded || c.store.pending != nil {
-		c.store = storeState{lastID: c.store.lastID}
-		c.resetEvidence(now)
+// loseLease discards what is valid only while the lease is held. The evidence is
+// kept: it may still lower the share, and it continues to count if no other holder
+// has written the state by the time this one holds the lease again.
+func (c *Controller) loseLease(now bulrushchute.Millis) {
+	if c.store.pending != nil {
+		c.store.markUncertain(now, c.store.pending.purpose)
 	}
+	c.store.loaded, c.store.fenced = false, false
+	c.store.retryAt, c.store.failedCalls = now, 0
 }
 
 func (c *Controller) resetEvidence(now bulrushchute.Millis) {
@@ -166,6 +168,18 @@
 // lowerShareWhileWaiting continues to judge the move while the store is slow or
 // unavailable, because the share can be lowered without the store.
 func (c *Controller) lowerShareWhileWaiting(now bulrushchute.Millis) []Action {
+	state, ok := c.store.current()
+	if !ok || !needsJudging(state) {
+		return nil
+	}
+	c.evaluate(now, state)
+	c.checkDeadline(now, state)
+	return c.publishRollback(state)
+}
+
+// lowerShareOnEvidence continues to judge the move without the lease. Any node may
+// lower the share on evidence; only the holder may do so because of the deadline.
+func (c *Controller) lowerShareOnEvidence(now bulrushchute.Millis) []Action {
 	state, ok := c.store.current()
 	if !ok || !needsJudging(state) {
 		return nil
@@ -203,7 +217,8 @@
 	return []Action{{Publish: &record}}
 }
 
-// evaluate updates the sequential tests and the rollback reason.
+// evaluate updates the sequential tests, and the rollback reason if the evidence or
+// a brake gives one.
 func (c *Controller) evaluate(now bulrushchute.Millis, state State) {
 	if state.short() {
 		c.judge.SetShort(shortHolderThreshold)
@@ -220,10 +235,19 @@
 		c.rollbackReason = "bad: " + finding.String()
 	} else if c.newestBrake.Generation == state.Generation {
 		c.rollbackReason = "braked: " + c.newestBrake.Reason
-	} else if state.Outcome == OutcomeNone && state.Stage < state.lastStage() && now >= state.CompleteByMs && !c.oldGone(now) {
+	}
+}
+
+// checkDeadline sets the rollback reason of a move that must not go on at its
+// deadline.
+func (c *Controller) checkDeadline(now bulrushchute.Millis, state State) {
+	if c.rollbackReason != "" || state.Outcome != OutcomeNone || now < state.CompleteByMs {
+		return
+	}
+	if state.Stage < state.lastStage() && !c.oldGone(now) {
 		c.rollbackReason = fmt.Sprintf("late: share %d of %d at the deadline", state.Share(), FullShare)
-	} else if state.Outcome == OutcomeNone && state.Stage == state.lastStage() && now >= state.CompleteByMs && c.judge.Suspicious() {
-		c.rollbackReason = "suspicious at the deadline: " + finding.String()
+	} else if state.Stage == state.lastStage() && c.judge.Suspicious() {
+		c.rollbackReason = "suspicious at the deadline: " + c.judge.Finding().String()
 	}
 }
 
--- a/bulrushmove/controller_test.go
+++ b/bulrushmove/controller_test.go
@@ -23,6 +23,8 @@
 	// oldCounts and newCounts are the counts reported per second for each version.
 	oldCounts, newCounts bulrushmove.Counts
 	storeDown            bool
+	// leaseLapsed is set while the controller's lease is not renewed.
+	leaseLapsed bool
 }
 
 const testMoveDuration = 10 * bulrushchute.Minute
@@ -59,7 +61,9 @@
 // at a share above 0.
 func (h *harness) run(duration bulrushchute.Millis) {
 	for end := h.now + duration; h.now < end; h.now += bulrushchute.Second {
-		h.controller.SetLease(h.now + 10*bulrushchute.Second)
+		if !h.leaseLapsed {
+			h.controller.SetLease(h.now + 10*bulrushchute.Second)
+		}
 		h.controller.SetServers(h.now, h.servers)
 		if h.storeDown {
 			h.tickStoreDown()
@@ -268,6 +272,19 @@
 	assert.DeepEqual(t, h.store.events(), []string{"routes-1-rolled-back"})
 }
 
+// Guards against a share that stays in force on a bad version after the lease of
+// the only node that knows its answers has lapsed.
+func TestLowersShareWithoutLease(t *testing.T) {
+	h := newHarness(1)
+	h.run(30_000)
+	assert.Assert(t, h.share() > 0)
+	h.leaseLapsed, h.storeDown = true, true
+	h.run(15_000)
+	h.newCounts = failingCounts(100)
+	h.run(10_000)
+	assert.Equal(t, h.share(), 0)
+}
+
 // Guards against a new holder that raises the share before it has collected new
 // evidence, or that does not fence the previous holder's epoch.
 func TestNewHolderFencesAndWaits(t *testing.T) {
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -81,6 +81,7 @@
 // advance judges the move and performs its next transition, if any.
 func (c *Controller) advance(now bulrushchute.Millis, state State) []Action {
 	c.evaluate(now, state)
+	c.checkDeadline(now, state)
 	if c.rollbackReason != "" {
 		return c.rollBack(now, state)
 	}
--- a/bulrushmove/store_calls.go
+++ b/bulrushmove/store_calls.go
@@ -191,7 +191,7 @@
 		// Another node has written as holder, so this node no longer is the
 		// holder.
 		c.leaseUntil = 0
-		c.dropHolderState(now)
+		c.loseLease(now)
 	case errors.As(result.Err, &unavailable):
 		c.store.scheduleRetry(now)
 	default:
