bulrushstore: count the wait for a lease anew after a failed read

A contender that could not read a lease during an outage took it as soon as the store was back: it had seen the same record before and after. The holder could not renew it meanwhile either, and its successor started without its evidence.

The wait now begins again with each failed read, so that the holder is first to renew. A holder that is gone is replaced one wait later. TestLeaseReturnsToHolderAfterOutage failed before.

--- a/bulrushstore/lease.go
+++ b/bulrushstore/lease.go
@@ -74,7 +74,7 @@
 	// object is the store object that contains observed.
 	object bulrushchute.Object
 	// observedAt is the time of the response in which this version of the object
-	// first appeared.
+	// first appeared, or of the last failed read since.
 	observedAt bulrushchute.Millis
 	// exists is false if the object was absent at the last read.
 	exists bool
@@ -189,6 +189,8 @@
 		return nil
 	}
 	if err != nil {
+		// While the store does not answer, the holder cannot renew the lease either.
+		l.observedAt = l.clock.Now()
 		return err
 	}
 	return l.observe(object)
--- a/bulrushstore/lease_test.go
+++ b/bulrushstore/lease_test.go
@@ -61,6 +61,42 @@
 	assert.Equal(t, epoch, uint64(3))
 }
 
+// unavailableStore fails every call while it is down.
+type unavailableStore struct {
+	bulrushchute.Store
+	down bool
+}
+
+func (us *unavailableStore) Get(ctx context.Context, kind bulrushchute.Kind, name string) (bulrushchute.Object, error) {
+	if us.down {
+		return bulrushchute.Object{}, &bulrushchute.UnavailableError{Operation: "get", Cause: context.DeadlineExceeded}
+	}
+	return us.Store.Get(ctx, kind, name)
+}
+
+// Guards against a contender that takes the lease after an outage of the store, in
+// which the holder could not renew it. What the holder knows would be lost.
+func TestLeaseReturnsToHolderAfterOutage(t *testing.T) {
+	clock := bulrushchute.NewManualClock(1_000_000)
+	memory := bulrushstore.NewMemory()
+	contended := &unavailableStore{Store: memory}
+	a, b := newLease(memory, clock, "a"), newLease(contended, clock, "b")
+	assert.Assert(t, acquireOrRenew(t, a))
+	assert.Assert(t, !acquireOrRenew(t, b))
+	contended.down = true
+	clock.Advance(12_000)
+	_, err := b.AcquireOrRenew(t.Context())
+	assert.Assert(t, err != nil)
+	contended.down = false
+	clock.Advance(1_000)
+	assert.Assert(t, !acquireOrRenew(t, b))
+	assert.Assert(t, acquireOrRenew(t, a))
+	clock.Advance(11_000)
+	assert.Assert(t, !acquireOrRenew(t, b))
+	clock.Advance(11_000)
+	assert.Assert(t, acquireOrRenew(t, b), "a holder that is gone must be replaced")
+}
+
 // Guards against counting the duration from the response to a renewal instead of
 // from its sending. A holder paused in between would then overlap its successor.
 func TestLeaseExpiryCountsFromSend(t *testing.T) {
