Limit the requests of a version under trial by a count

Below 100% the new version got a share of the traffic for a time: 13% for 8 s, then 85% until the answers under load had come back and were judged.

The holder of the move now grants each canary a number of requests, within 0.9 of what the platform's bounds (exposure_ratio and exposure_slack) permit for the service's requests reported so far: half of it until the stage under load. Grants are stored with the state before they are spread, are never reduced, and count on after their instance is gone, so that a late record, a lost holder or a silent store cannot add to them. The node beside the server counts what it passes on and refuses the rest (version_limit, not run); the entry node then uses the old version and asks that server again at the next grant or after 1 s. Without a record the count is 0.

--- a/bulrushmove/action.go
+++ b/bulrushmove/action.go
@@ -42,4 +42,7 @@
 type ServerCounts struct {
 	Old int
 	New int
+	// Candidates are the backend servers of the new version that may receive its
+	// share before it gets all requests. Their order is the same on all nodes.
+	Candidates []bulrushchute.InstanceID
 }
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -45,12 +45,16 @@
 	observedEpoch uint64
 	// lastPublished is the last share record that this holder published.
 	lastPublished ShareRecord
+	exposure      ExposureLimit
+	// requestsBefore is the number of the service's requests since the order that
+	// were reported to previous holders.
+	requestsBefore float64
 }
 
 // NewController returns a controller for a service on a node. The node's ID,
 // which is never reused, identifies its writes.
 func NewController(service bulrushchute.Service, node bulrushchute.InstanceID) *Controller {
-	c := &Controller{service: service, node: node}
+	c := &Controller{service: service, node: node, exposure: ExposureLimit{}.withDefaults()}
 	c.resetEvidence(0)
 	return c
 }
@@ -72,6 +76,11 @@
 	}
 }
 
+// SetExposureLimit sets the limit on the requests of the new version.
+func (c *Controller) SetExposureLimit(limit ExposureLimit) {
+	c.exposure = limit.withDefaults()
+}
+
 // SetEpochFloor sets the epoch of the share in force. The epochs that this holder
 // writes are later.
 func (c *Controller) SetEpochFloor(epoch uint64) {
@@ -163,6 +172,7 @@
 	c.nextStepAt = 0
 	c.rollbackReason = ""
 	c.lastPublished = ShareRecord{}
+	c.requestsBefore = 0
 }
 
 // lowerShareWhileWaiting continues to judge the move while the store is slow or
@@ -193,7 +203,7 @@
 // an ordered move: its old version's servers stop at once, which leaves nothing
 // to revert to.
 func needsJudging(state State) bool {
-	if state.OrderedAtMs > 0 {
+	if state.ordered() {
 		return state.Outcome == OutcomeNone
 	}
 	return state.Outcome == OutcomeNone || state.Outcome == OutcomeCompleted
@@ -210,7 +220,7 @@
 }
 
 func (c *Controller) publish(record ShareRecord) []Action {
-	if record == c.lastPublished {
+	if record.equal(c.lastPublished) {
 		return nil
 	}
 	c.lastPublished = record
@@ -226,6 +236,10 @@
 	if now >= c.nextStepAt {
 		c.nextStepAt = now + state.evidencePeriod()
 		c.judge.SetShare(state.Share())
+		c.judge.SetUnlimited()
+		if state.limited() {
+			c.judge.SetGranted(totalGranted(state.Grants))
+		}
 		c.judge.Step()
 	}
 	if c.rollbackReason != "" {
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -99,9 +99,11 @@
 		return c.completeIfDue(now, state)
 	case c.mayRaiseShare(now, state):
 		return c.raiseShare(now, state, state.Stage+1)
-	default:
-		return nil
 	}
+	if grants, enlarged := c.enlargedGrants(state); enlarged {
+		return c.enlargeGrants(now, state, grants)
+	}
+	return nil
 }
 
 func (c *Controller) rollBack(now bulrushchute.Millis, state State) []Action {
@@ -135,6 +137,7 @@
 // published once the store has confirmed it.
 func (c *Controller) raiseShare(now bulrushchute.Millis, state State, stage int) []Action {
 	raised := state.withStage(stage, now)
+	raised.Grants = c.grantsFor(state, stage)
 	raised.Reason = ""
 	raised.Baselines = c.judge.Baselines()
 	return c.writeState(now, raised)
--- a/bulrushmove/judge.go
+++ b/bulrushmove/judge.go
@@ -78,6 +78,10 @@
 	finding Finding
 	// short is set for a short move, see shortMoveLimit.
 	short bool
+	// granted is the number of requests that the new version may have received
+	// until now, if limited is set.
+	granted int
+	limited bool
 }
 
 // measureTests holds one sequential test per measure.
@@ -153,6 +157,17 @@
 	j.share = share
 }
 
+// SetGranted sets the number of requests that the new version may have received
+// until now.
+func (j *Judge) SetGranted(requests int) {
+	j.granted, j.limited = requests, true
+}
+
+// SetUnlimited removes the limit of SetGranted.
+func (j *Judge) SetUnlimited() {
+	j.limited = false
+}
+
 // AddOld adds counts of the old version for the next Step.
 func (j *Judge) AddOld(route string, counts Counts) {
 	j.evidenceFor(route).pending[oldVersion].add(counts)
@@ -318,10 +333,11 @@
 	if j.share >= FullShare {
 		return false
 	}
-	oldRequests, newRequests := 0.0, 0.0
+	oldRequests, newRequests, earlierRequests := 0.0, 0.0, 0.0
 	for _, evidence := range j.routes {
 		oldRequests += evidence.stageOldRequests
 		newRequests += evidence.stageNewRequests
+		earlierRequests += evidence.newRequests - evidence.stageNewRequests
 	}
 	expectedRequests := oldRequests * float64(j.share) / float64(FullShare-j.share)
 	if j.highLoad() {
@@ -329,5 +345,8 @@
 		// version.
 		expectedRequests = min(expectedRequests, oldRequests)
 	}
+	if j.limited {
+		expectedRequests = min(expectedRequests, float64(j.granted)-earlierRequests)
+	}
 	return expectedRequests >= minExpectedRequests && newRequests < minReportedFraction*expectedRequests
 }
--- a/bulrushmove/rollout_simulation_test.go
+++ b/bulrushmove/rollout_simulation_test.go
@@ -1,6 +1,7 @@
 package bulrushmove_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 
@@ -116,6 +117,7 @@
 	calls      []delayedCall
 	running    []runningRequest
 	perServer  map[int]int
+	quotas     map[int]*bulrushmove.Quota
 	leaseUntil bulrushchute.Millis
 	badLimitAt bulrushchute.Millis
 	result     rolloutResult
@@ -128,6 +130,10 @@
 		move:      bulrushcatalogue.Move{Generation: 1, ToVersion: "2", WithinMs: r.within},
 		store:     newMemoryStore(),
 		perServer: map[int]int{},
+		quotas:    map[int]*bulrushmove.Quota{},
+	}
+	for server := range r.oldServers {
+		run.quotas[server] = &bulrushmove.Quota{}
 	}
 	run.recorder = bulrushmove.NewRecorder(testService, run.move)
 	run.splitter = bulrushmove.NewSplitter(run.random)
@@ -190,10 +196,17 @@
 	servers := bulrushmove.ServerCounts{Old: r.oldServers}
 	if r.elapsed() >= rolloutStart {
 		servers.New = r.oldServers
+		for server := range r.oldServers {
+			servers.Candidates = append(servers.Candidates, serverID(server))
+		}
 	}
 	return servers
 }
 
+func serverID(server int) bulrushchute.InstanceID {
+	return bulrushchute.InstanceID(fmt.Sprint("s", server))
+}
+
 func (r *rolloutRun) apply(actions []bulrushmove.Action) {
 	for _, action := range actions {
 		if action.Publish != nil {
@@ -253,9 +266,8 @@
 func (r *rolloutRun) send() {
 	r.result.requests++
 	request := runningRequest{server: -1, version: "1"}
-	share := r.shares.ShareOf(testService, 1)
-	if r.elapsed() >= rolloutStart && r.splitter.NextIsNew(share) {
-		if server, free := r.freeServer(share); free {
+	if r.elapsed() >= rolloutStart && r.splitter.NextIsNew(r.shares.ShareOf(testService, 1)) {
+		if server, free := r.freeServer(); free {
 			request.server, request.version = server, "2"
 			r.perServer[server]++
 			r.countNew()
@@ -273,19 +285,20 @@
 }
 
 // freeServer returns the server of the new version with the fewest requests, or
-// false if it is full.
-func (r *rolloutRun) freeServer(share int) (int, bool) {
-	servers := r.oldServers
-	if share < bulrushmove.FullShare {
-		servers = bulrushmove.CanaryServers(share, r.oldServers)
-	}
-	best := 0
-	for server := range servers {
-		if r.perServer[server] < r.perServer[best] {
-			best = server
+// false if none may receive the request.
+func (r *rolloutRun) freeServer() (int, bool) {
+	best, found := 0, false
+	for server := range r.oldServers {
+		granted, limited := r.shares.GrantOf(testService, 1, serverID(server))
+		if (!limited || granted > 0) && (!found || r.perServer[server] < r.perServer[best]) {
+			best, found = server, true
 		}
 	}
-	return best, r.perServer[best] < r.slots
+	if !found || r.perServer[best] >= r.slots {
+		return best, false
+	}
+	granted, limited := r.shares.GrantOf(testService, 1, serverID(best))
+	return best, !limited || r.quotas[best].Take(1, granted)
 }
 
 // draw determines when and how a request ends.
--- a/bulrushmove/share.go
+++ b/bulrushmove/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
@@ -24,6 +25,15 @@
 	Braked bool `cbor:"5,keyasint,omitempty"`
 	// Reason describes the finding, for status output and logs.
 	Reason string `cbor:"6,keyasint,omitempty"`
+	// Limited is set when an instance of the new version receives requests only
+	// within its grant in Grants.
+	Limited bool    `cbor:"7,keyasint,omitempty"`
+	Grants  []Grant `cbor:"8,keyasint,omitempty"`
+}
+
+func (sr ShareRecord) equal(other ShareRecord) bool {
+	return sr.Service == other.Service && sr.Generation == other.Generation && sr.Version() == other.Version() &&
+		sr.Braked == other.Braked && sr.Reason == other.Reason && sr.Limited == other.Limited && slices.Equal(sr.Grants, other.Grants)
 }
 
 // Version returns the version by which records of a service are ordered.
@@ -54,6 +64,11 @@
 	if share.Share < 0 || share.Share > FullShare {
 		return ShareRecord{}, &bulrushchute.FieldError{Field: "share", Value: strconv.Itoa(share.Share), Allowed: "0 to 10000"}
 	}
+	for _, grant := range share.Grants {
+		if grant.Requests < 0 {
+			return ShareRecord{}, &bulrushchute.FieldError{Field: "grants", Value: strconv.Itoa(grant.Requests), Allowed: "0 or more requests"}
+		}
+	}
 	consistent := record.Key.Topic == bulrushchute.TopicMove && record.Key.Name == string(share.Service) && record.Version == share.Version()
 	if !consistent {
 		return ShareRecord{}, &bulrushchute.FieldError{Field: "version", Value: record.Key.Name, Allowed: "a key and version that match the value"}
@@ -134,6 +149,25 @@
 	return current.latest.Share
 }
 
+// GrantOf returns the number of requests that an instance of the new version may
+// receive in an ordered move, or false if there is no limit. The grant is 0 unless
+// the latest record is about the given generation.
+func (s Shares) GrantOf(service bulrushchute.Service, generation uint64, instance bulrushchute.InstanceID) (int, bool) {
+	current := s.services[service]
+	if current.latest.Generation != generation || current.brakedGeneration >= generation {
+		return 0, true
+	}
+	if !current.latest.Limited {
+		return 0, false
+	}
+	for _, grant := range current.latest.Grants {
+		if grant.Instance == instance {
+			return grant.Requests, true
+		}
+	}
+	return 0, true
+}
+
 // Latest returns the newest record of a service, or false if there is none.
 func (s Shares) Latest(service bulrushchute.Service) (ShareRecord, bool) {
 	current, ok := s.services[service]
--- a/bulrushmove/split_test.go
+++ b/bulrushmove/split_test.go
@@ -152,10 +152,17 @@
 // Guards against a share record that changes when encoded and decoded, and against
 // a record whose version does not match its value.
 func TestShareRecordEncoding(t *testing.T) {
-	record := bulrushmove.ShareRecord{Service: testService, Generation: 3, Epoch: 9, Share: 500, Reason: "x"}
+	record := bulrushmove.ShareRecord{
+		Service: testService, Generation: 3, Epoch: 9, Share: 500, Reason: "x",
+		Limited: true, Grants: []bulrushmove.Grant{{Instance: "a", Requests: 20}},
+	}
 	parsed, err := bulrushmove.ParseShareRecord(record.Record())
 	assert.NilError(t, err)
-	assert.Equal(t, parsed, record)
+	assert.DeepEqual(t, parsed, record)
+	negative := record
+	negative.Grants = []bulrushmove.Grant{{Instance: "a", Requests: -1}}
+	_, err = bulrushmove.ParseShareRecord(negative.Record())
+	assert.ErrorContains(t, err, "grants")
 	tampered := record.Record()
 	tampered.Version.Epoch++
 	_, err = bulrushmove.ParseShareRecord(tampered)
--- a/bulrushmove/stages.go
+++ b/bulrushmove/stages.go
@@ -15,17 +15,20 @@
 	// that appear over time occur at a small share. It begins at latest even
 	// with little evidence, unless the new version is suspicious.
 	earliest, latest float64
+	// exposure is the fraction of the exposure limit that may be granted until the
+	// end of the stage. It matters for ordered moves only, and not at FullShare.
+	exposure float64
 }
 
 // ordinaryStages are the stages of a move that is not short, after the initial
 // share of 0.
 var ordinaryStages = [...]stage{
 	{share: 0},
-	{share: 50},
-	{share: 100, earliest: 0.05, latest: 0.10},
-	{share: 500, earliest: 0.25, latest: 0.75},
-	{share: 2500, earliest: 0.40, latest: 0.81},
-	{share: 5000, earliest: 0.50, latest: 0.86},
+	{share: 50, exposure: 0.2},
+	{share: 100, earliest: 0.05, latest: 0.10, exposure: 0.3},
+	{share: 500, earliest: 0.25, latest: 0.75, exposure: 0.5},
+	{share: 2500, earliest: 0.40, latest: 0.81, exposure: 0.7},
+	{share: 5000, earliest: 0.50, latest: 0.86, exposure: 1},
 	{share: FullShare, earliest: 0.60, latest: 0.90},
 }
 
@@ -38,11 +41,21 @@
 // on some of the servers.
 var shortStages = [...]stage{
 	{share: 0},
-	{share: 1300, latest: 0.02},
-	{share: 8500, earliest: 0.59, latest: 0.60},
+	{share: 1300, latest: 0.02, exposure: 0.5},
+	{share: 8500, earliest: 0.59, latest: 0.60, exposure: 1},
 	{share: FullShare, earliest: 0.78, latest: 0.79},
 }
 
+// ordered reports whether the move has a time limit instead of a fixed deadline.
+func (s State) ordered() bool {
+	return s.OrderedAtMs > 0
+}
+
+// limited reports whether the requests of the new version are limited by grants.
+func (s State) limited() bool {
+	return s.ordered() && s.Share() < FullShare
+}
+
 // shortMoveLimit is the duration below which a move is short: stages of several
 // seconds do not fit in.
 const shortMoveLimit = bulrushchute.Minute
@@ -51,7 +64,7 @@
 // shortMoveLimit, the deadline of an ordered move lies orderMargin before its time
 // limit.
 func (s State) short() bool {
-	return s.OrderedAtMs > 0 && s.CompleteByMs-s.OrderedAtMs < shortMoveLimit-orderMargin
+	return s.ordered() && s.CompleteByMs-s.OrderedAtMs < shortMoveLimit-orderMargin
 }
 
 func (s State) stages() []stage {
--- a/bulrushmove/state.go
+++ b/bulrushmove/state.go
@@ -58,6 +58,11 @@
 	// response was lost.
 	Writer    string              `json:"writer"`
 	Baselines map[string]Baseline `json:"baselines,omitempty"`
+	// Requests is the number of the service's requests since the order that had been
+	// reported when the state was written.
+	Requests float64 `json:"requests,omitempty"`
+	// Grants limit the requests of an ordered move's new version below FullShare.
+	Grants []Grant `json:"grants,omitempty"`
 }
 
 // Share returns the share of the current stage in basis points.
@@ -89,6 +94,8 @@
 		Share:      s.Share(),
 		Braked:     s.Outcome == OutcomeRolledBack || s.Outcome == OutcomeReverted,
 		Reason:     s.Reason,
+		Limited:    s.limited(),
+		Grants:     s.Grants,
 	}
 }
 
@@ -143,7 +150,7 @@
 	s.DecidedAtMs = now
 	s.Announced = false
 	if !needsJudging(s) {
-		s.Baselines = nil
+		s.Baselines, s.Grants = nil, nil
 	}
 	return s
 }
--- a/bulrushmove/store_calls.go
+++ b/bulrushmove/store_calls.go
@@ -110,6 +110,9 @@
 // writeState stores a state, conditional on the version last read or written.
 func (c *Controller) writeState(now bulrushchute.Millis, state State) []Action {
 	state.Writer = fmt.Sprintf("%s/%d", c.node, c.store.lastID+1)
+	if c.store.exists && c.store.state.Generation == state.Generation && state.ordered() {
+		state.Requests = c.serviceRequests()
+	}
 	object := c.stateObject().WithValue(encode(state))
 	operation := StoreCreate
 	if c.store.exists {
@@ -178,6 +181,7 @@
 		c.store.fenced = false
 		c.resetEvidence(now)
 		c.judge.RestoreBaselines(state.Baselines)
+		c.requestsBefore = state.Requests
 	}
 	return c.adopt(now, state, result.Object.Version, ownWrite)
 }
--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -66,6 +66,10 @@
 	// observeSample records the result of each dispatch, so that the versions of
 	// a move can be compared.
 	observeSample func(service bulrushchute.Service, sample bulrushmove.Sample)
+	// takeGrant counts a request for the backend server's version, and reports
+	// whether a move permits it. returnGrant uncounts one that was not sent.
+	takeGrant   func(service bulrushchute.Service, version bulrushchute.Version) (generation uint64, granted bool)
+	returnGrant func(generation uint64)
 }
 
 func newAdmission(ctx context.Context, clock bulrushchute.Clock, clockSkew bulrushchute.Millis, protocols protocols) *admission {
@@ -80,6 +84,8 @@
 		pollWake:      make(chan struct{}, 1),
 		healthPath:    bulrushcatalogue.DefaultHealthPath,
 		observeSample: func(bulrushchute.Service, bulrushmove.Sample) {},
+		takeGrant:     func(bulrushchute.Service, bulrushchute.Version) (uint64, bool) { return 0, true },
+		returnGrant:   func(uint64) {},
 	}
 }
 
@@ -260,6 +266,21 @@
 }
 
 func (a *admission) serveUntil(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+	generation, granted := a.takeGrant(attempt.Service, a.latestAnnouncement().Version)
+	if !granted {
+		reply := refusalReply(bulrushchute.ReasonVersionLimit, retryAfterDefault)
+		a.logRefusal(attempt, *reply.Refusal)
+		return reply
+	}
+	reply := a.serveGranted(ctx, attempt, deadline)
+	if reply.Refusal != nil && !reply.Refusal.Reached {
+		a.returnGrant(generation)
+	}
+	return reply
+}
+
+// serveGranted runs an attempt that the grants of a move permit.
+func (a *admission) serveGranted(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
 	a.refreshLoad(ctx)
 	if refusal := a.admit(ctx, attempt, deadline); refusal != nil {
 		a.logRefusal(attempt, *refusal)
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -193,6 +193,7 @@
 // nothing waits for the attempt any more.
 func (ac *activeCall) exchange(ctx context.Context, number int, instance bulrushchute.Instance, attempt bulrushchute.Attempt) attemptResult {
 	begin := time.Now()
+	epoch := shareEpoch(ac.runner.board.Read(), attempt.Service)
 	reply, err := ac.runner.exchange(ctx, instance, attempt)
 	result := attemptResultOf(number, reply, err)
 	ac.logAttempt(instance, attempt, result)
@@ -207,6 +208,9 @@
 	if result.end.Reason == bulrushchute.ReasonSlow {
 		observation.SlowFor = result.end.RetryAfter
 	}
+	if result.end.Reason == bulrushchute.ReasonVersionLimit {
+		ac.serviceState.observeSpentGrant(ac.runner.clock.Now(), instance.ID, epoch)
+	}
 	ac.serviceState.observe(ac.runner.clock.Now(), observation)
 	sample, ok := bulrushmove.SampleOf(instance.Version, attempt.Route, observation.Result, observation.ElapsedMs)
 	if ok {
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -61,6 +61,8 @@
 	self    bulrushchute.Instance
 	tasks   *bulrushtask.Group
 	context context.Context
+	// exposure limits the requests of new versions.
+	exposure bulrushmove.ExposureLimit
 	// control is set before any goroutine uses it.
 	control *control
 	leases  [moveShardCount]*bulrushstore.Lease
@@ -72,6 +74,9 @@
 	brakes             map[bulrushchute.Service]*brakeState
 	// progress holds what this node last knew of each move that it decides on.
 	progress map[bulrushchute.Service]bulrushmove.Progress
+	// quota counts the requests that this node's backend server has received as one
+	// of the new version.
+	quota bulrushmove.Quota
 
 	// Only control's goroutine accesses the fields below.
 	controllers map[bulrushchute.Service]*bulrushmove.Controller
@@ -98,6 +103,7 @@
 		self:        n.self,
 		tasks:       bulrushtask.NewGroup(nil),
 		context:     n.context,
+		exposure:    bulrushmove.ExposureLimit{Ratio: n.settings.ExposureRatio, Slack: n.settings.ExposureSlack},
 		brakes:      make(map[bulrushchute.Service]*brakeState),
 		progress:    make(map[bulrushchute.Service]bulrushmove.Progress),
 		controllers: make(map[bulrushchute.Service]*bulrushmove.Controller),
@@ -145,6 +151,32 @@
 	m.recorder.Observe(sample)
 }
 
+// takeGrant counts a request for this node's backend server. It returns false if
+// the server's version is under trial in an ordered move and has received all
+// requests that it may.
+func (m *moves) takeGrant(service bulrushchute.Service, version bulrushchute.Version) (uint64, bool) {
+	view := m.board.Read()
+	entry, _ := view.Catalogue.Service(service)
+	move := entry.Move
+	if move == nil || move.WithinMs == 0 || version != move.ToVersion || move.Outcome == bulrushcatalogue.MoveCompleted {
+		return 0, true
+	}
+	granted, limited := view.Shares.GrantOf(service, move.Generation, m.self.ID)
+	if !limited {
+		return 0, true
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return move.Generation, m.quota.Take(move.Generation, granted)
+}
+
+// returnGrant uncounts a request that was not sent to the backend server.
+func (m *moves) returnGrant(generation uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.quota.Return(generation)
+}
+
 // observeAttempt records the result of an attempt of this entry node.
 func (m *moves) observeAttempt(service bulrushchute.Service, sample bulrushmove.Sample) {
 	move := m.moveOf(service)
@@ -307,6 +339,7 @@
 		}
 		if controller == nil {
 			controller = bulrushmove.NewController(service, m.self.ID)
+			controller.SetExposureLimit(m.exposure)
 			m.controllers[service] = controller
 		}
 		controller.SetLease(expiresAt)
@@ -315,7 +348,7 @@
 			controller.SetEpochFloor(share.Epoch)
 		}
 		if entry.Move != nil {
-			controller.SetServers(now, countServers(view.Members(service).Instances, *entry.Move))
+			controller.SetServers(now, countServers(view, service, *entry.Move))
 		}
 		m.runActions(now, service, controller.Tick(now))
 		m.recordProgress(service, controller)
@@ -377,10 +410,12 @@
 	return services
 }
 
-// countServers counts the backend servers of both versions that take work.
-func countServers(instances []bulrushchute.Instance, move bulrushcatalogue.Move) bulrushmove.ServerCounts {
+// countServers counts the backend servers of both versions that take work, and
+// lists the candidates for a limited share: those of the new version whose data
+// centre is not withdrawn.
+func countServers(view bulrushboard.View, service bulrushchute.Service, move bulrushcatalogue.Move) bulrushmove.ServerCounts {
 	var servers bulrushmove.ServerCounts
-	for _, instance := range instances {
+	for _, instance := range view.Members(service).Instances {
 		if !instance.State.TakesWork() {
 			continue
 		}
@@ -389,6 +424,9 @@
 			servers.Old++
 		case instance.Version == move.ToVersion:
 			servers.New++
+			if !view.DataCentres.Weights[instance.DataCentre].Withdrawn {
+				servers.Candidates = append(servers.Candidates, instance.ID)
+			}
 		}
 	}
 	return servers
--- a/bulrushnode/service_state.go
+++ b/bulrushnode/service_state.go
@@ -29,6 +29,8 @@
 	retries retryLimits
 	// subset is the subset size for which the router was created.
 	subset int
+	// spentGrants holds the instances of a new version that are not tried now.
+	spentGrants spentGrants
 }
 
 // serviceStates holds the state of each service that was called.
@@ -84,6 +86,8 @@
 		router:   bulrushrouting.NewRouter(settings, newRandom(string(settings.Self), string(service))),
 		budgets:  bulrushattempt.NewBudgets(ss.clock.Now()),
 		splitter: bulrushmove.NewSplitter(newRandom(string(settings.Self), string(service), "split")),
+
+		spentGrants: make(spentGrants),
 	}
 	ss.byService[service] = state
 	return state
@@ -152,7 +156,7 @@
 		return ss.router.Pick(now, query)
 	}
 	canaryQuery := query
-	canaryQuery.Exclude = append(slices.Clone(query.Exclude), nonCanaries(view, entry)...)
+	canaryQuery.Exclude = append(slices.Clone(query.Exclude), ss.nonCanaries(now, view, entry)...)
 	instance, found := ss.router.Pick(now, canaryQuery)
 	if found || entry.Move.Outcome == bulrushcatalogue.MoveCompleted {
 		return instance, found
@@ -160,34 +164,48 @@
 	return ss.router.Pick(now, oldVersionQuery(query, *entry.Move))
 }
 
-// nonCanaries returns the instances of the new version that receive no requests
-// yet. All nodes select the same ones, so that the canaries carry a normal
-// load.
-func nonCanaries(view bulrushboard.View, entry bulrushcatalogue.ServiceEntry) []bulrushchute.InstanceID {
-	share := view.Shares.ShareOf(entry.Service, entry.Move.Generation)
-	if entry.Move.WithinMs == 0 || entry.Move.Outcome != "" || share >= bulrushmove.FullShare {
+// nonCanaries returns the instances of the new version to which this node sends
+// nothing: in an ordered move, those without a grant and those whose grant is used
+// up.
+func (ss *serviceState) nonCanaries(now bulrushchute.Millis, view bulrushboard.View, entry bulrushcatalogue.ServiceEntry) []bulrushchute.InstanceID {
+	if entry.Move.WithinMs == 0 || entry.Move.Outcome != "" {
 		return nil
 	}
-	members := view.Members(entry.Service).Instances
-	canaries := bulrushmove.CanaryServers(share, countServers(members, *entry.Move).Old)
 	var others []bulrushchute.InstanceID
-	for _, member := range members {
-		if member.Version != entry.Move.ToVersion || !canServe(view, member) {
+	for _, member := range view.Members(entry.Service).Instances {
+		if member.Version != entry.Move.ToVersion {
 			continue
 		}
-		if canaries > 0 {
-			canaries--
-			continue
+		granted, limited := view.Shares.GrantOf(entry.Service, entry.Move.Generation, member.ID)
+		if limited && (granted == 0 || ss.spentGrants.spent(now, member.ID, shareEpoch(view, entry.Service))) {
+			others = append(others, member.ID)
 		}
-		others = append(others, member.ID)
 	}
 	return others
 }
 
-// canServe reports whether an instance takes work and its data centre is not
-// withdrawn.
-func canServe(view bulrushboard.View, instance bulrushchute.Instance) bool {
-	return instance.State.TakesWork() && !view.DataCentres.Weights[instance.DataCentre].Withdrawn
+func shareEpoch(view bulrushboard.View, service bulrushchute.Service) uint64 {
+	share, _ := view.Shares.Latest(service)
+	return share.Epoch
+}
+
+// spentGrantRetry is the time after which an instance is tried again although no
+// newer grants are known. It may have received them before this node.
+const spentGrantRetry = bulrushchute.Second
+
+// spentGrants holds the instances that have refused a request because their grant
+// is used up.
+type spentGrants map[bulrushchute.InstanceID]spentGrant
+
+type spentGrant struct {
+	// epoch is that of the share under which the request was sent.
+	epoch     uint64
+	refusedAt bulrushchute.Millis
+}
+
+func (sg spentGrants) spent(now bulrushchute.Millis, instance bulrushchute.InstanceID, epoch uint64) bool {
+	refusal, known := sg[instance]
+	return known && refusal.epoch == epoch && now < refusal.refusedAt+spentGrantRetry
 }
 
 // oldVersionQuery restricts a query to the version that a move replaces. If the
@@ -208,6 +226,19 @@
 	return !found
 }
 
+// observeSpentGrant records that an instance has refused a request, sent under a
+// share of the given epoch, because its grant is used up.
+func (ss *serviceState) observeSpentGrant(now bulrushchute.Millis, instance bulrushchute.InstanceID, epoch uint64) {
+	ss.mutex.Lock()
+	defer ss.mutex.Unlock()
+	for other, refusal := range ss.spentGrants {
+		if refusal.epoch < epoch {
+			delete(ss.spentGrants, other)
+		}
+	}
+	ss.spentGrants[instance] = spentGrant{epoch: epoch, refusedAt: now}
+}
+
 func (ss *serviceState) observe(now bulrushchute.Millis, observation bulrushchute.Observation) {
 	ss.mutex.Lock()
 	defer ss.mutex.Unlock()
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -56,6 +56,12 @@
 	// ColdRateFactor is the multiple of a cold backend server's stated rate that it
 	// receives in any second at most. 0 selects the default, 1.25.
 	ColdRateFactor float64 `json:"cold_rate_factor,omitempty"`
+	// ExposureRatio and ExposureSlack limit the requests that the new version of an
+	// ordered move receives before it gets all of them: the ratio to the service's
+	// requests since the order, and the number beyond it. With both 0, the defaults
+	// of bulrushmove.ExposureLimit apply.
+	ExposureRatio float64 `json:"exposure_ratio,omitempty"`
+	ExposureSlack float64 `json:"exposure_slack,omitempty"`
 	// ReadAheadRequests and ReadAheadBytes limit the pipelined requests that are read
 	// from a caller's connection before the oldest response has been sent: their
 	// number, and the bytes of their bodies. 0 selects the defaults.
@@ -136,6 +142,14 @@
 		value := strconv.FormatFloat(s.ColdRateFactor, 'g', -1, 64)
 		return &bulrushchute.FieldError{Field: "cold_rate_factor", Value: value, Allowed: "1 to 10"}
 	}
+	if s.ExposureRatio < 0 || s.ExposureRatio > 1 {
+		value := strconv.FormatFloat(s.ExposureRatio, 'g', -1, 64)
+		return &bulrushchute.FieldError{Field: "exposure_ratio", Value: value, Allowed: "0 to 1"}
+	}
+	if s.ExposureSlack < 0 {
+		value := strconv.FormatFloat(s.ExposureSlack, 'g', -1, 64)
+		return &bulrushchute.FieldError{Field: "exposure_slack", Value: value, Allowed: "0 or more requests"}
+	}
 	if err := checkRange("read_ahead_requests", s.ReadAheadRequests, maxReadAheadRequests); err != nil {
 		return err
 	}
--- a/cmd/bulrushctl/bulrushcommand/explain.go
+++ b/cmd/bulrushctl/bulrushcommand/explain.go
@@ -187,6 +187,7 @@
 	"busy":              "no server of the service had room",
 	"queue_timeout":     "it waited for queue_ms without getting a slot",
 	"slow_for_now":      "the machines of the servers that were tried were slowed down, and not expected to be fast in time",
+	"version_limit":     "the server's version is under trial and has had all requests that it may for now",
 	"shed":              "it gave way to more important work",
 	"retry_budget":      "a server refused it, and the budget for further attempts was used up",
 	"no_backend_server": "no server of the service takes work",
--- a/request.go
+++ b/request.go
@@ -71,6 +71,9 @@
 	// ReasonSlow means that a slowdown of the backend server outlasted the time
 	// for which the request was held back.
 	ReasonSlow Reason = "slow_for_now"
+	// ReasonVersionLimit means that the backend server runs a version that is not
+	// known to be good yet, and has received all requests that it may until then.
+	ReasonVersionLimit Reason = "version_limit"
 	// ReasonTenantLimit means that the queue is full and that the tenant already
 	// has its share of it.
 	ReasonTenantLimit Reason = "tenant_limit"
