Give a new holder of a move all evidence so far

A node reported what was new since its last report. A holder that took over after a loss began from nothing, also with its count of the service's requests, from which the limit of a version under trial follows; and what arrived before it had read the state was dropped.

Each node now sends all of its evidence to a holder that it has not reported to, none while no holder is known, and the holder keeps reports of the move in the catalogue until it has read the state. TestNewHolderReceivesAllEvidence and TestRecorderReportsToNewHolder guard it; neither compiles without the change.

--- a/bulrushmove/clearance_test.go
+++ b/bulrushmove/clearance_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 )
 
 func answered(requests, failures float64, latencyMs float64) Counts {
@@ -85,3 +88,30 @@
 	}
 	assert.Assert(t, judge.Finding().Bad, judge.Finding().String())
 }
+
+// Guards against a recorder that forgets running requests, or that sends a new holder
+// only what is new.
+func TestRecorderReportsToNewHolder(t *testing.T) {
+	recorder := NewRecorder("board", bulrushcatalogue.Move{Generation: 1, FromVersion: "v1", ToVersion: "v2", WithinMs: 14_000})
+	id := bulrushchute.AttemptID{1}
+	recorder.Started(1000, id, "v2", "views")
+	recorder.Observe(Sample{Version: "v2", Route: "views", ElapsedMs: 100, Warming: true})
+	recorder.Observe(Sample{Version: "v1", Route: "views", ElapsedMs: 100})
+	first := recorder.TakeReports(1200)
+	assert.Equal(t, len(first), 2)
+	assert.DeepEqual(t, first[1].RunningAges, agesAt(200, 1))
+	assert.DeepEqual(t, first[1].WarmingLatencies, agesAt(100, 1))
+	assert.Equal(t, len(first[0].RunningAges), 0, "the old version")
+	assert.Equal(t, first[1].Requests, 1)
+	running := recorder.TakeReports(1400)
+	assert.Equal(t, len(running), 1)
+	assert.Equal(t, running[0].Requests, 0)
+	recorder.Ended(id)
+	recorder.Observe(Sample{Version: "v2", Route: "views", Failed: true})
+	all := recorder.TakeAllReports(1500)
+	assert.Equal(t, all[1].Requests, 2)
+	assert.Equal(t, all[1].Failures, 1)
+	assert.Equal(t, len(all[1].RunningAges), 0)
+	assert.Assert(t, all[1].Sequence > running[0].Sequence)
+	assert.Equal(t, len(recorder.TakeReports(1600)), 0)
+}
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -49,8 +49,19 @@
 	// requestsBefore is the number of the service's requests since the order that a
 	// previous holder knew of. The nodes report them to this one too.
 	requestsBefore float64
+	// early holds reports on the move in the catalogue entry that arrived before its
+	// state was known.
+	early []earlyEvidence
 }
 
+type earlyEvidence struct {
+	from     bulrushchute.InstanceID
+	evidence bulrushchute.Evidence
+}
+
+// maxEarlyReports limits the reports that are kept until the state is known.
+const maxEarlyReports = 4096
+
 // NewController returns a controller for a service on a node. The node's ID,
 // which is never reused, identifies its writes.
 func NewController(service bulrushchute.Service, node bulrushchute.InstanceID) *Controller {
@@ -98,8 +109,12 @@
 // AddEvidence adds a node's report. Duplicate reports and reports about another
 // generation are dropped.
 func (c *Controller) AddEvidence(from bulrushchute.InstanceID, evidence bulrushchute.Evidence) {
+	if evidence.Service != c.service {
+		return
+	}
 	state, ok := c.store.current()
-	if !ok || evidence.Service != c.service || evidence.Generation != state.Generation {
+	if !ok || evidence.Generation != state.Generation {
+		c.keepEarly(from, evidence)
 		return
 	}
 	if evidence.Sequence <= c.lastSequences[from] {
@@ -115,6 +130,22 @@
 	}
 }
 
+func (c *Controller) keepEarly(from bulrushchute.InstanceID, evidence bulrushchute.Evidence) {
+	expected := c.move != nil && evidence.Generation == c.move.Generation
+	if expected && len(c.early) < maxEarlyReports {
+		c.early = append(c.early, earlyEvidence{from: from, evidence: evidence})
+	}
+}
+
+// addEarly adds the reports that arrived before the state was known.
+func (c *Controller) addEarly() {
+	early := c.early
+	c.early = nil
+	for _, report := range early {
+		c.AddEvidence(report.from, report.evidence)
+	}
+}
+
 // ObserveShare processes a share record received from another node. A brake
 // causes a rollback regardless of its epoch. An epoch newer than the known one
 // means that a delayed write of a previous holder has reached the store.
--- a/bulrushmove/evidence.go
+++ b/bulrushmove/evidence.go
@@ -51,9 +51,11 @@
 // Recorder collects the evidence of one move on one node. It is not safe for
 // concurrent use.
 type Recorder struct {
-	service  bulrushchute.Service
-	move     bulrushcatalogue.Move
+	service bulrushchute.Service
+	move    bulrushcatalogue.Move
+	// counts are those since the last reports, totals those of all earlier reports.
 	counts   map[countsKey]*Counts
+	totals   map[countsKey]*Counts
 	running  map[bulrushchute.AttemptID]runningRequest
 	sequence uint64
 }
@@ -75,10 +77,16 @@
 		service: service,
 		move:    move,
 		counts:  map[countsKey]*Counts{},
+		totals:  map[countsKey]*Counts{},
 		running: map[bulrushchute.AttemptID]runningRequest{},
 	}
 }
 
+// Service returns the service whose move is recorded.
+func (r *Recorder) Service() bulrushchute.Service {
+	return r.service
+}
+
 // Started records the dispatch of a request. Those of the old version are ignored.
 func (r *Recorder) Started(now bulrushchute.Millis, id bulrushchute.AttemptID, version bulrushchute.Version, route string) {
 	if version == r.move.ToVersion {
@@ -121,10 +129,24 @@
 // A route of the new version is also reported while requests on it are running.
 func (r *Recorder) TakeReports(now bulrushchute.Millis) []bulrushchute.Evidence {
 	reports := r.reports(now, r.counts)
-	clear(r.counts)
+	r.addToTotals()
 	return reports
 }
 
+// TakeAllReports is like TakeReports, but returns the reports since the recorder was
+// created. It is for a holder that has received none of them.
+func (r *Recorder) TakeAllReports(now bulrushchute.Millis) []bulrushchute.Evidence {
+	r.addToTotals()
+	return r.reports(now, r.totals)
+}
+
+func (r *Recorder) addToTotals() {
+	for key, counts := range r.counts {
+		countsFor(r.totals, key).add(*counts)
+	}
+	clear(r.counts)
+}
+
 func (r *Recorder) reports(now bulrushchute.Millis, counts map[countsKey]*Counts) []bulrushchute.Evidence {
 	ages := r.runningAges(now)
 	for route := range ages {
--- a/bulrushmove/exposure.go
+++ b/bulrushmove/exposure.go
@@ -112,10 +112,10 @@
 }
 
 // serviceRequests returns the number of the service's requests since the order, as
-// far as they were reported to the holders.
+// far as they were reported to one of the holders.
 func (c *Controller) serviceRequests() float64 {
 	requests, _, _ := c.judge.totals()
-	return c.requestsBefore + requests
+	return max(c.requestsBefore, requests)
 }
 
 // grantsFor returns the grants of a stage. The limit is spent by stages, so that
@@ -148,6 +148,7 @@
 func (c *Controller) enlargeGrants(now bulrushchute.Millis, state State, grants []Grant) []Action {
 	state.Epoch++
 	state.Grants = grants
+	state.Baselines = c.judge.Baselines()
 	return c.writeState(now, state)
 }
 
@@ -158,9 +159,9 @@
 // exposureCoversRest reports whether the limit leaves room for all requests of the
 // service until the deadline, which is so for a service with few of them.
 func (c *Controller) exposureCoversRest(now bulrushchute.Millis, state State) bool {
-	_, received, _ := c.judge.totals()
-	if c.requestsBefore > 0 {
-		// The reports on the new version went to another holder.
+	known, received, _ := c.judge.totals()
+	if known < c.requestsBefore {
+		// Some reports of the new version's requests are missing.
 		received = float64(totalGranted(state.Grants))
 	}
 	requests := c.serviceRequests()
--- a/bulrushmove/rollout_simulation_test.go
+++ b/bulrushmove/rollout_simulation_test.go
@@ -114,6 +114,9 @@
 	move       bulrushcatalogue.Move
 	store      *memoryStore
 	controller *bulrushmove.Controller
+	// holder is the node of the controller, reportedTo that of the last reports.
+	holder     bulrushchute.InstanceID
+	reportedTo bulrushchute.InstanceID
 	recorder   *bulrushmove.Recorder
 	splitter   *bulrushmove.Splitter
 	shares     bulrushmove.Shares
@@ -149,6 +152,7 @@
 }
 
 func (r *rolloutRun) startHolder(node bulrushchute.InstanceID) {
+	r.holder = node
 	r.controller = bulrushmove.NewController(testService, node)
 	r.controller.SetMove(&r.move)
 	r.calls = nil
@@ -170,9 +174,7 @@
 	}
 	r.renewLease()
 	if r.elapsed()%rolloutReport == 0 {
-		for _, report := range r.recorder.TakeReports(r.now) {
-			r.controller.AddEvidence("n", report)
-		}
+		r.report()
 	}
 	r.completeCalls()
 	if r.elapsed()%rolloutTick == 0 {
@@ -196,6 +198,21 @@
 	}
 }
 
+// report sends the evidence to the holder, and all of it to a new one.
+func (r *rolloutRun) report() {
+	if r.leaseUntil == 0 {
+		return
+	}
+	reports := r.recorder.TakeReports(r.now)
+	if r.holder != r.reportedTo {
+		reports = r.recorder.TakeAllReports(r.now)
+		r.reportedTo = r.holder
+	}
+	for _, report := range reports {
+		r.controller.AddEvidence("n", report)
+	}
+}
+
 func (r *rolloutRun) servers() bulrushmove.ServerCounts {
 	servers := bulrushmove.ServerCounts{Old: r.oldServers}
 	if r.elapsed() >= rolloutStart {
--- a/bulrushmove/store_calls.go
+++ b/bulrushmove/store_calls.go
@@ -228,6 +228,7 @@
 	c.store.loaded, c.store.exists, c.store.failedCalls = true, true, 0
 	c.store.state, c.store.version = state, version
 	c.store.retryAt = now
+	c.addEarly()
 	if !ownWrite {
 		return nil
 	}
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -81,6 +81,10 @@
 	// Only control's goroutine accesses the fields below.
 	controllers map[bulrushchute.Service]*bulrushmove.Controller
 	holders     map[string]moveHolder
+	// reportedTo is the holder to which the evidence was last sent, and
+	// reportedGeneration the generation of its move.
+	reportedTo         bulrushchute.InstanceID
+	reportedGeneration uint64
 	// pendingRecords holds records created by callbacks, which the next tick
 	// publishes.
 	pendingRecords   []bulrushchute.Record
@@ -297,23 +301,36 @@
 	return interval
 }
 
+// sendEvidence sends this node's evidence to the holder of the move, and all of it
+// to a new holder.
 func (m *moves) sendEvidence() {
-	m.mutex.Lock()
-	var reports []bulrushchute.Evidence
-	if m.recorder != nil {
-		reports = m.recorder.TakeReports(m.clock.Now())
-	}
-	m.mutex.Unlock()
+	holder, reports := m.takeReports()
 	for _, report := range reports {
-		holder, known := m.holders[shardName(shardOf(report.Service))]
-		switch {
-		case !known:
-		case holder.ID == m.self.ID:
+		if holder.ID == m.self.ID {
 			m.onEvidence(m.self.ID, report)
-		default:
-			m.control.transport.Send(holder.Address, bulrushchute.Control{From: m.self.ID, Evidence: &report})
+			continue
 		}
+		m.control.transport.Send(holder.Address, bulrushchute.Control{From: m.self.ID, Evidence: &report})
+	}
+}
+
+// takeReports returns the reports to send and their receiver. There are none while no
+// holder is known.
+func (m *moves) takeReports() (moveHolder, []bulrushchute.Evidence) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.recorder == nil {
+		return moveHolder{}, nil
+	}
+	holder, known := m.holders[shardName(shardOf(m.recorder.Service()))]
+	if !known {
+		return moveHolder{}, nil
+	}
+	if m.reportedTo == holder.ID && m.reportedGeneration == m.recorderGeneration {
+		return holder, m.recorder.TakeReports(m.clock.Now())
 	}
+	m.reportedTo, m.reportedGeneration = holder.ID, m.recorderGeneration
+	return holder, m.recorder.TakeAllReports(m.clock.Now())
 }
 
 // tickBrakes brakes a move if this node's own attempts show that the new version
--- a/bulrushnode/moves_test.go
+++ b/bulrushnode/moves_test.go
@@ -85,3 +85,37 @@
 	n.moves.leases[shard] = bulrushstore.NewLease(n.store, n.clock, bulrushstore.LeaseSettings{Name: "other", Holder: n.id})
 	assert.Equal(t, len(n.moves.candidateShards(ctx)), 0, "neither holder nor candidate")
 }
+
+// Guards against a new holder of a move that starts without the evidence that the
+// nodes have sent to the one before it.
+func TestNewHolderReceivesAllEvidence(t *testing.T) {
+	n := newTestNode("dc-1")
+	entry := bulrushcatalogue.ServiceEntry{Service: "board", Move: &bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: 12_000}}
+	n.board.Update(func(view bulrushboard.View) bulrushboard.View {
+		return view.WithCatalogue(view.Catalogue.WithService(entry, 1))
+	})
+	serve := func() {
+		attempt := bulrushchute.Attempt{Service: "board", Route: "view"}
+		n.moves.dispatchStarted(attempt, "v2")
+		n.moves.dispatchEnded(attempt, &bulrushmove.Sample{Version: "v2", Route: "view", ElapsedMs: 10})
+	}
+	requests := func() int {
+		_, reports := n.moves.takeReports()
+		sum := 0
+		for _, report := range reports {
+			sum += report.Requests
+		}
+		return sum
+	}
+	shard := shardName(shardOf("board"))
+	serve()
+	assert.Equal(t, requests(), 0, "no holder is known")
+	n.moves.holders[shard] = moveHolder{ID: "a"}
+	assert.Equal(t, requests(), 1)
+	serve()
+	assert.Equal(t, requests(), 1)
+	n.moves.holders[shard] = moveHolder{ID: "b"}
+	serve()
+	assert.Equal(t, requests(), 3)
+	assert.Equal(t, requests(), 0)
+}
