Count the time limit of a move from its order

The holder counted the limit from its first decision, up to 1.5 s after the order: the lease is looked for every 500 ms, and until a node knows of a short move its moves are evaluated once a second. This used up the margin of 1.5 s before the deadline.

The node records when it learns of an order, counts the limit from there, and evaluates its moves at once. TestTimeLimitCountsFromOrder failed before (1,400 ms late).

--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -19,7 +19,10 @@
 	// once entryKnown is set.
 	move       *bulrushcatalogue.Move
 	entryKnown bool
-	servers    ServerCounts
+	// orderedAt is the time at which this node learned of the move, 0 if it is not
+	// known.
+	orderedAt bulrushchute.Millis
+	servers   ServerCounts
 	// oldLastSeenAt is the last time at which the old version had a backend
 	// server.
 	oldLastSeenAt bulrushchute.Millis
@@ -87,6 +90,12 @@
 	}
 }
 
+// SetOrderedAt sets the time at which this node learned of the move in the entry. By
+// default, it is the time of the holder's first decision.
+func (c *Controller) SetOrderedAt(at bulrushchute.Millis) {
+	c.orderedAt = at
+}
+
 // SetExposureLimit sets the limit on the requests of the new version.
 func (c *Controller) SetExposureLimit(limit ExposureLimit) {
 	c.exposure = limit.withDefaults()
--- a/bulrushmove/decide.go
+++ b/bulrushmove/decide.go
@@ -67,7 +67,11 @@
 		return nil
 	}
 	previous.Epoch = max(previous.Epoch, c.epochFloor)
-	return c.writeState(now, previous.withMove(c.service, *c.move, now))
+	orderedAt := now
+	if c.orderedAt > 0 {
+		orderedAt = min(c.orderedAt, now)
+	}
+	return c.writeState(now, previous.withMove(c.service, *c.move, now, orderedAt))
 }
 
 // fence stores a new epoch before a holder's first decision. From then on a
--- a/bulrushmove/short_test.go
+++ b/bulrushmove/short_test.go
@@ -121,7 +121,7 @@
 func TestShortStagesFitBeforeTheTimeLimit(t *testing.T) {
 	for _, within := range []bulrushchute.Millis{10_000, 12_000, 14_000, 16_000, 40_000} {
 		move := bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: within}
-		state := State{}.withMove("board", move, 1000)
+		state := State{}.withMove("board", move, 1000, 1000)
 		assert.Assert(t, state.short())
 		for next := 2; next <= state.lastStage(); next++ {
 			assert.Assert(t, state.latestStart(next) > state.latestStart(next-1))
@@ -139,7 +139,7 @@
 	for _, within := range []bulrushchute.Millis{12_000, 12_800, 14_000, 16_000} {
 		move := bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: within}
 		const startupMs = 1750 // until the new version's servers have started
-		state := State{}.withMove("board", move, 1000).withStage(1, 1000+startupMs)
+		state := State{}.withMove("board", move, 1000, 1000).withStage(1, 1000+startupMs)
 		highLoad, last := state.stages()[2], state.stages()[3]
 		duration := state.timeAt(last.earliest) - state.timeAt(highLoad.earliest)
 		assert.Assert(t, duration >= maxAnswerTime+2*state.evidencePeriod(), "within %d: %d", within, duration)
@@ -177,7 +177,7 @@
 func TestHolderAndNodesAgreeOnShort(t *testing.T) {
 	for _, within := range []bulrushchute.Millis{2000, 14_000, 59_999, 60_000, 61_000, 61_500, 62_000} {
 		move := bulrushcatalogue.Move{Generation: 1, ToVersion: "v2", WithinMs: within}
-		assert.Equal(t, State{}.withMove("board", move, 1000).short(), isShort(move), "within %d", within)
+		assert.Equal(t, State{}.withMove("board", move, 1000, 1000).short(), isShort(move), "within %d", within)
 	}
 }
 
--- a/bulrushmove/state.go
+++ b/bulrushmove/state.go
@@ -39,8 +39,8 @@
 	FromVersion  bulrushchute.Version `json:"from_version"`
 	ToVersion    bulrushchute.Version `json:"to_version"`
 	CompleteByMs bulrushchute.Millis  `json:"complete_by_ms"`
-	// OrderedAtMs is the time at which the first holder learned of a move with a
-	// time limit (an ordered move), 0 for a move with a fixed deadline.
+	// OrderedAtMs is the time at which the node of the first holder learned of a move
+	// with a time limit (an ordered move), 0 for a move with a fixed deadline.
 	OrderedAtMs bulrushchute.Millis `json:"ordered_at_ms,omitempty"`
 	// Epoch increases with every raise of the share, every new holder and every
 	// new generation. It is never reset.
@@ -100,21 +100,24 @@
 }
 
 // The deadline of an ordered move lies before its time limit, because the first
-// holder learns of the move with a delay and the store responds with a delay. The
+// holder learns of the order with a delay and the store responds with a delay. The
 // margin is orderMargin, but at most 1/orderMarginDivisor of the limit.
 const (
 	orderMargin        = 1500 * bulrushchute.Millisecond
 	orderMarginDivisor = 6
 )
 
-// withMove returns the initial state of a move, in the next epoch.
-func (s State) withMove(service bulrushchute.Service, move bulrushcatalogue.Move, now bulrushchute.Millis) State {
-	completeBy, ordered := move.CompleteByMs, bulrushchute.Millis(0)
+// withMove returns the initial state of a move, in the next epoch. The time limit of
+// an ordered move counts from orderedAt.
+func (s State) withMove(service bulrushchute.Service, move bulrushcatalogue.Move, now, orderedAt bulrushchute.Millis) State {
+	completeBy := move.CompleteByMs
 	if completeBy == 0 {
-		completeBy, ordered = now+move.WithinMs-min(orderMargin, move.WithinMs/orderMarginDivisor), now
+		completeBy = orderedAt + move.WithinMs - min(orderMargin, move.WithinMs/orderMarginDivisor)
+	} else {
+		orderedAt = 0
 	}
 	return State{
-		OrderedAtMs:  ordered,
+		OrderedAtMs:  orderedAt,
 		Service:      service,
 		Generation:   move.Generation,
 		FromVersion:  move.FromVersion,
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -382,6 +382,9 @@
 		c.applyDataCentre(now, before, after, bulrushchute.DataCentre(name))
 		return
 	}
+	if bulrushchute.Kind(kind) == bulrushchute.KindMoveOrders {
+		c.moves.onMoveOrder(now, bulrushchute.Service(name))
+	}
 	if bulrushchute.Kind(kind) == bulrushchute.KindRouting {
 		// A routing table contains the entries of many services, of which only that
 		// of the own backend server matters here.
--- a/bulrushnode/moves.go
+++ b/bulrushnode/moves.go
@@ -80,7 +80,9 @@
 
 	// Only control's goroutine accesses the fields below.
 	controllers map[bulrushchute.Service]*bulrushmove.Controller
-	holders     map[string]moveHolder
+	// orders holds when this node learned of each service's latest move order.
+	orders  map[bulrushchute.Service]moveOrderTime
+	holders map[string]moveHolder
 	// reportedTo is the holder to which the evidence was last sent, and
 	// reportedGeneration the generation of its move.
 	reportedTo         bulrushchute.InstanceID
@@ -91,6 +93,12 @@
 	nextEvaluationAt bulrushchute.Millis
 }
 
+// moveOrderTime is when this node learned of a move order.
+type moveOrderTime struct {
+	generation uint64
+	at         bulrushchute.Millis
+}
+
 // brakeState is the brake of an entry node for one generation of a service.
 type brakeState struct {
 	generation uint64
@@ -111,6 +119,7 @@
 		brakes:      make(map[bulrushchute.Service]*brakeState),
 		progress:    make(map[bulrushchute.Service]bulrushmove.Progress),
 		controllers: make(map[bulrushchute.Service]*bulrushmove.Controller),
+		orders:      make(map[bulrushchute.Service]moveOrderTime),
 		holders:     make(map[string]moveHolder),
 	}
 	for shard := range m.leases {
@@ -253,6 +262,20 @@
 	m.onShare(record)
 }
 
+// onMoveOrder records when this node learned of an order, and has the move evaluated
+// at once.
+func (m *moves) onMoveOrder(now bulrushchute.Millis, service bulrushchute.Service) {
+	move := m.board.Read().Catalogue.OrderedMove(service)
+	if move == nil {
+		delete(m.orders, service)
+		return
+	}
+	if m.orders[service].generation != move.Generation {
+		m.orders[service] = moveOrderTime{generation: move.Generation, at: now}
+		m.nextEvaluationAt = now
+	}
+}
+
 // onHolder records the node to which the evidence of a shard is sent.
 func (m *moves) onHolder(record bulrushchute.Record) {
 	var holder moveHolder
@@ -376,6 +399,9 @@
 		}
 		controller.SetLease(expiresAt)
 		controller.SetMove(entry.Move)
+		if order := m.orders[service]; entry.Move != nil && order.generation == entry.Move.Generation {
+			controller.SetOrderedAt(order.at)
+		}
 		if share, known := view.Shares.Latest(service); known {
 			controller.SetEpochFloor(share.Epoch)
 		}
--- a/bulrushnode/moves_test.go
+++ b/bulrushnode/moves_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -11,6 +13,7 @@
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushstore"
+	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 func newTestNode(dataCentre bulrushchute.DataCentre) *Node {
@@ -119,3 +122,44 @@
 	assert.Equal(t, requests(), 3)
 	assert.Equal(t, requests(), 0)
 }
+
+// Guards against a time limit that is counted from the first decision of the holder
+// instead of from the order, so that the outcome comes too late.
+func TestTimeLimitCountsFromOrder(t *testing.T) {
+	clock := bulrushchute.NewManualClock(1_000_000)
+	store := bulrushstore.NewMemory()
+	n := New(Settings{DataCentre: "dc-1", PeerAddress: "127.0.0.1:7001", ClockSkewMs: DefaultClockSkewMs}, store, clock)
+	n.board.Update(func(view bulrushboard.View) bulrushboard.View {
+		return view.WithCatalogue(view.Catalogue.WithService(bulrushcatalogue.ServiceEntry{Service: "board"}, 1))
+	})
+	ended := make(chan error, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { ended <- n.control.run(ctx) }()
+	defer func() {
+		stop()
+		assert.NilError(t, <-ended)
+	}()
+	orderedAt := clock.Now()
+	order, err := json.Marshal(bulrushcatalogue.MoveOrder{Service: "board", Generation: 1, ToVersion: "v2", WithinMs: 14_000})
+	assert.NilError(t, err)
+	n.control.do(ctx, func(now bulrushchute.Millis) {
+		n.control.onCatalogue(now, bulrushchute.Record{
+			Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicCatalogue, Name: "moveorders/board"},
+			Version: bulrushchute.RecordVersion{Counter: 1},
+			Value:   compressValue(order),
+		})
+	})
+	clock.Advance(1400)
+	n.moves.acquireOrRenew(ctx, shardOf("board"))
+	var object bulrushchute.Object
+	for range 1000 {
+		n.control.do(ctx, func(now bulrushchute.Millis) { n.moves.tickControllers(now) })
+		if object, err = store.Get(ctx, bulrushchute.KindMoves, "board"); err == nil {
+			break
+		}
+		bulrushtask.Pause(ctx, time.Millisecond)
+	}
+	state, err := bulrushmove.ParseState(object)
+	assert.NilError(t, err)
+	assert.Equal(t, state.OrderedAtMs, orderedAt)
+}
