--- a/bulrushmove/exposure_test.go
+++ b/bulrushmove/exposure_test.go
@@ -1,6 +1,7 @@
 package bulrushmove_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -40,9 +41,14 @@
 // checkExposure simulates a rollout of a bad version with rolloutSeeds seeds and
 // checks that no run exceeds the limits, nor ends in the version's favour.
 func checkExposure(t *testing.T, r rollout) {
+	t.Helper()
+	checkExposureWithSeeds(t, r, rolloutSeeds)
+}
+
+func checkExposureWithSeeds(t *testing.T, r rollout, seeds int) {
 	t.Helper()
 	over, completed := 0, 0
-	for seed := range uint64(rolloutSeeds) {
+	for seed := range uint64(seeds) {
 		r.seed = seed
 		result := r.run()
 		if !result.withinExposure() {
@@ -52,7 +58,7 @@
 			completed++
 		}
 	}
-	assert.Assert(t, over == 0 && completed == 0, "of %d: %d over the limits, %d completed", rolloutSeeds, over, completed)
+	assert.Assert(t, over == 0 && completed == 0, "of %d: %d over the limits, %d completed", seeds, over, completed)
 }
 
 // Guards against a version that gets more than its limit of requests in the stage
@@ -106,6 +112,21 @@
 	checkFaults(t, weakFaults, []rollout{busyRollout, quietRollout})
 }
 
+// Guards against limits that hold for the usual time limit only. A move of more than a
+// minute has other stages.
+func TestExposureAtOtherTimeLimits(t *testing.T) {
+	const seeds = 5
+	for _, within := range []bulrushchute.Millis{8 * bulrushchute.Second, 30 * bulrushchute.Second, 61 * bulrushchute.Second} {
+		for name, fault := range strongFaults {
+			t.Run(fmt.Sprint(name, " within ", within), func(t *testing.T) {
+				r := busyRollout
+				r.fault, r.within = fault, within
+				checkExposureWithSeeds(t, r, seeds)
+			})
+		}
+	}
+}
+
 // Guards against a bad version that is judged from no evidence after the lease of
 // its holder has lapsed because the store was silent.
 func TestEvidenceOutlastsLease(t *testing.T) {
