--- a/bulrushmove/clearance.go
+++ b/bulrushmove/clearance.go
@@ -6,20 +6,19 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// clearedBadRate is the alternative against which a version is cleared, an index of
-// alternatives: a fifth of the requests that a good version answers.
-const clearedBadRate = 1
+// clearedAlternative is the index in alternatives of the hypothesis against which a
+// version is cleared, that it is bad on a fifth of its requests.
+const clearedAlternative = 1
 
 // The new version of an ordered move gets all requests only once it is cleared, that
-// is, once the evidence for a good version against one that is bad on a fifth of its
-// requests has reached these strengths. A bad version is cleared with a probability
-// of at most exp(-clearedNats) = 0.01. The second threshold is for the last stage
-// before all requests, which is the first one under high load, and the third one for
-// each main route, which may have a third of the requests and less.
+// is, once the evidence for a good version has reached these strengths. A version that
+// is bad on a fifth of its requests is cleared with a probability of at most
+// exp(-clearedNats) = 0.03. stageClearedNats is for the last stage before all
+// requests, which in a short move is the first one under high load. On a main route,
+// which may have few of the requests, the evidence must not point to a bad version.
 const (
 	clearedNats      = 3.5
 	stageClearedNats = 1.6
-	routeClearedNats = 0
 )
 
 // clearance accumulates the evidence that the new version is good.
@@ -34,8 +33,8 @@
 }
 
 func (c *clearance) add(step increments) {
-	c.moveNats += step[clearedBadRate]
-	c.stageNats += step[clearedBadRate]
+	c.moveNats += step[clearedAlternative]
+	c.stageNats += step[clearedAlternative]
 }
 
 // Cleared reports whether the evidence shows that the new version is good. A lack of
@@ -47,7 +46,7 @@
 		return false
 	}
 	for _, evidence := range j.mainRoutes() {
-		if evidence.clearance.moveNats > -routeClearedNats {
+		if evidence.clearance.moveNats > 0 {
 			return false
 		}
 	}
@@ -99,11 +98,11 @@
 	nats := 0.0
 	for key, running := range j.running {
 		baseline := &j.evidenceFor(key.route).baseline
-		tolerated, known := baseline.toleratedBadRate(j.share >= FullShare, j.pooledBadRate())
+		tolerated, known := baseline.toleratedBadRate(j.share >= FullShare, j.pooledBadRate)
 		if !known {
 			continue
 		}
-		badRate := tolerated + (1-tolerated)*alternatives[clearedBadRate]
+		badRate := tolerated + (1-tolerated)*alternatives[clearedAlternative]
 		for bucket, count := range running.ages {
 			if count > 0 {
 				longer := baseline.longTerm.fractionFrom(bucket)
--- a/bulrushmove/controller.go
+++ b/bulrushmove/controller.go
@@ -48,7 +48,8 @@
 	observedEpoch uint64
 	// lastPublished is the last share record that this holder published.
 	lastPublished ShareRecord
-	exposure      ExposureLimit
+	// exposure limits the requests of the new version.
+	exposure ExposureLimit
 	// requestsBefore is the number of the service's requests since the order that a
 	// previous holder knew of. The nodes report them to this one too.
 	requestsBefore float64
@@ -277,10 +278,7 @@
 	if now >= c.nextStepAt {
 		c.nextStepAt = now + state.evidencePeriod()
 		c.judge.SetShare(state.Share())
-		c.judge.SetUnlimited()
-		if state.limited() {
-			c.judge.SetGranted(totalGranted(state.Grants))
-		}
+		c.judge.SetGranted(totalGranted(state.Grants), state.limited())
 		c.judge.Step()
 	}
 	if c.rollbackReason != "" {
--- a/bulrushmove/exposure.go
+++ b/bulrushmove/exposure.go
@@ -28,8 +28,8 @@
 	return el
 }
 
-// grantedFraction is the part of the limit that is granted. The rest is left for
-// requests that the backend server of the new version receives twice.
+// grantedFraction is the part of the limit that is granted. The rest is a reserve,
+// because what the backend servers have received is not counted by the nodes alone.
 const grantedFraction = 0.95
 
 // grantable returns the number of requests that may be granted once the service
--- a/bulrushmove/stages.go
+++ b/bulrushmove/stages.go
@@ -35,10 +35,9 @@
 // shortStages are the stages of a move shorter than shortMoveLimit. The new
 // version may get slightly more than a tenth of the requests before it is found
 // bad, so that the few requests in so short a time are sufficient evidence.
-// Latencies of servers that have just started are ignored, so the first stage
-// must yield enough requests after the warm-up. The stage before the last one
-// lasts until the answers to its first requests are known, and puts a high load
-// on some of the servers.
+// Latencies of servers that have just started count only if they are very long,
+// so the first stage must yield enough requests after the warm-up. The stage
+// before the last one puts a high load on some of the servers.
 var shortStages = [...]stage{
 	{share: 0},
 	{share: 1300, latest: 0.02, exposure: 0.5},
