Log which catalogue was in force when a request was rejected

A rejection as unknown did not say by which version of the routing table and in which state the node decided, so the hypotheses on stale catalogues could not be told apart from the log of one request.

--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -68,7 +68,7 @@
 	}
 	prepared, key, rejection := eh.prepare(view, request)
 	if rejection != nil {
-		eh.writeRejection(writer, request, rejection)
+		eh.writeRejection(writer, request, view, rejection)
 		return
 	}
 	result := eh.serve(request.Context(), view, prepared, key)
@@ -307,9 +307,9 @@
 	return bulrushchute.Tenant(request.TLS.PeerCertificates[0].Subject.CommonName)
 }
 
-func (eh *entryHandler) writeRejection(writer http.ResponseWriter, request *http.Request, rejection *rejection) {
+func (eh *entryHandler) writeRejection(writer http.ResponseWriter, request *http.Request, view bulrushboard.View, rejection *rejection) {
 	requestRejected.Log("host", request.Host, "method", request.Method, "status", rejection.status, "reason", rejection.reason,
-		"error", rejection.cause)
+		"catalogue", view.Catalogue.Routing().Label, "state", view.State, "error", rejection.cause)
 	eh.protocol.WriteOutcome(writer.Header(), bulrushchute.RequestOutcome{Outcome: bulrushchute.OutcomeNotRun, Reason: rejection.reason})
 	http.Error(writer, rejection.cause.Error(), rejection.status)
 }
