Confirm each node's copy of the catalogue within 1.75 s

What callers saw: a request refused with 404 as an older version says, though a newer one had been acknowledged for more than 2 s.

Cause: a node could not tell a current copy from an old one. After its start it served with what it had read, and changes reached it only if a neighbour announced them: not before it had joined, not if the message was lost (the next comparison was up to 10 s away), and not if the readers of its data centre had lost the store.

Change: one first reader spreads a confirmation with a hash of its copy every 0.75 s, and each node compares it with its own. A copy that is behind, or that nobody confirms, is repaired by the node itself, with a delay that lets few nodes of a fleet read the store at once. It replaces the check of the revision every 2.5 s and the single read at the start.

--- a/bulrushboard/board.go
+++ b/bulrushboard/board.go
@@ -59,8 +59,12 @@
 // View is what a node knows at one instant. It must not be modified; the
 // With methods return modified copies.
 type View struct {
-	State       NodeState
-	Catalogue   bulrushcatalogue.Set
+	State     NodeState
+	Catalogue bulrushcatalogue.Set
+	// CatalogueCurrent is set while the catalogue was confirmed to be current a
+	// short time ago.
+	CatalogueCurrent bool
+
 	DataCentres DataCentreWeights
 	Shares      bulrushmove.Shares
 	members     map[bulrushchute.Service]ServiceMembers
@@ -110,6 +114,12 @@
 	return v
 }
 
+// WithCatalogueCurrent returns a copy that states whether the catalogue is current.
+func (v View) WithCatalogueCurrent(current bool) View {
+	v.CatalogueCurrent = current
+	return v
+}
+
 // WithWeights returns a copy with the given data centre weights.
 func (v View) WithWeights(weights bulrushrouting.Weights) View {
 	v.DataCentres = DataCentreWeights{Revision: v.DataCentres.Revision + 1, Weights: weights}
--- a/bulrushmembership/membership.go
+++ b/bulrushmembership/membership.go
@@ -230,6 +230,12 @@
 	m.table.Publish(now, suspicionRecord(m.self.ID, m.self.ID, m.self.Incarnation, rankDead, now))
 }
 
+// CompareWithNeighbour requests a comparison of digests with a random neighbour at
+// the next Tick.
+func (m *Membership) CompareWithNeighbour() {
+	m.comparePending = true
+}
+
 // SetSeeds replaces the addresses to join through. Without any, the node joins
 // alone.
 func (m *Membership) SetSeeds(seeds []bulrushchute.Address) {
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -24,7 +24,7 @@
 
 // joinTimeout is the time after which a node that has not joined serves callers
 // anyway, with the backend servers that it knows. These include its own. It does so
-// even earlier if it has read the current catalogue from the store itself.
+// even earlier if its catalogue is confirmed to be current.
 const joinTimeout = 500 * bulrushchute.Millisecond
 
 // inboundControl is a received control message with the address of its sender.
@@ -62,9 +62,8 @@
 	// joinTimedOut is set once joinTimeout has elapsed and the node's state has
 	// been updated.
 	joinTimedOut bool
-	// catalogueConfirmed is set once this node has read the current catalogue from
-	// the store, not from a replica that may lag behind.
-	catalogueConfirmed bool
+	// freshness tracks when the copy of the catalogue was last known to be current.
+	freshness *freshness
 	// restored holds what is known about restores of the store.
 	restored restoredCopy
 	// seedAddresses is the number of addresses in the settings through which the
@@ -95,6 +94,7 @@
 		changedServices: make(map[bulrushchute.Service]bool),
 		weights:         make(bulrushrouting.Weights),
 		expire:          func() {},
+		freshness:       newFreshness(n, self.ID),
 	}
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
 		Self:         self,
@@ -180,6 +180,7 @@
 	c.moves.tick(now)
 	c.publishMembers()
 	c.publishWeights()
+	c.tickFreshness(now)
 	if !c.joinTimedOut && c.joinTimeoutElapsed(now) {
 		c.joinTimedOut = true
 		c.updateState(c.membership.Status())
@@ -301,13 +302,7 @@
 // mayServeUnjoined reports whether the node serves callers although it has not
 // joined.
 func (c *control) mayServeUnjoined() bool {
-	return c.catalogueConfirmed || c.joinTimeoutElapsed(c.clock.Now())
-}
-
-// confirmCatalogue records that this node has read the current catalogue.
-func (c *control) confirmCatalogue() {
-	c.catalogueConfirmed = true
-	c.updateState(c.membership.Status())
+	return c.freshness.tracker.Confirmed() || c.joinTimeoutElapsed(c.clock.Now())
 }
 
 // nodeState returns the state of a node.
@@ -329,9 +324,13 @@
 func (c *control) onRecord(now bulrushchute.Millis, record bulrushchute.Record) {
 	switch record.Key.Topic {
 	case bulrushchute.TopicCatalogue:
+		c.freshness.copyChanged = true
 		c.onCatalogue(now, record)
 	case bulrushchute.TopicKeyMap:
+		c.freshness.copyChanged = true
 		c.onKeyMap(now, record)
+	case bulrushchute.TopicConfirmation:
+		c.onConfirmation(now, record)
 	case bulrushchute.TopicMove:
 		c.moves.onRecord(record)
 	}
--- a/bulrushnode/era_test.go
+++ b/bulrushnode/era_test.go
@@ -70,7 +70,7 @@
 	second := runRoutingNode(t, store)
 	defer second.stop()
 	second.waitForLabel(t, "2")
-	time.Sleep(verifyInterval + time.Second)
+	time.Sleep(3500 * time.Millisecond) // several reads of the restored copy
 	assert.Equal(t, first.label(), "2", "the configuration went back to the copy")
 	assert.Equal(t, second.label(), "2")
 	write(2)
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -251,7 +251,9 @@
 	n.start("pacer", n.admission.runLoadPoller)
 	n.start("bootstrap", n.bootstrap)
 	readerCtx, stopReaders := context.WithCancel(n.context)
-	n.tasks.Start(readerCtx, "reader", (&reader{node: n, kinds: n.kinds}).run)
+	catalogueReader := &reader{node: n, kinds: n.kinds}
+	n.tasks.Start(readerCtx, "reader", catalogueReader.run)
+	n.tasks.Start(readerCtx, "confirmations", catalogueReader.runConfirmations)
 	n.tasks.Start(readerCtx, "move leases", n.moves.runLeases)
 	<-ctx.Done()
 	stopReaders()
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -25,15 +25,11 @@
 	// rankInterval is how often a node checks whether it is among the readers.
 	rankInterval = time.Second
 	// confirmDelay is the time for which a node that starts waits for its peers'
-	// copy of the catalogue before it asks the store for the current one. Nodes that
-	// start among others that run have joined by then and cost the store nothing.
+	// copy of the catalogue before it asks the store for the current one.
 	confirmDelay = 150 * time.Millisecond
 	// settleDuration is the time after the start in which a node discovers others.
 	settleDuration     = 2500 * bulrushchute.Millisecond
 	settlePollInterval = 250 * time.Millisecond
-	// verifyInterval is how often the first reader of a data centre checks that no
-	// watch has missed a change. This can happen if the store discards its history.
-	verifyInterval = 2500 * time.Millisecond
 	// minWatchRetryDelay is the delay after a failed watch or list. It doubles up to
 	// maxWatchRetryDelay with each consecutive failure.
 	minWatchRetryDelay = 100 * time.Millisecond
@@ -94,7 +90,6 @@
 			retryDelay = min(2*retryDelay, maxWatchRetryDelay)
 		}
 	}
-	r.confirm(ctx)
 	for ctx.Err() == nil && !r.node.settled() {
 		bulrushtask.Pause(ctx, settlePollInterval)
 		if r.node.board.Read().Catalogue.HasServices() {
@@ -107,25 +102,6 @@
 	}
 }
 
-// confirm reads the current catalogue from the store if this node has not joined by
-// then, so that it can serve callers although its peers are starting too. After a
-// fault that stopped all nodes, joining takes up to a second.
-func (r *reader) confirm(ctx context.Context) {
-	bulrushtask.Pause(ctx, confirmDelay)
-	if r.node.settings.FirstStart || r.node.board.Read().State != bulrushboard.NodeStarting {
-		return
-	}
-	for _, kind := range r.kinds {
-		objects, revision, err := r.node.store.List(ctx, kind)
-		if err != nil {
-			klog.V(1).InfoS("catalogue not confirmed at the start", "kind", kind, "error", err)
-			return
-		}
-		r.publishList(ctx, kind, objects, revision)
-	}
-	r.node.control.do(ctx, func(bulrushchute.Millis) { r.node.control.confirmCatalogue() })
-}
-
 func (r *reader) listAndPublish(ctx context.Context, kind bulrushchute.Kind) error {
 	list := r.node.store.List
 	if stale, ok := r.node.store.(bulrushchute.StaleLister); ok {
@@ -157,7 +133,12 @@
 }
 
 func (r *reader) name() string {
-	return "reader-" + string(r.node.settings.DataCentre)
+	return readerPurpose(r.node.settings.DataCentre)
+}
+
+// readerPurpose is the purpose under which the readers of a data centre are ranked.
+func readerPurpose(dataCentre bulrushchute.DataCentre) string {
+	return "reader-" + string(dataCentre)
 }
 
 // readUntilOutranked watches all kinds until enough other nodes precede this one.
@@ -169,7 +150,6 @@
 	for _, kind := range r.kinds {
 		watches.Start(ctx, string(kind), func(ctx context.Context) error { return r.watch(ctx, kind) })
 	}
-	watches.Start(ctx, "verify", r.verify)
 	watches.Start(ctx, "seeds", r.maintainSeeds)
 	klog.InfoS("reading the store", "data_centre", r.node.settings.DataCentre)
 	for ctx.Err() == nil {
@@ -242,39 +222,18 @@
 	return err
 }
 
-// verify periodically compares the store's revision with the previous one while
-// this node is the first reader, and lists all kinds again if the revision has
-// changed. Watches report changes sooner, but a watch that is waiting while the
-// store discards its history reports nothing until the next change.
-func (r *reader) verify(ctx context.Context) error {
-	var verifiedRevision uint64
-	for {
-		bulrushtask.Pause(ctx, verifyInterval)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if r.rank(ctx) > 0 {
-			continue
-		}
-		revision, err := r.listIfChanged(ctx, verifiedRevision)
-		if err != nil {
-			klog.V(1).InfoS("store not verified", "revision", verifiedRevision, "error", err)
-			continue
-		}
-		verifiedRevision = revision
-	}
-}
-
 // listIfChanged lists all kinds unless the store is still at verifiedRevision. It
 // lists the last kind first to get the revision, because that kind has few objects.
-func (r *reader) listIfChanged(ctx context.Context, verifiedRevision uint64) (uint64, error) {
+// It returns the revision up to which all changes are published, and false if
+// something was held back.
+func (r *reader) listIfChanged(ctx context.Context, verifiedRevision uint64) (uint64, bool, error) {
 	var latestRevision uint64
 	complete := true
 	for i := range r.kinds {
 		kind := r.kinds[len(r.kinds)-1-i]
 		objects, revision, err := r.node.store.List(ctx, kind)
 		if err != nil {
-			return verifiedRevision, err
+			return verifiedRevision, false, err
 		}
 		complete = r.publishList(ctx, kind, objects, revision) && complete
 		if i == 0 {
@@ -289,9 +248,9 @@
 	}
 	if !complete {
 		// Lists all kinds again at the next check. The era is kept.
-		return bulrushchute.StoreVersion(bulrushchute.EraOf(latestRevision), 0), nil
+		return bulrushchute.StoreVersion(bulrushchute.EraOf(latestRevision), 0), false, nil
 	}
-	return latestRevision, nil
+	return latestRevision, true, nil
 }
 
 // publishList publishes all listed objects of a kind. Objects that are known but
@@ -307,6 +266,9 @@
 		for _, object := range objects {
 			version, exists := known[object.Name]
 			delete(known, object.Name)
+			if exists && version == object.Version {
+				continue
+			}
 			if exists && c.restored.holds(now, version) && replacesOrder(c.board.Read().Catalogue, object) {
 				complete = false
 				continue
--- a/bulrushspread/digest.go
+++ b/bulrushspread/digest.go
@@ -323,11 +323,11 @@
 	return t.sendBulk(actions, p, bulrushchute.Control{Have: &bulrushchute.Have{Versions: versions}})
 }
 
-// inDigest reports whether a digest covers a record. Beats change every second,
-// so digests that covered them would never match.
+// inDigest reports whether a digest covers a record. Beats and confirmations change
+// every second, so digests that covered them would never match.
 func inDigest(e *entry, shared bool) bool {
 	switch e.record.Key.Topic {
-	case bulrushchute.TopicBeat:
+	case bulrushchute.TopicBeat, bulrushchute.TopicConfirmation:
 		return false
 	case bulrushchute.TopicDataCentre:
 		return !shared
--- a/bulrushspread/table.go
+++ b/bulrushspread/table.go
@@ -107,6 +107,29 @@
 	}
 }
 
+// Summary identifies the versions of the records of some topics.
+type Summary struct {
+	// Hash covers the keys and versions of all records that are not deleted.
+	Hash uint64
+	// NewestCounter is the greatest counter of a version, deleted records included.
+	NewestCounter uint64
+}
+
+// Summarize returns the summary of topics. Tables that hold the same versions
+// return the same one.
+func (t *Table) Summarize(topics ...bulrushchute.Topic) Summary {
+	var summary Summary
+	for _, topic := range topics {
+		for _, e := range t.topics[topic] {
+			summary.NewestCounter = max(summary.NewestCounter, e.record.Version.Counter)
+			if !e.record.Deleted {
+				summary.Hash ^= e.hash
+			}
+		}
+	}
+	return summary
+}
+
 // Forget removes a record from this node only. It is for records that expire on
 // every node; Accept must reject them afterwards.
 func (t *Table) Forget(key bulrushchute.RecordKey) {
--- a/bulrushspread/table_test.go
+++ b/bulrushspread/table_test.go
@@ -416,15 +416,17 @@
 				assert.Assert(r, Size(a.Message) <= bulkBatchBytes+maxValueBytes)
 			}
 		}
-		assert.Equal(r, table.allHashes, computeHashesWithoutBeats(table))
+		assert.Equal(r, table.allHashes, computeDigestHashes(table))
 	})
 }
 
-// computeHashesWithoutBeats excludes beats, which digests do not cover.
-func computeHashesWithoutBeats(table *Table) [BucketCount]uint64 {
+// computeDigestHashes excludes beats and confirmations, which digests do not cover.
+func computeDigestHashes(table *Table) [BucketCount]uint64 {
 	hashes := computeHashes(table)
-	for _, e := range table.topics[bulrushchute.TopicBeat] {
-		hashes[e.bucket] ^= hashRecord(&e.record)
+	for _, topic := range []bulrushchute.Topic{bulrushchute.TopicBeat, bulrushchute.TopicConfirmation} {
+		for _, e := range table.topics[topic] {
+			hashes[e.bucket] ^= hashRecord(&e.record)
+		}
 	}
 	return hashes
 }
--- a/message.go
+++ b/message.go
@@ -104,6 +104,9 @@
 	TopicMove
 	TopicKeyMap
 	TopicBeat
+	// TopicConfirmation holds one record, the latest confirmation that the
+	// catalogue is current.
+	TopicConfirmation
 )
 
 // RecordVersion orders the versions of one record. The version of a record only
