Refuse an unknown route as not run while the catalogue is unconfirmed

What callers saw: 404 for a route that had been added, which they do not try again.

Cause: a node whose copy was not known to be current answered 404 as finally as one that is sure.

Change: such a node refuses with 503 and a Retry-After, which is true whether the route exists or not.

--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -54,6 +54,9 @@
 	// request, which is earlier than arrivedAt for a retry. It is 0 at the home of a
 	// key.
 	firstRequestedAt bulrushchute.Millis
+	// unknownService is set if the catalogue has no service for the request but may
+	// lack it.
+	unknownService bool
 }
 
 // newAttempt returns a new attempt of the call, for one instance.
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -101,10 +101,10 @@
 }
 
 func (eh *entryHandler) serve(ctx context.Context, view bulrushboard.View, prepared call, key string) callResult {
-	switch view.State {
-	case bulrushboard.NodeStarting:
+	switch {
+	case view.State == bulrushboard.NodeStarting || prepared.unknownService:
 		return notRun(bulrushchute.ReasonNotReady, retryAfterStarting)
-	case bulrushboard.NodeIsolated:
+	case view.State == bulrushboard.NodeIsolated:
 		if eh.serveIsolated {
 			return eh.runner.run(ctx, prepared)
 		}
@@ -136,9 +136,9 @@
 		return call{}, "", &rejection{status: http.StatusBadRequest, reason: bulrushchute.ReasonTooDeep, cause: cause}
 	}
 	match, found := eh.matchRoute(view.Catalogue, parsed, request)
-	// A node that is starting may not know the service yet. Its serve refuses the
-	// request with a Retry-After.
-	if !found && view.State != bulrushboard.NodeStarting {
+	// The catalogue of a node that is starting, or that was not confirmed lately, may
+	// lack the service. Its serve refuses the request with a Retry-After.
+	if !found && view.State != bulrushboard.NodeStarting && view.CatalogueCurrent {
 		return call{}, "", rejectUnknownService(parsed, request)
 	}
 	prepared, err := eh.newCall(match, parsed, request)
@@ -154,6 +154,7 @@
 		return call{}, "", rejectBody(err)
 	}
 	prepared.template.Body = body
+	prepared.unknownService = !found
 	return prepared, parsed.Key, nil
 }
 
