bulrushadmission: compute the wait for a cold server without recent dispatches

Cause: the wait of more requests than a cold server takes in a second was looked up by the time of an earlier dispatch, also when none was recent: index -1, in the tick and in the offer of an attempt. It needs a long queue at a cold server that gets nothing, for instance because its machine is slowed down.

Evidence: TestRetryAfterOfAColdServerWithoutDispatches panicked before.

--- a/bulrushadmission/cold_rate.go
+++ b/bulrushadmission/cold_rate.go
@@ -77,7 +77,10 @@
 	}
 	// The requests beyond those of the current window follow in later ones.
 	windows := bulrushchute.Millis((excess - 1) / perWindow)
-	first := rl.dispatches[min((excess-1)%perWindow, len(rl.dispatches)-1)]
+	first := now
+	if i := (excess - 1) % perWindow; i < len(rl.dispatches) {
+		first = rl.dispatches[i]
+	}
 	return min(rl.until, first+(windows+1)*coldRateWindow+1) - now
 }
 
