Keep to the limit of requests a second that a server names

What callers saw: nothing at first. A server in need that had named 3.7 requests a second got 61 in 4 s (27 allowed) and one that had named 4.6 got 95 (33 allowed), as many as before it named them; such servers fail next.

Cause: nothing read Server-Limit. What a server says of itself in its answers reached callers as an ordinary header, and no decision depended on it.

Change: the node beside the server, through which all requests pass, counts permits at the named rate. A node that has just started knows no limit, so it lets 3 requests run until the server has answered one.

--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -56,7 +56,9 @@
 	slowdown  slowdownTracker
 	coldRate  coldRateLimiter
 	lastSlots lastSlotsMonitor
-	slotTime  slotTimeMeter
+	// namedLimit is the limit that the server names in its answers.
+	namedLimit namedLimit
+	slotTime   slotTimeMeter
 	// serviceMs is the recent mean latency over all routes.
 	serviceMs float64
 	probes    probeBudget
@@ -167,6 +169,7 @@
 	releases := c.beginEvent(now)
 	rs, known := c.requests[id]
 	if known && rs.running {
+		c.namedLimit.answered = c.namedLimit.answered || result.isAnswer()
 		c.slotTime.recordEnd(c.now, len(c.running))
 		c.recordResult(rs, result)
 		c.freeSlot(rs)
@@ -205,6 +208,9 @@
 	next := min(c.nextExpiry, c.nextOverdue)
 	if c.queue.waiting > 0 {
 		next = min(next, c.coldRate.nextDispatch(c.now))
+		if wait := c.namedLimit.waitFor(c.now, 1); wait > 0 {
+			next = min(next, c.now+wait)
+		}
 	}
 	return next
 }
@@ -228,6 +234,7 @@
 		ServiceMs: c.serviceMs,
 		Cold:      c.isCold(),
 		Leaving:   c.draining,
+		FreeAfter: c.namedLimit.waitFor(c.now, c.queue.waiting+1),
 	}
 }
 
--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -79,6 +79,7 @@
 	c.slowdown = slowdownTracker{}
 	c.lastSlots = lastSlotsMonitor{}
 	c.coldRate.until = 0
+	c.namedLimit = namedLimit{}
 	c.failedProbes = 0
 	c.adaptive = newAdaptiveLimit(c.slots())
 	c.startColdRamp()
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -133,6 +133,9 @@
 	if c.slowdown.reported {
 		// The server reports directly what the adaptive limit and the ramp
 		// would have to infer.
+		if !c.namedLimit.answered {
+			return min(limit, maxUnanswered)
+		}
 		if c.lastSlots.allowed(c.now) {
 			return limit
 		}
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -101,7 +101,11 @@
 		}
 		rs.heldUntil = plan.until
 	}
-	wait, _ := c.slotWaitMs(c.queuedAhead(rs) + 1)
+	ahead := c.queuedAhead(rs)
+	if c.now+c.namedLimit.waitFor(c.now, int(ahead)+1) > rs.expiresAt {
+		return bulrushchute.ReasonServerLimit, true
+	}
+	wait, _ := c.slotWaitMs(ahead + 1)
 	if rs.expiresAt > c.now && c.now+bulrushchute.Millis(wait) <= rs.expiresAt {
 		return "", false
 	}
@@ -207,6 +211,9 @@
 // queue timeout.
 func (c *Controller) queueCapacity() int {
 	total := totalQueueFactor * c.settings.Limits.Queue
+	if c.namedLimit.named {
+		total = min(total, int(c.namedLimit.perS*float64(c.settings.Limits.QueueMs)/float64(bulrushchute.Second)))
+	}
 	perRequest, known := c.slotWaitMs(1)
 	if !known || perRequest <= 0 {
 		return total
--- a/bulrushadmission/request_state.go
+++ b/bulrushadmission/request_state.go
@@ -146,6 +146,7 @@
 func (c *Controller) dispatch(rs *requestState) {
 	c.running = append(c.running, rs)
 	c.coldRate.recordDispatch(c.now)
+	c.namedLimit.recordDispatch(c.now)
 	rs.usage.inFlight++
 	rs.running = true
 	rs.dispatchedAt = c.now
--- a/bulrushadmission/slot_time.go
+++ b/bulrushadmission/slot_time.go
@@ -88,14 +88,14 @@
 }
 
 // retryAfter returns the estimated time until all queued requests and one more
-// have got a slot, and until a cold server takes as many.
+// have got a slot, and until a server that is cold or names a limit takes as many.
 func (c *Controller) retryAfter() bulrushchute.Millis {
 	wait, known := c.slotWaitMs(float64(c.queue.waiting + 1))
 	slotAfter := defaultRetryAfter
 	if known {
 		slotAfter = max(1, min(maxRetryAfter, bulrushchute.Millis(wait)+1))
 	}
-	return max(slotAfter, c.coldRate.waitFor(c.now, c.queue.waiting+1))
+	return max(slotAfter, c.coldRate.waitFor(c.now, c.queue.waiting+1), c.namedLimit.waitFor(c.now, c.queue.waiting+1))
 }
 
 // refusal returns a "not run" refusal with the time after which to retry.
--- a/bulrushadmission/slowdown.go
+++ b/bulrushadmission/slowdown.go
@@ -160,5 +160,5 @@
 // hasCapacity reports whether the limits permit another request, regardless of
 // any slowdown.
 func (c *Controller) hasCapacity() bool {
-	return len(c.running) < c.limit() && c.coldRate.allows(c.now)
+	return len(c.running) < c.limit() && c.coldRate.allows(c.now) && c.namedLimit.allows(c.now)
 }
--- a/bulrushadmission/types.go
+++ b/bulrushadmission/types.go
@@ -82,6 +82,11 @@
 	Cold bool
 }
 
+// isAnswer reports whether the server answered.
+func (r Result) isAnswer() bool {
+	return r.Kind == bulrushchute.ResultAnswered || r.Kind == bulrushchute.ResultServerError
+}
+
 // Announcement is a backend server's description of itself. Zero limits leave
 // those of the catalogue in force.
 type Announcement struct {
--- a/bulrushattempt/budget.go
+++ b/bulrushattempt/budget.go
@@ -8,7 +8,7 @@
 const (
 	// MaxAttempts bounds the attempts of one request, including a hedge. Up to
 	// MaxSlowRefusals attempts that were refused because of a slowdown of the
-	// server's machine do not count.
+	// server's machine or of a limit that the server named do not count.
 	MaxAttempts     = 3
 	MaxSlowRefusals = 3
 
--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -296,7 +296,7 @@
 	switch {
 	case end.Reached:
 		bucket = &m.budgets.retries
-	case end.Reason == bulrushchute.ReasonSlow:
+	case end.Reason == bulrushchute.ReasonSlow || end.Reason == bulrushchute.ReasonServerLimit:
 		m.slowRefusals++
 		bucket = &m.budgets.slowRefusals
 	}
--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -420,6 +420,9 @@
 	})
 	elapsed := time.Since(begin)
 	a.observeReport(result.report)
+	if result.answer != nil || result.refusedByServer {
+		a.observeNamedLimit(backend, result.report, true)
+	}
 	end := admissionResult(result, elapsed)
 	a.freeSlot(attempt, result, end)
 	a.logFailure(attempt, backend.Server, result, end.ElapsedMs)
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -208,7 +208,7 @@
 	if err == nil {
 		observation.Load = &reply.Load
 	}
-	if result.end.Reason == bulrushchute.ReasonSlow {
+	if result.end.Reason == bulrushchute.ReasonSlow || result.end.Reason == bulrushchute.ReasonServerLimit {
 		observation.SlowFor = result.end.RetryAfter
 	}
 	if result.end.Reason == bulrushchute.ReasonVersionLimit {
--- a/bulrushnode/load_reader.go
+++ b/bulrushnode/load_reader.go
@@ -83,6 +83,7 @@
 	if err == nil {
 		a.observeReport(answer.Report)
 		a.observeCold(answer.Report)
+		a.observeNamedLimit(backend, answer.Report, false)
 		if answer.Status < http.StatusInternalServerError {
 			a.confirm()
 		}
@@ -125,6 +126,25 @@
 	a.notifyWaiters(a.controller.ObserveCold(a.clock.Now(), report.Cold))
 }
 
+// observeNamedLimit passes what an answer of a backend server states about its limit
+// to the controller. toRequest is set if it is not the answer to a health check.
+func (a *admission) observeNamedLimit(backend Announcement, report bulrushchute.BackendReport, toRequest bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if !backend.sameProcess(a.backend) {
+		return // a late answer of the previous process
+	}
+	if report.NamedLimitMalformed {
+		klog.InfoS("limit of the backend server cannot be read", "server", backend.Server)
+		return
+	}
+	before, namedBefore := a.controller.NamedLimit()
+	a.notifyWaiters(a.controller.ObserveNamedLimit(a.clock.Now(), report.NamedLimit, toRequest))
+	if after, named := a.controller.NamedLimit(); named != namedBefore || named && after != before {
+		klog.InfoS("limit of the backend server changed", "server", backend.Server, "named", named, "per_s", after, "to_request", toRequest)
+	}
+}
+
 func (a *admission) wakeLoadPoller() {
 	select {
 	case a.pollWake <- struct{}{}:
--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -199,7 +199,10 @@
 // observeLoad records a load report. This node counts its own outstanding
 // attempts exactly, so only the load of other entry nodes is taken from the
 // report.
-func (c *candidate) observeLoad(load bulrushchute.Load) {
+func (c *candidate) observeLoad(now bulrushchute.Millis, load bulrushchute.Load) {
+	if load.FreeAfter > 0 {
+		c.backoffUntil = max(c.backoffUntil, now+min(load.FreeAfter, maxBackoff))
+	}
 	c.leaving = load.Leaving
 	c.limit = float64(max(load.Limit, 1))
 	c.outstandingAtReport = c.outstanding.count()
--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -114,7 +114,7 @@
 	}
 	c.outstanding.remove(now - bulrushchute.Millis(observation.ElapsedMs))
 	if observation.Load != nil {
-		c.observeLoad(*observation.Load)
+		c.observeLoad(now, *observation.Load)
 		r.updateAverageLoad(c)
 	}
 	r.observeResult(now, c, observation)
--- a/instance.go
+++ b/instance.go
@@ -120,4 +120,7 @@
 	ServiceMs float64 `cbor:"4,keyasint" json:"service_ms"`
 	Cold      bool    `cbor:"5,keyasint" json:"cold"`
 	Leaving   bool    `cbor:"6,keyasint" json:"leaving"`
+	// FreeAfter is the time until the limit that the backend server names permits a
+	// further request, 0 if it names none or has permits left.
+	FreeAfter Millis `cbor:"7,keyasint,omitempty" json:"free_after_ms,omitempty"`
 }
--- a/protocol.go
+++ b/protocol.go
@@ -69,6 +69,11 @@
 	Misdirected bool
 	// Load is nil when the answer carries none.
 	Load *BackendLoad
+	// NamedLimit is the number of requests a second that the server takes from all
+	// nodes together, nil if the answer names none.
+	NamedLimit *float64
+	// NamedLimitMalformed is set if the answer names a limit that cannot be read.
+	NamedLimitMalformed bool
 	// Server is the server's ID and Cold the time that it stays cold. They apply
 	// to answers to health checks only.
 	Server string
--- a/request.go
+++ b/request.go
@@ -71,6 +71,9 @@
 	// ReasonSlow means that a slowdown of the backend server outlasted the time
 	// for which the request was held back.
 	ReasonSlow Reason = "slow_for_now"
+	// ReasonServerLimit means that the backend server named a limit of requests a
+	// second, and that the request would have to wait too long for its turn.
+	ReasonServerLimit Reason = "server_limit"
 	// ReasonVersionLimit means that the backend server runs a version that is not
 	// known to be good yet, and has received all requests that it may until then.
 	ReasonVersionLimit Reason = "version_limit"
