Send nothing to a server once its answers say that it leaves

What callers saw: requests went on to a server that leaves, and are lost when it ends.

Cause: nothing read Server-Leaving; only an announcement or the body of a load probe counted, and a late announcement as serving took it back.

Change: the node beside the server refuses new requests from the first such answer on, whichever kind of request it was an answer to. Only another process of the server ends that. After a restart of the node, the health check that comes before the first request repeats it.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
@@ -57,6 +59,9 @@
 	// first one may have been delayed, and a former process may have acknowledged
 	// that the server is leaving.
 	unconfirmed bool
+	// statedLeaving is set once the backend server process has said in an answer that
+	// it leaves.
+	statedLeaving bool
 	// pollWake wakes runLoadPoller when a request is queued.
 	pollWake chan struct{}
 	// coldRateFactor is Settings.ColdRateFactor.
@@ -115,10 +120,12 @@
 		Connections: announcement.Connections,
 		Cold:        announcement.Cold,
 	}
+	announcement = a.withStatedLeaving(announcement)
 	a.unconfirmed = a.backend.Service == "" && a.protocols.backend.ReportsLoad()
 	if announcement.sameProcess(a.backend) {
 		a.notifyWaiters(a.controller.UpdateAnnouncement(now, limits))
 	} else {
+		a.statedLeaving = false
 		a.notifyWaiters(a.controller.BackendStarted(now, limits))
 		a.replaceClient(announcement.Address)
 		a.initialReadNeeded = a.protocols.backend.ReportsLoad()
@@ -133,6 +140,36 @@
 	}
 }
 
+// withStatedLeaving returns an announcement as draining if the process that it is of
+// has said in an answer that it leaves. An announcement may be older than the answer.
+func (a *admission) withStatedLeaving(announcement Announcement) Announcement {
+	if a.statedLeaving && announcement.sameProcess(a.backend) {
+		announcement.State = BackendDraining
+	}
+	return announcement
+}
+
+// isLatest reports whether an announcement changes nothing.
+func (a *admission) isLatest(announcement Announcement) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.withStatedLeaving(announcement) == a.backend
+}
+
+// observeLeaving takes no new requests from the moment at which an answer of the
+// backend server states that it leaves.
+func (a *admission) observeLeaving(backend Announcement, report bulrushchute.BackendReport) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if !report.Leaving || a.statedLeaving || !backend.sameProcess(a.backend) {
+		return
+	}
+	a.statedLeaving = true
+	a.backend.State = BackendDraining
+	a.controller.Drain(a.clock.Now())
+	klog.InfoS("backend server says that it leaves", "server", backend.Server)
+}
+
 // confirm records that the backend server has announced itself again.
 func (a *admission) confirm() {
 	a.mutex.Lock()
@@ -422,6 +459,7 @@
 	a.observeReport(result.report)
 	if result.answer != nil || result.refusedByServer {
 		a.observeNamedLimit(backend, result.report, true)
+		a.observeLeaving(backend, result.report)
 	}
 	end := admissionResult(result, elapsed)
 	a.freeSlot(attempt, result, end)
--- a/bulrushnode/admission_test.go
+++ b/bulrushnode/admission_test.go
@@ -77,6 +77,22 @@
 		"draining in the load report": {func(a *admission, _ *bulrushchute.ManualClock, _ Announcement) {
 			a.observeProbe(bulrushadmission.ProbeReport{Kind: bulrushadmission.ProbeLoad}, true)
 		}, "board", bulrushchute.ReasonLeaving},
+		"says that it leaves, then announces as serving": {func(a *admission, _ *bulrushchute.ManualClock, announcement Announcement) {
+			a.observeLeaving(announcement, bulrushchute.BackendReport{Leaving: true})
+			announcement.Slots++
+			a.announce(announcement)
+		}, "board", bulrushchute.ReasonLeaving},
+		"said that it leaves, then started again": {func(a *admission, _ *bulrushchute.ManualClock, announcement Announcement) {
+			a.observeLeaving(announcement, bulrushchute.BackendReport{Leaving: true})
+			announcement.StartedAtMs++
+			a.announce(announcement)
+		}, "board", ""},
+		"previous process said that it leaves": {func(a *admission, _ *bulrushchute.ManualClock, announcement Announcement) {
+			previous := announcement
+			announcement.StartedAtMs++
+			a.announce(announcement)
+			a.observeLeaving(previous, bulrushchute.BackendReport{Leaving: true})
+		}, "board", ""},
 		"node drains, then the server announces again": {func(a *admission, _ *bulrushchute.ManualClock, announcement Announcement) {
 			a.drain()
 			announcement.Cold = true
--- a/bulrushnode/load_reader.go
+++ b/bulrushnode/load_reader.go
@@ -83,7 +83,10 @@
 	if err == nil {
 		a.observeReport(answer.Report)
 		a.observeCold(answer.Report)
-		a.observeNamedLimit(backend, answer.Report, false)
+		if server := answer.Report.Server; server == "" || server == backend.Server {
+			a.observeNamedLimit(backend, answer.Report, false)
+			a.observeLeaving(backend, answer.Report)
+		}
 		if answer.Status < http.StatusInternalServerError {
 			a.confirm()
 		}
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -326,7 +326,7 @@
 	if n.admission.latestAnnouncement().Service != "" {
 		n.admission.confirm()
 	}
-	if announcement == n.admission.latestAnnouncement() {
+	if n.admission.isLatest(announcement) {
 		return nil
 	}
 	n.admission.announce(announcement)
--- a/protocol.go
+++ b/protocol.go
@@ -72,6 +72,8 @@
 	// NamedLimit is the number of requests a second that the server takes from all
 	// nodes together, nil if the answer names none.
 	NamedLimit *float64
+	// Leaving is set if the server states that it leaves and takes no new requests.
+	Leaving bool
 	// NamedLimitMalformed is set if the answer names a limit that cannot be read.
 	NamedLimitMalformed bool
 	// Server is the server's ID and Cold the time that it stays cold. They apply
