Bound the header and the interim answers of a backend server

What callers saw: nothing, until the node beside a server that sends without end ran out of memory, and all of its callers with it.

Cause: the status line, the header and interim answers had no limit. A body over its limit was read on until the deadline, because closing it reads the rest.

Change: a limit on the bytes of the header with all interim answers (64 KiB), on the number of interim answers (16), and the connection is closed as soon as a limit is passed. Responses of the store and answers to probes get limits on their headers, responses of the store's client one on the body (16 MiB).

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -1,6 +1,7 @@
 package bulrushbackend
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -20,6 +21,11 @@
 	// maxMismatchedAnswers is the number of answers to other requests after which
 	// a request fails and its connection is closed.
 	maxMismatchedAnswers = 4
+	// maxInterimAnswers is the number of interim answers (1xx) before a final one
+	// after which a request fails.
+	maxInterimAnswers = 16
+	// DefaultMaxHeaderBytes is used if Settings.MaxHeaderBytes is 0.
+	DefaultMaxHeaderBytes = 64 << 10
 )
 
 // Request is an HTTP request to a backend server.
@@ -70,6 +76,9 @@
 	Address bulrushchute.Address
 	// Connections is the maximum number of open connections.
 	Connections int
+	// MaxHeaderBytes is the maximum size of an answer's status line and header, with
+	// those of the interim answers before it. 0 selects DefaultMaxHeaderBytes.
+	MaxHeaderBytes int
 	// MaxBodyBytes is the maximum size of an answer's body.
 	MaxBodyBytes int64
 	Protocol     bulrushchute.BackendProtocol
@@ -89,6 +98,7 @@
 
 // NewClient returns a client. It dials when the first request needs a connection.
 func NewClient(settings Settings) *Client {
+	settings.MaxHeaderBytes = cmp.Or(settings.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	return &Client{settings: settings, dialer: net.Dialer{Timeout: dialTimeout}}
 }
 
@@ -131,13 +141,14 @@
 
 func errorReason(ctx context.Context, err error) bulrushchute.Reason {
 	var tooLarge *http.MaxBytesError
+	var headerTooLarge *HeaderTooLargeError
 	var malformed *answerError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return bulrushchute.ReasonDeadline
 	case ctx.Err() != nil:
 		return bulrushchute.ReasonCancelled
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge), errors.As(err, &headerTooLarge):
 		return bulrushchute.ReasonTooLarge
 	case errors.As(err, &malformed):
 		return bulrushchute.ReasonTruncated
@@ -290,13 +301,15 @@
 // readNextAnswer reads one whole answer, to whichever request. It also
 // reports whether the server closes the connection after it.
 func (c *Client) readNextAnswer(conn *connection, request Request) (Answer, bool, error) {
-	response, err := readFinalResponse(conn.reader, request.Method)
+	response, err := readFinalResponse(conn, request.Method, c.settings.MaxHeaderBytes)
 	if err != nil {
 		return Answer{}, false, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := c.readBody(response)
 	if err != nil {
+		// Otherwise closing the body would read the rest of it.
+		_ = conn.Close()
 		return Answer{}, false, err
 	}
 	report := c.settings.Protocol.ReadReport(request.Attempt, response.StatusCode, response.Header)
--- a/bulrushbackend/connection.go
+++ b/bulrushbackend/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -30,6 +31,7 @@
 // a time, without pipelining.
 type connection struct {
 	net.Conn
+	header *headerLimit
 	reader *bufio.Reader
 	// idleSince is when the connection was returned to the pool. It is reusable
 	// for idleTimeout from then on.
@@ -38,7 +40,50 @@
 }
 
 func newConnection(socket net.Conn) *connection {
-	return &connection{Conn: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	header := &headerLimit{source: socket}
+	return &connection{Conn: socket, header: header, reader: bufio.NewReaderSize(header, readBufferBytes), idleTimeout: defaultIdleTimeout}
+}
+
+// HeaderTooLargeError reports an answer whose status line and header, with those of
+// the interim answers before it, exceed the limit.
+type HeaderTooLargeError struct {
+	Limit int
+}
+
+// Error implements error.
+func (e *HeaderTooLargeError) Error() string {
+	return "answer header is larger than " + strconv.Itoa(e.Limit) + " bytes"
+}
+
+// headerLimit limits the bytes that are read from a connection while a header is
+// parsed. Bytes of the body that arrive together with it are permitted.
+type headerLimit struct {
+	source io.Reader
+	// limit is that of the header being read, 0 for none.
+	limit     int
+	remaining int
+}
+
+// begin limits the bytes read until end is called.
+func (hl *headerLimit) begin(limit int) {
+	hl.limit, hl.remaining = limit, limit+readBufferBytes
+}
+
+func (hl *headerLimit) end() {
+	hl.limit = 0
+}
+
+// Read implements io.Reader.
+func (hl *headerLimit) Read(buffer []byte) (int, error) {
+	if hl.limit == 0 {
+		return hl.source.Read(buffer)
+	}
+	if hl.remaining <= 0 {
+		return 0, &HeaderTooLargeError{Limit: hl.limit}
+	}
+	n, err := hl.source.Read(buffer[:min(len(buffer), hl.remaining)])
+	hl.remaining -= n
+	return n, err
 }
 
 // usable reports whether the idle connection may carry another request.
--- a/bulrushbackend/message.go
+++ b/bulrushbackend/message.go
@@ -1,7 +1,6 @@
 package bulrushbackend
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -44,10 +43,12 @@
 }
 
 // readFinalResponse reads the status line and header of the next final answer,
-// skipping interim (1xx) ones.
-func readFinalResponse(reader *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+// skipping interim (1xx) ones. All of them together are limited.
+func readFinalResponse(conn *connection, method string, maxHeaderBytes int) (*http.Response, error) {
+	conn.header.begin(maxHeaderBytes)
+	defer conn.header.end()
+	for range maxInterimAnswers + 1 {
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 		if errors.Is(err, io.ErrUnexpectedEOF) {
 			return nil, errors.Wrap(err, "read answer header")
 		}
@@ -58,6 +59,7 @@
 			return response, nil
 		}
 	}
+	return nil, &answerError{problem: "too many interim answers"}
 }
 
 // isCloseDelimited reports whether the body ends only with the connection.
--- a/bulrushnode/prober.go
+++ b/bulrushnode/prober.go
@@ -21,6 +21,8 @@
 	probeTimeout  = time.Second
 	// maxProbeBytes is the maximum number of bytes read from the answer to a probe.
 	maxProbeBytes = 4 << 10
+	// maxProbeHeaderBytes is the maximum size of its header.
+	maxProbeHeaderBytes = 64 << 10
 	// maxFailedProbes is the number of consecutive failed probes after which the
 	// backend server is unhealthy. The node then announces it as starting.
 	maxFailedProbes = 3
@@ -45,7 +47,7 @@
 
 func newProber(admission *admission, settings func(bulrushchute.Service) bulrushcatalogue.Probe) *prober {
 	// Probes use a separate connection, so that they do not wait behind requests.
-	transport := &http.Transport{Proxy: nil, MaxConnsPerHost: 1, DisableCompression: true}
+	transport := &http.Transport{Proxy: nil, MaxConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxProbeHeaderBytes}
 	return &prober{admission: admission, settings: settings, client: &http.Client{Transport: transport, Timeout: probeTimeout}}
 }
 
--- a/bulrushstore/client.go
+++ b/bulrushstore/client.go
@@ -19,6 +19,11 @@
 const (
 	DefaultTimeout          = 2 * bulrushchute.Second
 	DefaultWatchIdleTimeout = 15 * bulrushchute.Second
+
+	maxResponseHeaderBytes = 64 << 10
+	// maxResponseBytes is the maximum size of a response. The catalogue of the target
+	// fleet, with 1,900 services of 4 KB each, is listed in 8 MB.
+	maxResponseBytes = 16 << 20
 )
 
 // ClientSettings configure a Client.
@@ -64,11 +69,12 @@
 
 func newTransport(timeout bulrushchute.Millis, config *tls.Config) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout.Duration()}).DialContext,
-		TLSClientConfig:     config,
-		TLSHandshakeTimeout: timeout.Duration(),
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     bulrushchute.Minute.Duration(),
+		DialContext:            (&net.Dialer{Timeout: timeout.Duration()}).DialContext,
+		TLSClientConfig:        config,
+		TLSHandshakeTimeout:    timeout.Duration(),
+		MaxIdleConnsPerHost:    4,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		IdleConnTimeout:        bulrushchute.Minute.Duration(),
 	}
 }
 
@@ -193,7 +199,7 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return request.responseError(response)
 	}
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxResponseBytes))
 	if err == nil {
 		err = json.Unmarshal(data, result)
 	}
