Count what a former process of the node may have sent to a cold server

What callers saw: a cold server that crashes, with the requests that it runs, if the node beside it restarts in its first seconds.

A count beside the server is lost with the process that holds it. The successor sent the full cold rate at once, so that the server got 36 requests in a second at a limit of 18 and a slack of 5.

Change: a node whose server was running before it uses a quarter of the cold rate for the first second. A server that starts together with its node gets the full rate as before.

Evidence: TestColdRateHoldsOverARestartOfTheNode failed before (36 in one second, 23 allowed).

--- a/bulrushadmission/cold_rate.go
+++ b/bulrushadmission/cold_rate.go
@@ -19,6 +19,9 @@
 	factor float64
 	// dispatches holds the times of recent dispatches, oldest first.
 	dispatches []bulrushchute.Millis
+	// unknownUntil is the end of the window in which dispatches of a former process
+	// of the node may count.
+	unknownUntil bulrushchute.Millis
 }
 
 // coldRateWindow is the sliding window in which dispatches are counted. It is
@@ -26,6 +29,26 @@
 // transit for a few milliseconds.
 const coldRateWindow = bulrushchute.Second + 50*bulrushchute.Millisecond
 
+// unknownShare is the share of the limit that is used while dispatches of a former
+// process may count. A full limit of that process and this share together stay within
+// the slack that operators allow for requests in transit.
+const unknownShare = 0.25
+
+// assumeFormerDispatches records that a former process of the node may have used up
+// the limit until now.
+func (rl *coldRateLimiter) assumeFormerDispatches(now bulrushchute.Millis) {
+	rl.unknownUntil = now + coldRateWindow
+}
+
+// perWindow returns the number of requests that may be dispatched in a window.
+func (rl *coldRateLimiter) perWindow(now bulrushchute.Millis) float64 {
+	limit := rl.factor * rl.perS
+	if now < rl.unknownUntil {
+		limit *= unknownShare
+	}
+	return max(1, limit)
+}
+
 // observe records how much longer the server says it will be cold.
 func (rl *coldRateLimiter) observe(now, remaining bulrushchute.Millis) {
 	rl.until = now + remaining
@@ -42,7 +65,7 @@
 		return true
 	}
 	rl.dropExpired(now)
-	return float64(len(rl.dispatches)+1) <= max(1, rl.factor*rl.perS)
+	return float64(len(rl.dispatches)+1) <= rl.perWindow(now)
 }
 
 // recordDispatch counts a dispatch. Dispatches are counted while the server is
@@ -70,7 +93,7 @@
 		return 0
 	}
 	rl.dropExpired(now)
-	perWindow := int(max(1, rl.factor*rl.perS))
+	perWindow := int(rl.perWindow(now))
 	excess := len(rl.dispatches) + requests - perWindow
 	if excess <= 0 {
 		return 0
@@ -90,7 +113,11 @@
 	if rl.allows(now) || len(rl.dispatches) == 0 {
 		return Never
 	}
-	return min(rl.until, rl.dispatches[0]+coldRateWindow+1)
+	next := min(rl.until, rl.dispatches[0]+coldRateWindow+1)
+	if now < rl.unknownUntil {
+		next = min(next, rl.unknownUntil)
+	}
+	return next
 }
 
 // ObserveCold records how much longer the server says it will be cold.
--- a/bulrushadmission/cold_rate_test.go
+++ b/bulrushadmission/cold_rate_test.go
@@ -30,3 +30,55 @@
 		})
 	}
 }
+
+// Guards against a cold server that gets twice its limit in a second, because the
+// node beside it restarts and has forgotten what it sent just before. The users'
+// rule allows 12 a second at a factor of 1.5, and 5 more.
+func TestColdRateHoldsOverARestartOfTheNode(t *testing.T) {
+	const allowed = 12*1.5 + 5
+	cases := map[string]struct {
+		serverStartedBefore bool
+		// least is the number of requests in the second after the restart.
+		least int
+	}{
+		"server goes on running":       {serverStartedBefore: true, least: 4},
+		"server started with the node": {least: 18},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			limits := reportingLimits()
+			limits.ColdPerS = 12
+			start := func(now bulrushchute.Millis, before bool) *Controller {
+				c := New(now, Settings{ColdRateFactor: 1.5, Limits: limits})
+				c.BackendStarted(now, Announcement{Slots: 9, StartedBefore: before})
+				c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 1})
+				c.ObserveCold(now, 10_000)
+				return c
+			}
+			now := coldRateStart
+			var dispatched []bulrushchute.Millis
+			if tc.serverStartedBefore {
+				dispatched = dispatchCold(start(now, false), now)
+				now = dispatched[len(dispatched)-1] + 100
+			}
+			after := dispatchCold(start(now, tc.serverStartedBefore), now)
+			inSecond := 0
+			for _, at := range after {
+				if at < now+bulrushchute.Second {
+					inSecond++
+				}
+			}
+			assert.Assert(t, inSecond >= tc.least, "%d requests in the second after the restart", inSecond)
+			dispatched = append(dispatched, after...)
+			for i, first := range dispatched {
+				count := 0
+				for _, at := range dispatched[i:] {
+					if at < first+bulrushchute.Second {
+						count++
+					}
+				}
+				assert.Assert(t, count <= allowed, "%d requests in one second", count)
+			}
+		})
+	}
+}
--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -80,6 +80,9 @@
 	c.lastSlots = lastSlotsMonitor{}
 	c.coldRate.until = 0
 	c.namedLimit = namedLimit{}
+	if announcement.StartedBefore {
+		c.coldRate.assumeFormerDispatches(c.now)
+	}
 	c.failedProbes = 0
 	c.adaptive = newAdaptiveLimit(c.slots())
 	c.startColdRamp()
--- a/bulrushadmission/types.go
+++ b/bulrushadmission/types.go
@@ -93,6 +93,9 @@
 	Slots       int
 	Connections int
 	Cold        bool
+	// StartedBefore is set if the backend server was running before the node, so that
+	// a former process of the node may have sent it requests.
+	StartedBefore bool
 }
 
 // ProbeKind is a way of measuring a backend server. All kinds share one rate
--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -19,10 +19,17 @@
 // its slot, since the backend server may still be working on it.
 const unansweredSlotDelay = 50 * time.Millisecond
 
+// formerProcessMargin is how long before the node its backend server must have started
+// for a former process of the node to have sent it requests. A node and its server
+// that start together are not exactly simultaneous.
+const formerProcessMargin = bulrushchute.Second
+
 // admission is the admission node's part of a Node. All requests to its backend
 // server pass through it.
 type admission struct {
-	clock     bulrushchute.Clock
+	clock bulrushchute.Clock
+	// createdAt is when this process started.
+	createdAt bulrushchute.Millis
 	clockSkew bulrushchute.Millis
 	protocols protocols
 	tasks     *bulrushtask.Group
@@ -96,6 +103,7 @@
 func newAdmission(ctx context.Context, clock bulrushchute.Clock, clockSkew bulrushchute.Millis, protocols protocols) *admission {
 	return &admission{
 		clock:      clock,
+		createdAt:  clock.Now(),
 		clockSkew:  clockSkew,
 		protocols:  protocols,
 		context:    ctx,
@@ -120,6 +128,7 @@
 		Connections: announcement.Connections,
 		Cold:        announcement.Cold,
 	}
+	limits.StartedBefore = a.backend.Service == "" && announcement.StartedAtMs > 0 && announcement.StartedAtMs < a.createdAt-formerProcessMargin
 	announcement = a.withStatedLeaving(announcement)
 	a.unconfirmed = a.backend.Service == "" && a.protocols.backend.ReportsLoad()
 	if announcement.sameProcess(a.backend) {
