bulrushfreshness: let one first reader confirm for all data centres

Change: they use the same distribution of delays as other nodes, by the number of data centres.

Evidence: TestOneReaderConfirmsForAllDataCentres limits the reads to four a period for 1 to 26 data centres.

--- a/bulrushfreshness/tracker.go
+++ b/bulrushfreshness/tracker.go
@@ -10,10 +10,7 @@
 const (
 	// ConfirmInterval is the age of the last confirmation at which the first reader
 	// of a data centre reads the store.
-	ConfirmInterval = 750 * bulrushchute.Millisecond
-	// readerStagger spreads the reads of the first readers of several data centres,
-	// so that the first one's confirmation reaches the others before they read.
-	readerStagger = 150 * bulrushchute.Millisecond
+	ConfirmInterval = 650 * bulrushchute.Millisecond
 	// unconfirmedAfter is the age of the last confirmation at which any other node
 	// starts to read the store itself. It allows for one confirmation that is lost
 	// or late.
@@ -60,8 +57,10 @@
 	// FirstReader is set for the first reader of a data centre, which confirms the
 	// catalogue for the others.
 	FirstReader bool
-	// Nodes is the number of nodes known, including this one.
-	Nodes int
+	// Nodes is the number of nodes known, including this one, and DataCentres that of
+	// their data centres.
+	Nodes       int
+	DataCentres int
 }
 
 // Action is what a node has to do next.
@@ -190,9 +189,9 @@
 		return t.readAt
 	}
 	if role.FirstReader {
-		return t.confirmedAt + ConfirmInterval + bulrushchute.Millis(t.draw*float64(readerStagger))
+		return t.confirmedAt + ConfirmInterval + t.readDelay(role.DataCentres)
 	}
-	delay := t.readDelay(role)
+	delay := t.readDelay(role.Nodes)
 	next := t.confirmedAt + unconfirmedAfter + delay
 	if t.isBehind {
 		next = min(next, t.behindSince+behindReadDelay+delay)
@@ -203,9 +202,8 @@
 // readDelay returns the random delay of a read that many nodes may be about to make.
 // Its distribution is exponential towards the end of readSpread, so that only a few
 // of any number of nodes read before the first one's confirmation reaches them.
-func (t *Tracker) readDelay(role Role) bulrushchute.Millis {
-	nodes := max(2, float64(role.Nodes))
-	share := 1 + math.Log(t.draw)/math.Log(nodes)
+func (t *Tracker) readDelay(nodes int) bulrushchute.Millis {
+	share := 1 + math.Log(t.draw)/math.Log(max(2, float64(nodes)))
 	return bulrushchute.Millis(max(0, share) * float64(readSpread))
 }
 
--- a/bulrushfreshness/tracker_test.go
+++ b/bulrushfreshness/tracker_test.go
@@ -134,6 +134,49 @@
 	}
 }
 
+// Guards against the first readers of all data centres reading the store in each
+// period, though one confirmation is enough, and against a period that is too long.
+func TestOneReaderConfirmsForAllDataCentres(t *testing.T) {
+	cases := map[string]struct{ dataCentres int }{
+		"one":            {1},
+		"small site":     {3},
+		"grown site":     {5},
+		"target regions": {26},
+	}
+	const span = bulrushchute.Minute
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 1))
+			trackers := make([]*Tracker, tc.dataCentres)
+			for i := range trackers {
+				trackers[i] = newTestTracker(random.Uint64())
+			}
+			role := Role{FirstReader: true, Nodes: 100, DataCentres: tc.dataCentres}
+			reads := 0
+			arrivals := map[bulrushchute.Millis]bool{}
+			var oldest bulrushchute.Millis
+			for now := testStart; now < testStart+span; now += 10 {
+				for _, tracker := range trackers {
+					if arrivals[now] {
+						tracker.ObserveConfirmation(now, Confirmation{Revision: 1})
+					}
+					if tracker.Next(now, role) == ActionRead {
+						reads++
+						tracker.ReadEnded(now, now, true, role)
+						arrivals[now+spreadDelay] = true
+					}
+					if now > testStart+bulrushchute.Second {
+						oldest = max(oldest, tracker.Age(now))
+					}
+				}
+			}
+			assert.Assert(t, oldest < unconfirmedAfter, "a copy was confirmed %d ms ago", oldest)
+			// At most four a period, whatever the number of data centres.
+			assert.Assert(t, reads <= int(4*span/ConfirmInterval), "%d reads in %d ms", reads, span)
+		})
+	}
+}
+
 // simulateLostReader runs nodes that were all confirmed at the same time and have no
 // first reader any more. It returns the number of reads until all are confirmed
 // again, and the greatest age of a confirmation.
--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -79,10 +79,13 @@
 
 func (c *control) freshnessRole(now bulrushchute.Millis) bulrushfreshness.Role {
 	role := bulrushfreshness.Role{}
-	c.membership.Range(func(bulrushchute.Instance) bool {
+	dataCentres := make(map[bulrushchute.DataCentre]bool)
+	c.membership.Range(func(member bulrushchute.Instance) bool {
 		role.Nodes++
+		dataCentres[member.DataCentre] = true
 		return true
 	})
+	role.DataCentres = len(dataCentres)
 	settled := now-c.startedAt >= settleDuration
 	role.FirstReader = settled && c.rank(readerPurpose(c.dataCentre), c.dataCentre, 1) == 0
 	return role
