bulrushadmission: limit the first requests only beside a server that runs longer

Cause: the limit of 3 requests until the first answer applied to each start of a node or server.

Change: only a server that was running before the node can have named a limit to a former process of it.

TestNamedLimitHoldsOverAllNodes and TestNamedLimitHoldsInAnyWindow, which restart the node, pass.

--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -169,7 +169,7 @@
 	releases := c.beginEvent(now)
 	rs, known := c.requests[id]
 	if known && rs.running {
-		c.namedLimit.answered = c.namedLimit.answered || result.isAnswer()
+		c.namedLimit.unheard = c.namedLimit.unheard && !result.isAnswer()
 		c.slotTime.recordEnd(c.now, len(c.running))
 		c.recordResult(rs, result)
 		c.freeSlot(rs)
--- a/bulrushadmission/lifecycle.go
+++ b/bulrushadmission/lifecycle.go
@@ -79,7 +79,7 @@
 	c.slowdown = slowdownTracker{}
 	c.lastSlots = lastSlotsMonitor{}
 	c.coldRate.until = 0
-	c.namedLimit = namedLimit{}
+	c.namedLimit = namedLimit{unheard: announcement.StartedBefore}
 	if announcement.StartedBefore {
 		c.coldRate.assumeFormerDispatches(c.now)
 	}
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -133,7 +133,7 @@
 	if c.slowdown.reported {
 		// The server reports directly what the adaptive limit and the ramp
 		// would have to infer.
-		if !c.namedLimit.answered {
+		if c.namedLimit.unheard {
 			return min(limit, maxUnanswered)
 		}
 		if c.lastSlots.allowed(c.now) {
--- a/bulrushadmission/named_limit.go
+++ b/bulrushadmission/named_limit.go
@@ -16,8 +16,8 @@
 	// even to a server that takes none.
 	minNamedLimitPerS = 0.1
 	// maxUnanswered is the number of requests in flight until the first answer of a
-	// backend server is known, since it may have named a limit to the process that
-	// ran here before.
+	// backend server that was running before the node, since it may have named a limit
+	// to a former process of the node.
 	maxUnanswered = 3
 )
 
@@ -34,8 +34,9 @@
 	// permits is the number of requests that may be dispatched, as of updatedAt.
 	permits   float64
 	updatedAt bulrushchute.Millis
-	// answered is set once the server has answered a request.
-	answered bool
+	// unheard is set from the start of the node beside a server that was running
+	// before, until the server has answered a request.
+	unheard bool
 }
 
 // name records that the server names a limit. The first permit of a new limit comes
@@ -96,7 +97,7 @@
 // a limit, since health checks need not repeat it.
 func (c *Controller) ObserveNamedLimit(now bulrushchute.Millis, perS *float64, toRequest bool) []Release {
 	releases := c.beginEvent(now)
-	c.namedLimit.answered = c.namedLimit.answered || toRequest
+	c.namedLimit.unheard = c.namedLimit.unheard && !toRequest
 	switch {
 	case perS != nil:
 		c.limitCut = c.limitCut || !c.namedLimit.named || *perS < c.namedLimit.perS
--- a/bulrushadmission/named_limit_test.go
+++ b/bulrushadmission/named_limit_test.go
@@ -31,17 +31,17 @@
 		classOf: map[bulrushchute.AttemptID]bulrushchute.Class{},
 		perS:    &perS,
 	}
-	s.restartNode()
+	s.startNode(false)
 	return s
 }
 
-// restartNode replaces the controller, as a restart of the node beside the server
-// does.
-func (s *limitedServer) restartNode() {
+// startNode replaces the controller, as a start of the node beside the server does,
+// which may have been running before.
+func (s *limitedServer) startNode(serverStartedBefore bool) {
 	limits := reportingLimits()
 	limits.QueueMs = 200
 	s.c = New(s.now, Settings{Limits: limits})
-	s.c.BackendStarted(s.now, Announcement{Slots: 9})
+	s.c.BackendStarted(s.now, Announcement{Slots: 9, StartedBefore: serverStartedBefore})
 	s.c.ObserveLoad(s.now, bulrushchute.BackendLoad{Slots: 9, Slowdown: 1})
 	clear(s.ends)
 }
@@ -127,7 +127,7 @@
 			start := s.now
 			for number := 0; s.now < start+12*bulrushchute.Second; number++ {
 				if tc.restartEvery > 0 && s.now > start && (s.now-start)%tc.restartEvery == 0 {
-					s.restartNode()
+					s.startNode(true)
 				}
 				s.offer(number, bulrushchute.ClassStandard)
 				s.advance()
