--- a/bulrushnode/freshness_test.go
+++ b/bulrushnode/freshness_test.go
@@ -102,10 +102,10 @@
 	return f
 }
 
-func (f *routingFleet) close() {
+func (f *routingFleet) close(t *testing.T) {
 	f.stop()
 	for _, node := range f.nodes {
-		<-node.done
+		assert.Check(t, <-node.done == nil, "the node ended with an error")
 	}
 }
 
@@ -180,7 +180,7 @@
 // messages that announced it were lost.
 func TestLostAnnouncementIsRepairedInTime(t *testing.T) {
 	f := newRoutingFleet(t, 3)
-	defer f.close()
+	defer f.close(t)
 	f.awaitReaders(t)
 	victim := f.nodes[2]
 	var losing atomic.Bool
@@ -201,7 +201,7 @@
 // that are chosen to read the store cannot reach it.
 func TestReadersThatLostTheStoreAreReplaced(t *testing.T) {
 	f := newRoutingFleet(t, 3)
-	defer f.close()
+	defer f.close(t)
 	f.awaitReaders(t)
 	for _, store := range f.stores[:2] {
 		store.down.Store(true)
@@ -217,7 +217,7 @@
 // know of it.
 func TestUnknownRouteIsNotRefusedByAnUnconfirmedCatalogue(t *testing.T) {
 	f := newRoutingFleet(t, 1)
-	defer f.close()
+	defer f.close(t)
 	n := f.nodes[0]
 	n.waitForLabel(t, "1")
 	for !n.board.Read().CatalogueCurrent {
