bulrushmove: clear few requests by the whole time of a move, not by its rest

Cause: a version may get all requests without clearance if the limit covers all that are expected until the deadline. That was meant for services with few requests, but shortly before the deadline the rest always fits in. After 5 s of a silent store the last stage begins 0.25 s before the end, so an uncleared version was completed and then got everything.

Change: the limit has to cover the requests of the whole time of the move.

--- a/bulrushmove/clearance.go
+++ b/bulrushmove/clearance.go
@@ -114,10 +114,10 @@
 }
 
 // mayServeAll reports whether the new version may get all requests: it is cleared, or
-// the limit of its requests leaves room for all that are expected until the deadline.
+// the limit of its requests leaves room for all of the service's requests.
 func (c *Controller) mayServeAll(now bulrushchute.Millis, state State) bool {
 	if !state.ordered() || c.judge.Cleared() {
 		return true
 	}
-	return !c.judge.Suspicious() && c.exposureCoversRest(now, state)
+	return !c.judge.Suspicious() && c.exposureCoversAll(now, state)
 }
--- a/bulrushmove/exposure.go
+++ b/bulrushmove/exposure.go
@@ -152,22 +152,19 @@
 	return c.writeState(now, state)
 }
 
-// restMargin is the factor by which the requests until the deadline may exceed the
+// totalMargin is the factor by which the requests until the deadline may exceed the
 // mean rate since the order.
-const restMargin = 1.2
-
-// exposureCoversRest reports whether the limit leaves room for all requests of the
-// service until the deadline, which is so for a service with few of them.
-func (c *Controller) exposureCoversRest(now bulrushchute.Millis, state State) bool {
-	known, received, _ := c.judge.totals()
-	if known < c.requestsBefore {
-		// Some reports of the new version's requests are missing.
-		received = float64(totalGranted(state.Grants))
-	}
-	requests := c.serviceRequests()
+const totalMargin = 1.2
+
+// exposureCoversAll reports whether the limit leaves room for all requests of the
+// service from the order to the deadline, which is so for a service with few of them.
+// The requests that are left shortly before the deadline always fit in, but after it
+// the new version gets all requests.
+func (c *Controller) exposureCoversAll(now bulrushchute.Millis, state State) bool {
 	elapsed := max(now-state.OrderedAtMs, 1)
-	rest := restMargin * requests * float64(max(state.CompleteByMs+orderMargin-now, 0)) / float64(elapsed)
-	return received+rest <= c.exposure.grantable(requests+rest)
+	whole := max(state.CompleteByMs+orderMargin-state.OrderedAtMs, elapsed)
+	expected := totalMargin * c.serviceRequests() * float64(whole) / float64(elapsed)
+	return expected <= c.exposure.grantable(expected)
 }
 
 // Quota counts the requests that an instance has received for a move, so that it
