bulrushwire: resume attempts whose connection goes silent or is lost

Cause: one connection carries all attempts to a peer. When it went silent, each new attempt was written to it for 2.5 s, until TCP gave it up, and then ended with an unknown outcome although most had never reached the peer. Attempts on a connection that was reset were cancelled at the server and lost.

Change: while attempts are outstanding, a ping is sent after 40 ms without a message; 70 ms (or four round trips) later another connection is opened. If the peer shows life meanwhile, it is closed again. Otherwise the attempts are asked for there, by bulrushresume.Ledger at the peer. Attempts at the server outlive their connection by 300 ms. A peer whose process has changed is not asked: the outcome stays unknown. bulrushtask.Wait permits goroutines to start others meanwhile. Log message 'connection replaced', counts in the status.

--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -124,6 +124,9 @@
 	n.tls, n.tlsError = settings.parseTLS()
 	n.client = bulrushwire.NewClient(ctx, settings.PeerAddress, n.tls.peerClient)
 	n.client.OnRejected = newConnRefusalLog(clock, "").log
+	n.client.OnReplaced = func(to bulrushchute.Address, silent bool, attempts int) {
+		klog.InfoS("connection replaced", "to", to, "silent", silent, "attempts", attempts)
+	}
 	n.server = bulrushwire.NewServer(ctx, n)
 	n.server.OnRejected = newConnRefusalLog(clock, "peers").log
 	n.admission = newAdmission(ctx, clock, settings.ClockSkewMs, protocols)
--- a/bulrushnode/status.go
+++ b/bulrushnode/status.go
@@ -9,6 +9,7 @@
 	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushspread"
+	"bulrushchute.example/bulrushchute/bulrushwire"
 )
 
 // Status is the status that a node reports.
@@ -23,8 +24,11 @@
 	// Probes counts the probes of the backend server by kind.
 	Probes map[string]uint64 `json:"probes"`
 	// LateReplies counts the replies that arrived after their attempt had ended.
-	LateReplies int64              `json:"late_replies"`
-	DataCentres []DataCentreStatus `json:"data_centres"`
+	LateReplies int64 `json:"late_replies"`
+	// Resumptions counts what became of attempts whose connection went silent or was
+	// lost.
+	Resumptions bulrushwire.Resumptions `json:"resumptions"`
+	DataCentres []DataCentreStatus      `json:"data_centres"`
 	// KeyHome is set while the node is the home of any idempotency keys.
 	KeyHome bool `json:"key_home"`
 }
@@ -49,6 +53,7 @@
 		Load:        n.admission.load(),
 		Probes:      n.admission.probeCounts(),
 		LateReplies: n.client.LateReplies(),
+		Resumptions: n.client.Resumptions(),
 		KeyHome:     n.keys.isHome(),
 	}
 	counts := make(map[bulrushchute.DataCentre]int)
--- a/bulrushresume/ledger.go
+++ b/bulrushresume/ledger.go
@@ -1,6 +1,9 @@
 package bulrushresume
 
 import (
+	"encoding/hex"
+	"strconv"
+
 	"bulrushchute.example/bulrushchute"
 )
 
@@ -8,6 +11,32 @@
 // connection chooses it at random.
 type ConnectionID [16]byte
 
+// ConnectionIDError reports a text that is no connection ID.
+type ConnectionIDError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *ConnectionIDError) Error() string {
+	return "no connection ID: " + strconv.Quote(e.Text)
+}
+
+// String returns the ID in hexadecimal digits.
+func (id ConnectionID) String() string {
+	return hex.EncodeToString(id[:])
+}
+
+// ParseConnectionID is the inverse of ConnectionID.String.
+func ParseConnectionID(text string) (ConnectionID, error) {
+	var id ConnectionID
+	data, err := hex.DecodeString(text)
+	if err != nil || len(data) != len(id) {
+		return id, &ConnectionIDError{Text: text}
+	}
+	copy(id[:], data)
+	return id, nil
+}
+
 const (
 	// fenceDuration is the time for which a fence is kept at least, and until the
 	// connection has ended. It is longer than the opening of a connection may take.
@@ -19,9 +48,9 @@
 	// connectionMemory is the time for which a connection is remembered after its end.
 	// It is shorter than rememberFor.
 	connectionMemory = 30 * bulrushchute.Second
-	// resumeWait is the time for which an attempt goes on whose connection was lost,
+	// ResumeWait is the time for which an attempt goes on whose connection was lost,
 	// so that its sender can ask for it on another one.
-	resumeWait = 300 * bulrushchute.Millisecond
+	ResumeWait = 300 * bulrushchute.Millisecond
 )
 
 // Limits of a Ledger.
@@ -150,15 +179,22 @@
 	return overheadBytes + len(reply.Answer.Body)
 }
 
-// Resume fences the old connections and moves an attempt that was sent on one of them
-// to the new one. It returns the kept reply, which is not kept any longer.
-func (l *Ledger) Resume(now bulrushchute.Millis, old []ConnectionID, current ConnectionID, id bulrushchute.AttemptID) (State, *bulrushchute.Reply) {
+// Fence ensures that no attempt that arrives later on the given connections begins. It
+// returns false if this process does not know all of them, so that it cannot say what
+// has arrived on them.
+func (l *Ledger) Fence(now bulrushchute.Millis, connections []ConnectionID) bool {
 	known := true
-	for _, connection := range old {
+	for _, connection := range connections {
 		_, remembered := l.connections[connection]
 		known = known && remembered
 		l.fences[connection] = now + fenceDuration
 	}
+	return known
+}
+
+// Resume moves an attempt that was sent on fenced connections to another one. known is
+// the result of Fence. It returns the kept reply, which is not kept any longer.
+func (l *Ledger) Resume(now bulrushchute.Millis, known bool, current ConnectionID, id bulrushchute.AttemptID) (State, *bulrushchute.Reply) {
 	asked := l.attempts[id]
 	switch {
 	case asked == nil && known:
@@ -193,7 +229,7 @@
 func (l *Ledger) Expire(now bulrushchute.Millis) []bulrushchute.AttemptID {
 	var abandoned []bulrushchute.AttemptID
 	for id, lostAt := range l.lost {
-		if now >= lostAt+resumeWait {
+		if now >= lostAt+ResumeWait {
 			delete(l.lost, id)
 			abandoned = append(abandoned, id)
 		}
--- a/bulrushresume/silence.go
+++ b/bulrushresume/silence.go
@@ -7,10 +7,10 @@
 const (
 	// pingAfter is the time without a message from the peer after which a ping asks
 	// for one.
-	pingAfter = 50 * bulrushchute.Millisecond
+	pingAfter = 40 * bulrushchute.Millisecond
 	// minPatience is the shortest time for which a ping is awaited. It is longer than
 	// a pause of a process that has used up its share of a core.
-	minPatience = 80 * bulrushchute.Millisecond
+	minPatience = 70 * bulrushchute.Millisecond
 	maxPatience = bulrushchute.Second
 	// roundTripFactor times the mean round trip is awaited at least.
 	roundTripFactor = 4
@@ -74,10 +74,23 @@
 	return SilencePing
 }
 
+// Due returns when Next has to be called again, if nothing arrives before.
+func (s *Silence) Due() bulrushchute.Millis {
+	if s.pingedAt > 0 {
+		return s.pingedAt + s.limit()
+	}
+	return s.heardAt + pingAfter
+}
+
 func (s *Silence) limit() bulrushchute.Millis {
 	return min(max(s.patience, bulrushchute.Millis(roundTripFactor*s.roundTrip)), maxPatience)
 }
 
+// HeardSince reports whether a message arrived after a time.
+func (s *Silence) HeardSince(at bulrushchute.Millis) bool {
+	return s.heardAt > at
+}
+
 // Alive records that a connection was taken for silent although the peer was only
 // slow, or that no other one could be opened. The next ping is awaited for longer.
 func (s *Silence) Alive(now bulrushchute.Millis) {
--- a/bulrushtask/group.go
+++ b/bulrushtask/group.go
@@ -21,7 +21,11 @@
 type Group struct {
 	mutex   sync.Mutex
 	running int
-	results chan Result
+	// waitMutex is held during Wait, and waiting is set meanwhile, so that only Wait
+	// reads results.
+	waitMutex sync.Mutex
+	waiting   bool
+	results   chan Result
 	// onResult is called for each result, one at a time. The group is locked
 	// during the call.
 	onResult func(Result)
@@ -51,7 +55,7 @@
 }
 
 func (g *Group) collect() {
-	for {
+	for !g.waiting {
 		select {
 		case result := <-g.results:
 			g.running--
@@ -62,15 +66,22 @@
 	}
 }
 
-// Wait collects results until every goroutine has ended.
+// Wait collects results until every goroutine has ended. Goroutines may start others
+// meanwhile.
 func (g *Group) Wait() {
+	g.waitMutex.Lock()
+	defer g.waitMutex.Unlock()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.waiting = true
 	for g.running > 0 {
+		g.mutex.Unlock()
 		result := <-g.results
+		g.mutex.Lock()
 		g.running--
 		g.onResult(result)
 	}
+	g.waiting = false
 }
 
 // Running returns the number of goroutines whose result has not been collected.
--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -45,10 +45,15 @@
 	controlQueues  map[bulrushchute.Address]chan Message
 	lateReplies    atomic.Int64
 	droppedControl atomic.Int64
+	clock          bulrushchute.Clock
+	resumptions    resumptionCounters
 	tasks          *bulrushtask.Group
 	// OnRejected is called for each dial that failed the TLS handshake or that
 	// the peer rejected. It must be set before the first dial and may be nil.
 	OnRejected func(to, reason string)
+	// OnReplaced is called when a connection on which attempts were outstanding was
+	// replaced by another one. It must be set before the first dial and may be nil.
+	OnReplaced func(to bulrushchute.Address, silent bool, attempts int)
 }
 
 // NewClient returns a client for the node with the given peer address. The
@@ -72,6 +77,7 @@
 		dataPeers:     make(map[bulrushchute.Address]*dataPeer),
 		controlQueues: make(map[bulrushchute.Address]chan Message),
 		tasks:         bulrushtask.NewGroup(nil),
+		clock:         bulrushchute.NewMonotonicClock(),
 	}
 }
 
@@ -95,12 +101,7 @@
 
 // Exchange implements bulrushchute.Transport.
 func (c *Client) Exchange(ctx context.Context, to bulrushchute.Address, attempt bulrushchute.Attempt) (bulrushchute.Reply, error) {
-	peer := c.peer(to)
-	connection, err := peer.connect(ctx)
-	if err != nil {
-		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: to, Cause: err}
-	}
-	return peer.exchange(ctx, connection, attempt)
+	return c.peer(to).exchange(ctx, attempt)
 }
 
 func (c *Client) peer(address bulrushchute.Address) *dataPeer {
@@ -117,9 +118,10 @@
 func (c *Client) dial(ctx context.Context, address bulrushchute.Address) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	id := newConnectionID()
 	options := &websocket.DialOptions{
 		HTTPClient:      c.httpClient,
-		HTTPHeader:      http.Header{headerPeerAddress: {string(c.self)}},
+		HTTPHeader:      http.Header{headerPeerAddress: {string(c.self)}, headerConnection: {id.String()}},
 		CompressionMode: websocket.CompressionDisabled,
 	}
 	socket, response, err := websocket.Dial(ctx, c.scheme+"://"+string(address)+PeerPath, options)
@@ -132,161 +134,11 @@
 		}
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	return newConnection(socket), nil
-}
-
-// pendingAttempt is an attempt that was sent on a connection and awaits its
-// reply. The channel is closed when the connection is lost.
-type pendingAttempt struct {
-	connection *connection
-	reply      chan bulrushchute.Reply
-}
-
-// dataPeer manages the connection that carries attempts to one peer. It dials
-// again when the connection has been lost.
-type dataPeer struct {
-	client  *Client
-	address bulrushchute.Address
-	// dialMutex is held while dialling, so that concurrent attempts share one
-	// connection.
-	dialMutex sync.Mutex
-	mutex     sync.Mutex
-	current   *connection
-	pending   map[bulrushchute.AttemptID]pendingAttempt
-}
-
-func (p *dataPeer) connect(ctx context.Context) (*connection, error) {
-	if connection := p.openConnection(); connection != nil {
-		return connection, nil
-	}
-	p.dialMutex.Lock()
-	defer p.dialMutex.Unlock()
-	if connection := p.openConnection(); connection != nil {
-		return connection, nil
-	}
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
-	connection, err := p.client.dial(ctx, p.address)
-	if err != nil {
-		return nil, err
-	}
-	p.mutex.Lock()
-	p.current = connection
-	p.mutex.Unlock()
-	p.client.tasks.Start(p.client.context, "replies", func(ctx context.Context) error {
-		return p.readReplies(ctx, connection)
-	})
+	connection := newConnection(socket, id)
+	connection.process = response.Header.Get(headerProcess)
 	return connection, nil
 }
 
-func (p *dataPeer) openConnection() *connection {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.current == nil || p.current.isClosed() {
-		return nil
-	}
-	return p.current
-}
-
-func (p *dataPeer) readReplies(ctx context.Context, connection *connection) error {
-	defer p.failPending(connection)
-	return connection.read(ctx, p.deliver)
-}
-
-// deliver passes a reply to the pending attempt with its ID. Replies to
-// attempts that have ended are counted and dropped.
-func (p *dataPeer) deliver(message Message) {
-	if message.Reply == nil {
-		return
-	}
-	p.mutex.Lock()
-	pending, exists := p.pending[message.Reply.ID]
-	delete(p.pending, message.Reply.ID)
-	p.mutex.Unlock()
-	if !exists {
-		p.client.lateReplies.Add(1)
-		return
-	}
-	pending.reply <- *message.Reply
-}
-
-// failPending fails the pending attempts of a connection that has been lost.
-func (p *dataPeer) failPending(connection *connection) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for id, attempt := range p.pending {
-		if attempt.connection == connection {
-			delete(p.pending, id)
-			close(attempt.reply)
-		}
-	}
-}
-
-func (p *dataPeer) exchange(ctx context.Context, connection *connection, attempt bulrushchute.Attempt) (bulrushchute.Reply, error) {
-	reply := make(chan bulrushchute.Reply, 1)
-	p.mutex.Lock()
-	if connection.isClosed() {
-		p.mutex.Unlock()
-		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: p.address, Cause: errors.New("connection closed before sending")}
-	}
-	p.pending[attempt.ID] = pendingAttempt{connection: connection, reply: reply}
-	p.mutex.Unlock()
-	if err := p.send(connection, Message{Attempt: &attempt}); err != nil {
-		p.removePending(attempt.ID)
-		return bulrushchute.Reply{}, err
-	}
-	return p.awaitReply(ctx, connection, attempt.ID, reply)
-}
-
-// send writes a message. It uses its own timeout instead of the attempt's
-// context, because cancelling a write closes the connection for all attempts
-// that share it.
-func (p *dataPeer) send(connection *connection, message Message) error {
-	ctx, cancel := context.WithTimeout(p.client.context, writeTimeout)
-	defer cancel()
-	err := connection.write(ctx, message)
-	var malformed *MessageError
-	if errors.As(err, &malformed) {
-		return &bulrushchute.NotSentError{Address: p.address, Cause: err}
-	}
-	if err != nil {
-		connection.close()
-		return &bulrushchute.NoReplyError{Address: p.address, Cause: err}
-	}
-	return nil
-}
-
-func (p *dataPeer) awaitReply(ctx context.Context, connection *connection, id bulrushchute.AttemptID, replies <-chan bulrushchute.Reply) (bulrushchute.Reply, error) {
-	select {
-	case reply, ok := <-replies:
-		if !ok {
-			return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: errors.New("connection lost")}
-		}
-		return p.verifyReply(reply)
-	case <-ctx.Done():
-		p.removePending(id)
-		_ = p.send(connection, Message{Cancel: &id})
-		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: ctx.Err()}
-	}
-}
-
-func (p *dataPeer) verifyReply(reply bulrushchute.Reply) (bulrushchute.Reply, error) {
-	if reply.Answer == nil {
-		return reply, nil
-	}
-	if err := VerifyChecksum(*reply.Answer); err != nil {
-		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: err}
-	}
-	return reply, nil
-}
-
-func (p *dataPeer) removePending(id bulrushchute.AttemptID) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	delete(p.pending, id)
-}
-
 // Send implements bulrushchute.Transport.
 func (c *Client) Send(to bulrushchute.Address, control bulrushchute.Control) {
 	c.mutex.Lock()
--- a/bulrushwire/connection.go
+++ b/bulrushwire/connection.go
@@ -6,20 +6,27 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute/bulrushresume"
 )
 
 // connection is a WebSocket connection to a peer.
 type connection struct {
 	socket *websocket.Conn
+	// id identifies the connection at both ends, process the process at the other end.
+	// process is empty at the end that accepted the connection, and if the other end
+	// cannot resume attempts.
+	id      bulrushresume.ConnectionID
+	process string
 	// closed is closed when the read loop ends or a write fails. A message that
 	// has not been written by then was certainly not sent.
 	closed    chan struct{}
 	closeOnce sync.Once
 }
 
-func newConnection(socket *websocket.Conn) *connection {
+func newConnection(socket *websocket.Conn, id bulrushresume.ConnectionID) *connection {
 	socket.SetReadLimit(MaxMessageBytes)
-	return &connection{socket: socket, closed: make(chan struct{})}
+	return &connection{socket: socket, id: id, closed: make(chan struct{})}
 }
 
 func (c *connection) isClosed() bool {
--- a/bulrushwire/message.go
+++ b/bulrushwire/message.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushresume"
 )
 
 // MaxMessageBytes is the maximum size of an encoded message.
@@ -31,6 +32,32 @@
 	Reply   *bulrushchute.Reply     `cbor:"2,keyasint,omitempty"`
 	Cancel  *bulrushchute.AttemptID `cbor:"3,keyasint,omitempty"`
 	Control *bulrushchute.Control   `cbor:"4,keyasint,omitempty"`
+	// Ping asks for a Pong, which shows that the connection and the process work.
+	Ping *Ping `cbor:"5,keyasint,omitempty"`
+	Pong *Ping `cbor:"6,keyasint,omitempty"`
+	// Resume asks for attempts that were sent on other connections, and Resumed is
+	// its answer.
+	Resume  *Resume  `cbor:"7,keyasint,omitempty"`
+	Resumed *Resumed `cbor:"8,keyasint,omitempty"`
+}
+
+// Ping has no content.
+type Ping struct{}
+
+// Resume asks the receiver to move attempts to the connection on which it arrives.
+type Resume struct {
+	// Connections are those on which the attempts were sent, or asked for before.
+	// Nothing that arrives on them later may run.
+	Connections []bulrushresume.ConnectionID `cbor:"1,keyasint"`
+	Attempts    []bulrushchute.AttemptID     `cbor:"2,keyasint"`
+}
+
+// Resumed names the attempts for which no reply follows.
+type Resumed struct {
+	// NeverSeen are those that have not run and never will.
+	NeverSeen []bulrushchute.AttemptID `cbor:"1,keyasint,omitempty"`
+	// Gone are those of which the outcome is not known.
+	Gone []bulrushchute.AttemptID `cbor:"2,keyasint,omitempty"`
 }
 
 // MessageError reports a message that violates the protocol.
@@ -112,7 +139,8 @@
 }
 
 func (m Message) check() error {
-	set := countTrue(m.Attempt != nil, m.Reply != nil, m.Cancel != nil, m.Control != nil)
+	set := countTrue(m.Attempt != nil, m.Reply != nil, m.Cancel != nil, m.Control != nil,
+		m.Ping != nil, m.Pong != nil, m.Resume != nil, m.Resumed != nil)
 	if set != 1 {
 		return &MessageError{Problem: fmt.Sprintf("%d content fields are set, want 1", set)}
 	}
--- /dev/null
+++ b/bulrushwire/peer.go
@@ -0,0 +1,267 @@
+package bulrushwire
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushresume"
+)
+
+// maxConnects limits the connections on which an attempt is tried to be sent that are
+// lost before.
+const maxConnects = 3
+
+func newConnectionID() bulrushresume.ConnectionID {
+	var id bulrushresume.ConnectionID
+	// It never returns an error.
+	_, _ = rand.Read(id[:])
+	return id
+}
+
+// Resumptions counts what became of attempts whose connection was lost or silent.
+type Resumptions struct {
+	// Replaced counts the connections, Silent those of them that were silent.
+	Replaced int64 `json:"replaced"`
+	Silent   int64 `json:"silent"`
+	// Attempts counts the attempts that were asked for, NotRun those that had not
+	// arrived, and Unknown those whose outcome stays unknown.
+	Attempts int64 `json:"attempts"`
+	NotRun   int64 `json:"not_run"`
+	Unknown  int64 `json:"unknown"`
+}
+
+type resumptionCounters struct {
+	replaced, silent, attempts, notRun, unknown atomic.Int64
+}
+
+// Resumptions returns the counts since the start.
+func (c *Client) Resumptions() Resumptions {
+	return Resumptions{
+		Replaced: c.resumptions.replaced.Load(),
+		Silent:   c.resumptions.silent.Load(),
+		Attempts: c.resumptions.attempts.Load(),
+		NotRun:   c.resumptions.notRun.Load(),
+		Unknown:  c.resumptions.unknown.Load(),
+	}
+}
+
+// attemptEnd is how an attempt ended: with a reply, or with a *NotSentError or
+// *NoReplyError.
+type attemptEnd struct {
+	reply bulrushchute.Reply
+	err   error
+}
+
+// pendingAttempt is an attempt that awaits its end, and the connection to which it
+// belongs.
+type pendingAttempt struct {
+	connection *dataConnection
+	end        chan attemptEnd
+}
+
+// dataConnection is a connection that carries attempts.
+type dataConnection struct {
+	*connection
+	silence *bulrushresume.Silence
+	// former are the connections that this one replaced, until the peer has confirmed
+	// that nothing is accepted on them.
+	former []bulrushresume.ConnectionID
+	// watched is set while a goroutine watches the connection, replacing while another
+	// one is opened.
+	watched, replacing bool
+}
+
+// dataPeer manages the connection that carries attempts to one peer. It dials
+// again when the connection has been lost.
+type dataPeer struct {
+	client  *Client
+	address bulrushchute.Address
+	// dialMutex is held while dialling, so that concurrent attempts share one
+	// connection.
+	dialMutex sync.Mutex
+	// mutex guards the fields below and those of the connections.
+	mutex   sync.Mutex
+	current *dataConnection
+	pending map[bulrushchute.AttemptID]pendingAttempt
+}
+
+func (p *dataPeer) connect(ctx context.Context) (*dataConnection, error) {
+	if connection := p.openConnection(); connection != nil {
+		return connection, nil
+	}
+	p.dialMutex.Lock()
+	defer p.dialMutex.Unlock()
+	if connection := p.openConnection(); connection != nil {
+		return connection, nil
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	connection, err := p.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.use(connection)
+	return connection, nil
+}
+
+func (p *dataPeer) dial(ctx context.Context) (*dataConnection, error) {
+	began := p.client.clock.Now()
+	opened, err := p.client.dial(ctx, p.address)
+	if err != nil {
+		return nil, err
+	}
+	now := p.client.clock.Now()
+	return &dataConnection{connection: opened, silence: bulrushresume.NewSilence(now, now-began)}, nil
+}
+
+// use makes a connection the current one and reads it. The mutex is held.
+func (p *dataPeer) use(connection *dataConnection) {
+	p.current = connection
+	p.client.tasks.Start(p.client.context, "replies", func(ctx context.Context) error {
+		return p.readReplies(ctx, connection)
+	})
+}
+
+func (p *dataPeer) openConnection() *dataConnection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.current == nil || p.current.isClosed() {
+		return nil
+	}
+	return p.current
+}
+
+func (p *dataPeer) readReplies(ctx context.Context, connection *dataConnection) error {
+	err := connection.read(ctx, func(message Message) { p.deliver(connection, message) })
+	p.replace(ctx, connection)
+	return err
+}
+
+// deliver handles a message from the peer. Replies to attempts that have ended are
+// counted and dropped.
+func (p *dataPeer) deliver(connection *dataConnection, message Message) {
+	p.mutex.Lock()
+	connection.silence.Heard(p.client.clock.Now())
+	p.mutex.Unlock()
+	switch {
+	case message.Reply != nil:
+		if !p.end(message.Reply.ID, attemptEnd{reply: *message.Reply}) {
+			p.client.lateReplies.Add(1)
+		}
+	case message.Resumed != nil:
+		p.mutex.Lock()
+		connection.former = nil
+		p.mutex.Unlock()
+		for _, id := range message.Resumed.NeverSeen {
+			if p.end(id, attemptEnd{err: &bulrushchute.NotSentError{Address: p.address, Cause: errors.New("lost on a silent connection")}}) {
+				p.client.resumptions.notRun.Add(1)
+			}
+		}
+		for _, id := range message.Resumed.Gone {
+			if p.end(id, attemptEnd{err: p.noReply("the peer has no reply any more")}) {
+				p.client.resumptions.unknown.Add(1)
+			}
+		}
+	}
+}
+
+func (p *dataPeer) noReply(cause string) error {
+	return &bulrushchute.NoReplyError{Address: p.address, Cause: errors.New(cause)}
+}
+
+// end ends a pending attempt. It returns false if the attempt has ended before.
+func (p *dataPeer) end(id bulrushchute.AttemptID, end attemptEnd) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	pending, exists := p.pending[id]
+	if exists {
+		delete(p.pending, id)
+		pending.end <- end
+	}
+	return exists
+}
+
+func (p *dataPeer) exchange(ctx context.Context, attempt bulrushchute.Attempt) (bulrushchute.Reply, error) {
+	connection, end, err := p.add(ctx, attempt.ID)
+	if err != nil {
+		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: p.address, Cause: err}
+	}
+	if err := p.send(connection, Message{Attempt: &attempt}); err != nil {
+		p.removePending(attempt.ID)
+		return bulrushchute.Reply{}, err
+	}
+	select {
+	case ended := <-end:
+		return p.verify(ended)
+	case <-ctx.Done():
+		if connection := p.removePending(attempt.ID); connection != nil {
+			_ = p.send(connection, Message{Cancel: &attempt.ID})
+		}
+		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: ctx.Err()}
+	}
+}
+
+// add makes an attempt pending on an open connection.
+func (p *dataPeer) add(ctx context.Context, id bulrushchute.AttemptID) (*dataConnection, chan attemptEnd, error) {
+	for range maxConnects {
+		connection, err := p.connect(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		p.mutex.Lock()
+		if connection == p.current && !connection.isClosed() {
+			end := make(chan attemptEnd, 1)
+			p.pending[id] = pendingAttempt{connection: connection, end: end}
+			p.watch(connection)
+			p.mutex.Unlock()
+			return connection, end, nil
+		}
+		p.mutex.Unlock()
+	}
+	return nil, nil, errors.New("connection closed before sending")
+}
+
+// send writes a message. It uses its own timeout instead of the attempt's context,
+// because cancelling a write closes the connection for all attempts that share it. A
+// write that fails closes the connection, whose attempts are then resumed on another
+// one. It returns only a *NotSentError.
+func (p *dataPeer) send(connection *dataConnection, message Message) error {
+	ctx, cancel := context.WithTimeout(p.client.context, writeTimeout)
+	defer cancel()
+	err := connection.write(ctx, message)
+	var malformed *MessageError
+	if errors.As(err, &malformed) {
+		return &bulrushchute.NotSentError{Address: p.address, Cause: err}
+	}
+	if err != nil {
+		connection.close()
+	}
+	return nil
+}
+
+func (p *dataPeer) verify(ended attemptEnd) (bulrushchute.Reply, error) {
+	if ended.err != nil || ended.reply.Answer == nil {
+		return ended.reply, ended.err
+	}
+	if err := VerifyChecksum(*ended.reply.Answer); err != nil {
+		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: err}
+	}
+	return ended.reply, nil
+}
+
+// removePending returns the connection of the attempt, nil if it has ended.
+func (p *dataPeer) removePending(id bulrushchute.AttemptID) *dataConnection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	pending := p.pending[id]
+	delete(p.pending, id)
+	return pending.connection
+}
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -4,19 +4,28 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushresume"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 // PeerPath is the HTTP path on which nodes accept connections from each other.
 const PeerPath = "/v1/peer"
 
-// headerPeerAddress holds the address on which the connecting node itself
-// accepts connections from peers.
-const headerPeerAddress = "Bulrush-Peer-Address"
+// Headers of the HTTP request and response that open a connection.
+const (
+	// headerPeerAddress holds the address on which the connecting node itself
+	// accepts connections from peers.
+	headerPeerAddress = "Bulrush-Peer-Address"
+	// headerConnection holds the connection's ID, in hexadecimal digits.
+	headerConnection = "Bulrush-Connection"
+	// headerProcess holds an ID of the accepting process.
+	headerProcess = "Bulrush-Process"
+)
 
 // Handler handles messages from other nodes.
 type Handler interface {
@@ -33,7 +42,14 @@
 	handler Handler
 	// context ends when the node stops, which closes all connections.
 	context context.Context
+	clock   bulrushchute.Clock
+	process string
 	tasks   *bulrushtask.Group
+	mutex   sync.Mutex
+	ledger  *bulrushresume.Ledger
+	// sessions are the open connections, and cancels end the running attempts.
+	sessions map[bulrushresume.ConnectionID]*session
+	cancels  map[bulrushchute.AttemptID]context.CancelFunc
 	// OnRejected is called for each connection rejected because of its stated
 	// address. It must be set before the first connection and may be nil.
 	OnRejected func(remote, reason string)
@@ -41,7 +57,16 @@
 
 // NewServer returns a server that closes its connections when the context ends.
 func NewServer(ctx context.Context, handler Handler) *Server {
-	return &Server{handler: handler, context: ctx, tasks: bulrushtask.NewGroup(nil)}
+	return &Server{
+		handler:  handler,
+		context:  ctx,
+		clock:    bulrushchute.NewMonotonicClock(),
+		process:  newConnectionID().String(),
+		tasks:    bulrushtask.NewGroup(nil),
+		ledger:   bulrushresume.NewLedger(bulrushresume.DefaultLimits),
+		sessions: make(map[bulrushresume.ConnectionID]*session),
+		cancels:  make(map[bulrushchute.AttemptID]context.CancelFunc),
+	}
 }
 
 // ServeHTTP upgrades the request to a WebSocket connection and handles its
@@ -57,18 +82,24 @@
 		http.Error(writer, err.Error(), err.status)
 		return
 	}
+	id, err := bulrushresume.ParseConnectionID(request.Header.Get(headerConnection))
+	if err != nil {
+		// The peer cannot resume attempts.
+		id = newConnectionID()
+	}
+	writer.Header().Set(headerProcess, s.process)
 	socket, err := websocket.Accept(writer, request, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
-	session := &session{
-		server:     s,
-		peer:       bulrushchute.Address(peer),
-		connection: newConnection(socket),
-		running:    make(map[bulrushchute.AttemptID]context.CancelFunc),
+	session := &session{server: s, peer: bulrushchute.Address(peer), connection: newConnection(socket, id)}
+	if !s.addSession(session) {
+		session.connection.close()
+		return
 	}
+	defer s.removeSession(session)
 	_ = session.connection.read(ctx, func(message Message) { session.handle(ctx, message) })
 }
 
@@ -77,67 +108,149 @@
 	s.tasks.Wait()
 }
 
-// session is the server side of one connection. It holds the cancel functions
-// of its running attempts.
+// addSession returns false if the peer has given the connection up already.
+func (s *Server) addSession(added *session) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.ledger.Opened(added.connection.id) {
+		return false
+	}
+	s.sessions[added.connection.id] = added
+	return true
+}
+
+// removeSession leaves the running attempts time to be resumed on another connection.
+func (s *Server) removeSession(removed *session) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.sessions, removed.connection.id)
+	s.ledger.Lost(s.clock.Now(), removed.connection.id)
+	time.AfterFunc(bulrushresume.ResumeWait.Duration()+time.Millisecond, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.expire()
+	})
+}
+
+// expire cancels the attempts that nobody has resumed. The mutex is held.
+func (s *Server) expire() {
+	for _, id := range s.ledger.Expire(s.clock.Now()) {
+		s.cancel(id)
+	}
+}
+
+// cancel ends an attempt. The mutex is held.
+func (s *Server) cancel(id bulrushchute.AttemptID) {
+	if cancel, exists := s.cancels[id]; exists {
+		delete(s.cancels, id)
+		cancel()
+	}
+}
+
+// session is the server side of one connection.
 type session struct {
 	server     *Server
 	peer       bulrushchute.Address
 	connection *connection
-	mutex      sync.Mutex
-	running    map[bulrushchute.AttemptID]context.CancelFunc
 }
 
 func (s *session) handle(ctx context.Context, message Message) {
 	switch {
 	case message.Attempt != nil:
-		s.startAttempt(ctx, *message.Attempt)
+		s.startAttempt(*message.Attempt)
 	case message.Cancel != nil:
-		s.cancelAttempt(*message.Cancel)
+		s.server.mutex.Lock()
+		s.server.cancel(*message.Cancel)
+		s.server.mutex.Unlock()
 	case message.Control != nil:
 		s.server.handler.HandleControl(s.peer, *message.Control)
+	case message.Ping != nil:
+		// If the pong is not written, the peer will notice it.
+		_ = s.connection.write(ctx, Message{Pong: message.Ping})
+	case message.Resume != nil:
+		s.resume(*message.Resume)
 	}
 }
 
-// startAttempt runs an attempt in a goroutine. An attempt with the ID of a
-// running one violates the protocol and is dropped, since both replies would
-// carry the same ID.
-func (s *session) startAttempt(ctx context.Context, attempt bulrushchute.Attempt) {
-	ctx, cancel := context.WithCancel(ctx)
-	if !s.addRunning(attempt.ID, cancel) {
-		cancel()
+// startAttempt runs an attempt in a goroutine. An attempt whose ID has arrived
+// before violates the protocol and is dropped, since both replies would carry the
+// same ID.
+func (s *session) startAttempt(attempt bulrushchute.Attempt) {
+	ctx, begins := s.server.begin(s.connection.id, attempt)
+	if !begins {
 		return
 	}
 	s.server.tasks.Start(ctx, "attempt", func(ctx context.Context) error {
-		return s.runAttempt(ctx, attempt)
+		return s.server.runAttempt(ctx, attempt)
 	})
 }
 
-func (s *session) runAttempt(ctx context.Context, attempt bulrushchute.Attempt) error {
-	defer s.cancelAttempt(attempt.ID)
-	reply := s.server.handler.HandleAttempt(ctx, attempt)
-	reply.ID = attempt.ID
-	// The attempt's context could end during the write, which would close the
-	// connection for all attempts that share it.
-	return s.connection.write(s.server.context, Message{Reply: &reply})
-}
-
-// addRunning records the cancel function of an attempt. It returns false if an
-// attempt with the same ID is running.
-func (s *session) addRunning(id bulrushchute.AttemptID, cancel context.CancelFunc) bool {
+// begin returns the context of an attempt, or false if it must not run.
+func (s *Server) begin(connection bulrushresume.ConnectionID, attempt bulrushchute.Attempt) (context.Context, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if _, exists := s.running[id]; exists {
-		return false
+	s.expire()
+	if !s.ledger.Begin(s.clock.Now(), connection, attempt.ID, attempt.Remaining) {
+		return nil, false
 	}
-	s.running[id] = cancel
-	return true
+	ctx, cancel := context.WithCancel(s.context)
+	s.cancels[attempt.ID] = cancel
+	return ctx, true
 }
 
-func (s *session) cancelAttempt(id bulrushchute.AttemptID) {
+// runAttempt sends the reply on the connection to which the attempt belongs by then.
+// Without one, the reply waits for the peer to ask for it.
+func (s *Server) runAttempt(ctx context.Context, attempt bulrushchute.Attempt) error {
+	reply := s.handler.HandleAttempt(ctx, attempt)
+	reply.ID = attempt.ID
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if cancel, exists := s.running[id]; exists {
-		delete(s.running, id)
-		cancel()
+	session := s.sessions[s.ledger.End(s.clock.Now(), attempt.ID, reply)]
+	s.cancel(attempt.ID)
+	s.mutex.Unlock()
+	if session == nil {
+		return nil
 	}
+	// The attempt's context could end during the write, which would close the
+	// connection for all attempts that share it.
+	return session.connection.write(s.context, Message{Reply: &reply})
+}
+
+// resume moves attempts to this connection, and closes those on which they were sent.
+func (s *session) resume(message Resume) {
+	var resumed Resumed
+	var replies []*bulrushchute.Reply
+	var replaced []*session
+	s.server.mutex.Lock()
+	now := s.server.clock.Now()
+	known := s.server.ledger.Fence(now, message.Connections)
+	for _, id := range message.Attempts {
+		switch state, reply := s.server.ledger.Resume(now, known, s.connection.id, id); state {
+		case bulrushresume.StateNeverSeen:
+			resumed.NeverSeen = append(resumed.NeverSeen, id)
+		case bulrushresume.StateGone:
+			resumed.Gone = append(resumed.Gone, id)
+		case bulrushresume.StateReplied:
+			replies = append(replies, reply)
+		}
+	}
+	for _, id := range message.Connections {
+		if session, exists := s.server.sessions[id]; exists {
+			replaced = append(replaced, session)
+		}
+	}
+	s.server.mutex.Unlock()
+	for _, session := range replaced {
+		session.connection.close()
+	}
+	s.server.tasks.Start(s.server.context, "resume", func(ctx context.Context) error {
+		if err := s.connection.write(ctx, Message{Resumed: &resumed}); err != nil {
+			return err
+		}
+		for _, reply := range replies {
+			if err := s.connection.write(ctx, Message{Reply: reply}); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
