bulrushadmission: tell callers that a server refused to come back soon

Cause: a request that a backend server itself refused (503, not run) was sent away with a Retry-After of 1 s, the default, once the retry budget of its service was used up.

Change: the node beside the server names the delay: 20 to 60 ms while the server has slots free, until one of its requests ends if it is full, and no less than a limit that it names requires.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -471,10 +472,15 @@
 		a.observeLeaving(backend, result.report)
 	}
 	end := admissionResult(result, elapsed)
+	load := a.load()
 	a.freeSlot(attempt, result, end)
 	a.logFailure(attempt, backend.Server, result, end.ElapsedMs)
 	a.recordSample(attempt, backend, result, end)
-	return replyOf(result)
+	reply := replyOf(result)
+	if result.refusedByServer {
+		reply.Refusal.RetryAfter = bulrushadmission.ServerRefusalDelay(load, rand.Float64())
+	}
+	return reply
 }
 
 // freeSlot frees the slot of a request, with a delay if the backend server may
--- a/bulrushnode/bootstrap.go
+++ b/bulrushnode/bootstrap.go
@@ -134,7 +134,7 @@
 func (c *control) contact(now bulrushchute.Millis, listed seedList, stale bool) {
 	if !c.membership.Status().Joined {
 		all := listed.all(c.dataCentre)
-		if c.seedAddresses == 0 && !(stale && len(all) == 0) {
+		if c.seedAddresses == 0 && (!stale || len(all) > 0) {
 			c.membership.SetSeeds(all)
 		}
 		return
--- a/bulrushresume/ledger_test.go
+++ b/bulrushresume/ledger_test.go
@@ -131,7 +131,7 @@
 			return sentOn[number]
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"open": func(t *rapid.T) {
+			"open": func(*rapid.T) {
 				if opened = min(opened+1, 4); !lost[opened] {
 					ledger.Opened(connectionOf(opened))
 				}
