--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/coder/websocket"
 
@@ -125,10 +124,12 @@
 	defer s.mutex.Unlock()
 	delete(s.sessions, removed.connection.id)
 	s.ledger.Lost(s.clock.Now(), removed.connection.id)
-	time.AfterFunc(bulrushresume.ResumeWait.Duration()+time.Millisecond, func() {
+	s.tasks.Start(s.context, "lost connection", func(ctx context.Context) error {
+		bulrushtask.Pause(ctx, (bulrushresume.ResumeWait + bulrushchute.Millisecond).Duration())
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.expire()
+		return nil
 	})
 }
 
