bulrushquarantine: name the content of failed attempts and the requests at a server's end

The logs of the incident could not tell its hypotheses apart: a failed attempt was named by an ID that is new each time, and a lost connection could mean that the server had ended or not.

The line "attempt failed" has a content now, which is equal for requests of the same caller, organisation, method, host, path, query and body. A node whose connection to its server is lost while a request is out dials it once; if nothing listens, it writes "backend server ended" with the contents of all requests that ran, and counts the end in bulrush_backend_server. Requests are handled as before.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -13,6 +13,7 @@
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmove"
+	"bulrushchute.example/bulrushchute/bulrushquarantine"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -78,6 +79,9 @@
 	healthPath string
 	// trial is told of each dispatch.
 	trial versionTrial
+	// runs are the requests that the backend server runs.
+	runs      *bulrushquarantine.Runs
+	serverEnd serverEnd
 }
 
 // versionTrial limits and observes what the backend server receives, so that the
@@ -114,6 +118,7 @@
 		pollWake:   make(chan struct{}, 1),
 		healthPath: bulrushcatalogue.DefaultHealthPath,
 		trial:      noTrial{},
+		runs:       bulrushquarantine.NewRuns(),
 	}
 }
 
@@ -458,6 +463,7 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
 	defer cancel()
 	a.trial.dispatchStarted(attempt, backend.Version)
+	a.runStarted(attempt)
 	begin := time.Now()
 	result := client.dispatch(ctx, bulrushchute.Dispatch{
 		Attempt:   attempt,
@@ -466,6 +472,10 @@
 		Remaining: remaining,
 	})
 	elapsed := time.Since(begin)
+	a.runEnded(attempt.ID, result)
+	if result.mayHaveRun && result.reason == bulrushchute.ReasonConnectionLost {
+		a.checkServerEnd(backend)
+	}
 	a.observeReport(result.report)
 	if result.answer != nil || result.refusedByServer {
 		a.observeNamedLimit(backend, result.report, true)
@@ -483,6 +493,18 @@
 	return reply
 }
 
+func (a *admission) runStarted(attempt bulrushchute.Attempt) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.runs.Start(attempt)
+}
+
+func (a *admission) runEnded(id bulrushchute.AttemptID, result dispatchResult) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.runs.End(a.clock.Now(), id, result.answer != nil || !result.mayHaveRun)
+}
+
 // freeSlot frees the slot of a request, with a delay if the backend server may
 // still be working on it.
 func (a *admission) freeSlot(attempt bulrushchute.Attempt, result dispatchResult, end bulrushadmission.Result) {
--- a/bulrushnode/request_log.go
+++ b/bulrushnode/request_log.go
@@ -6,6 +6,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushlog"
+	"bulrushchute.example/bulrushchute/bulrushquarantine"
 )
 
 // Log events about requests and attempts. docs/observability.md lists their
@@ -91,7 +92,7 @@
 	}
 	fields := []any{
 		"request", attempt.RequestID, "server", server, "route", attempt.Route, "reason", result.reason,
-		"status", status, "started", result.mayHaveRun, "elapsed_ms", int(elapsedMs),
+		"status", status, "started", result.mayHaveRun, "elapsed_ms", int(elapsedMs), "content", bulrushquarantine.ContentOf(attempt),
 	}
 	if result.answer != nil {
 		serverErrorAnswered.Log(fields...)
--- /dev/null
+++ b/bulrushnode/server_end_test.go
@@ -0,0 +1,59 @@
+package bulrushnode
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// startLosingServer starts a server that resets the connection of each request once
+// it has read it. With end set, it ends at the same time.
+func startLosingServer(t *testing.T, end bool) bulrushchute.Address {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(connection net.Conn) {
+		defer func() { _ = connection.Close() }()
+		_, err := http.ReadRequest(bufio.NewReader(connection))
+		if err == nil && end {
+			_ = listener.Close()
+		}
+	}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(connection)
+		}
+	}()
+	return bulrushchute.Address(listener.Addr().String())
+}
+
+// Guards against an end of the backend server that is not noticed, and against a
+// reset connection that counts as one.
+func TestServerEndIsNoticed(t *testing.T) {
+	cases := map[string]struct {
+		end  bool
+		want int
+	}{
+		"ended":            {true, 1},
+		"connection reset": {false, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, clock, announcement := newTestAdmission(t, answerOK)
+			announcement.Address = startLosingServer(t, tc.end)
+			a.announce(announcement)
+			reply := a.serve(t.Context(), attemptTo("board", 1, clock))
+			assert.Assert(t, reply.Failure != nil)
+			assert.Equal(t, a.serverEndStatus().Ends, tc.want)
+		})
+	}
+}
