--- a/cmd/bulrushbench/bulrushdemo/announce.go
+++ b/cmd/bulrushbench/bulrushdemo/announce.go
@@ -28,12 +28,14 @@
 		Slots:       config.Slots,
 		Connections: config.Connections,
 		State:       bulrushnode.BackendServing,
-		StartedAtMs: bulrushchute.WallClock{}.Now(),
 	}
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		_ = announce(ctx, announcement, operatorAddress)
+		if startedAt, running := backend.StartedAt(); running {
+			announcement.StartedAtMs = bulrushchute.Millis(startedAt.UnixMilli())
+			_ = announce(ctx, announcement, operatorAddress)
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +21,9 @@
 // HeaderRequestID carries the caller's unique ID of a request.
 const HeaderRequestID = "X-Request-Id"
 
+// restartRetry is the time after which a failed restart is tried again.
+const restartRetry = 50 * time.Millisecond
+
 // Behaviour holds the settings that can change while the backend server runs.
 type Behaviour struct {
 	// ServiceMs is the mean service time of a request.
@@ -31,6 +35,10 @@
 	ErrorShare float64 `json:"error_share"`
 	// BadPrefix limits ErrorShare and SpeedFactor to paths with this prefix.
 	BadPrefix string `json:"bad_prefix"`
+	// CrashPath is the path of requests that crash the server CrashAfterMs after
+	// they have begun to run, empty for none.
+	CrashPath    string `json:"crash_path"`
+	CrashAfterMs int64  `json:"crash_after_ms"`
 }
 
 // Config describes one backend server.
@@ -43,6 +51,9 @@
 	// right after its start. The number grows evenly to Slots over WarmMs.
 	ColdSlots int
 	WarmMs    int64
+	// RestartMs is the time after which the server is back at its address when it
+	// has crashed.
+	RestartMs int64
 	Behaviour Behaviour
 	Seed      uint64
 }
@@ -64,17 +75,27 @@
 	MaxInFlight        int `json:"most_active"`
 	// LastWorkAt is when the latest request arrived; probes do not count.
 	LastWorkAt time.Time `json:"last_work_at"`
+	// CrashRunsAt are the times at which requests to Behaviour.CrashPath began to
+	// run, and CrashesAt those of the crashes.
+	CrashRunsAt []time.Time `json:"crash_runs_at"`
+	CrashesAt   []time.Time `json:"crashes_at"`
 }
 
 // Backend is a stand-in backend server.
 type Backend struct {
-	config    Config
-	listener  net.Listener
-	server    *http.Server
-	done      chan struct{}
-	closeOnce sync.Once
+	config  Config
+	address string
+
+	// lifeMutex serialises crashes, restarts and Kill. It guards process and killed,
+	// and is locked before mutex.
+	lifeMutex sync.Mutex
+	process   *process
+	killed    bool
 
-	mutex            sync.Mutex
+	mutex sync.Mutex
+	// generation counts the processes. The ends of what an earlier process did are
+	// ignored.
+	generation       int
 	behaviour        Behaviour
 	random           *rand.Rand
 	startedAt        time.Time
@@ -85,6 +106,13 @@
 	report           Report
 }
 
+// process is one process of the backend server.
+type process struct {
+	server *http.Server
+	// done is closed when the server has stopped.
+	done chan struct{}
+}
+
 // Start listens on the address and serves until Kill. The context bounds only
 // the start.
 func Start(ctx context.Context, address string, config Config) (*Backend, error) {
@@ -95,44 +123,110 @@
 	}
 	b := &Backend{
 		config:    config,
-		listener:  listener,
-		done:      make(chan struct{}),
+		address:   listener.Addr().String(),
 		behaviour: config.Behaviour,
 		random:    rand.New(rand.NewPCG(config.Seed, 1)),
-		startedAt: time.Now(),
 		report:    Report{Runs: make(map[string]int)},
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("/health", b.serveProbe)
-	mux.HandleFunc("/load", b.serveProbe)
-	mux.HandleFunc("/", b.serveRequest)
-	b.server = &http.Server{Handler: mux, ConnState: b.countConnection, ReadHeaderTimeout: time.Minute}
-	go b.serve(listener)
+	b.startProcess(listener)
 	return b, nil
 }
 
-func (b *Backend) serve(listener net.Listener) {
-	defer close(b.done)
-	// Serve returns only when Kill closes the server.
-	_ = b.server.Serve(listener)
+// startProcess serves on a listener as a new process that knows nothing of the
+// requests of the previous one.
+func (b *Backend) startProcess(listener net.Listener) {
+	b.mutex.Lock()
+	b.generation++
+	generation := b.generation
+	b.inFlight, b.connections = 0, 0
+	b.startedAt = time.Now()
+	b.mutex.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", b.serveProbe)
+	mux.HandleFunc("/load", b.serveProbe)
+	mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) { b.serveRequest(writer, request, generation) })
+	p := &process{done: make(chan struct{})}
+	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	p.server.ConnState = func(_ net.Conn, state http.ConnState) { b.countConnection(state, generation) }
+	b.process = p
+	go func() {
+		defer close(p.done)
+		// Serve returns only when the server is closed.
+		_ = p.server.Serve(listener)
+	}()
 }
 
 // Address returns the address on which the backend server listens.
 func (b *Backend) Address() string {
-	return b.listener.Addr().String()
+	return b.address
+}
+
+// StartedAt returns when the current process started, or false while there is none.
+func (b *Backend) StartedAt() (time.Time, bool) {
+	b.lifeMutex.Lock()
+	defer b.lifeMutex.Unlock()
+	return b.startedAt, b.process != nil
 }
 
-// Kill closes all connections at once, as a crash does. The records stay. A
-// second call has no effect.
+// Kill closes all connections at once, as a crash does, for good. The records
+// stay. A second call has no effect.
 func (b *Backend) Kill() error {
-	var err error
-	b.closeOnce.Do(func() {
-		err = b.server.Close()
-		<-b.done
-	})
+	b.lifeMutex.Lock()
+	defer b.lifeMutex.Unlock()
+	b.killed = true
+	return b.endProcess()
+}
+
+func (b *Backend) endProcess() error {
+	if b.process == nil {
+		return nil
+	}
+	err := b.process.server.Close()
+	<-b.process.done
+	b.process = nil
 	return errors.Wrap(err, "close the backend server")
 }
 
+// Crash closes all connections at once. The backend server is back at the same
+// address after RestartMs. The call has no effect if the process of the given
+// generation has ended already.
+func (b *Backend) Crash(generation int) {
+	b.lifeMutex.Lock()
+	defer b.lifeMutex.Unlock()
+	if b.process == nil || generation != b.Generation() {
+		return
+	}
+	b.mutex.Lock()
+	b.report.CrashesAt = append(b.report.CrashesAt, time.Now())
+	b.mutex.Unlock()
+	// An error is that of closing the listener, which ends with the process anyway.
+	_ = b.endProcess()
+	time.AfterFunc(time.Duration(b.config.RestartMs)*time.Millisecond, b.restart)
+}
+
+// Generation returns the number of the current process, or of the last one.
+func (b *Backend) Generation() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.generation
+}
+
+// restart starts the backend server again after a crash. The address is free,
+// unless another program has taken it meanwhile.
+func (b *Backend) restart() {
+	b.lifeMutex.Lock()
+	defer b.lifeMutex.Unlock()
+	if b.killed || b.process != nil {
+		return
+	}
+	listener, err := net.Listen("tcp", b.address)
+	if err != nil {
+		time.AfterFunc(restartRetry, b.restart)
+		return
+	}
+	b.startProcess(listener)
+}
+
 // SetBehaviour replaces the behaviour, with effect on requests that arrive from
 // now on.
 func (b *Backend) SetBehaviour(behaviour Behaviour) {
@@ -146,6 +240,8 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	report := b.report
+	report.CrashRunsAt = slices.Clone(b.report.CrashRunsAt)
+	report.CrashesAt = slices.Clone(b.report.CrashesAt)
 	report.Runs = make(map[string]int, len(b.report.Runs))
 	for id, count := range b.report.Runs {
 		report.Runs[id] = count
@@ -153,9 +249,12 @@
 	return report
 }
 
-func (b *Backend) countConnection(_ net.Conn, state http.ConnState) {
+func (b *Backend) countConnection(state http.ConnState, generation int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if generation != b.generation {
+		return
+	}
 	switch state {
 	case http.StateNew:
 		b.connections++
@@ -239,21 +338,41 @@
 	return time.Duration(ms * float64(time.Millisecond)), failed
 }
 
-func (b *Backend) finishRequest() {
+func (b *Backend) finishRequest(generation int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.inFlight--
+	if generation == b.generation {
+		b.inFlight--
+	}
+}
+
+// crashesServer reports whether a request crashes the server, and records its start.
+func (b *Backend) crashesServer(request *http.Request) (time.Duration, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.behaviour.CrashPath == "" || request.URL.Path != b.behaviour.CrashPath {
+		return 0, false
+	}
+	b.report.CrashRunsAt = append(b.report.CrashRunsAt, time.Now())
+	return time.Duration(b.behaviour.CrashAfterMs) * time.Millisecond, true
 }
 
 // serveRequest answers with the request's ID in the body, so that the caller
 // can detect a crossed answer.
-func (b *Backend) serveRequest(writer http.ResponseWriter, request *http.Request) {
+func (b *Backend) serveRequest(writer http.ResponseWriter, request *http.Request, generation int) {
 	if deadlinePassed(request) {
 		http.Error(writer, "deadline is past", http.StatusServiceUnavailable)
 		return
 	}
 	serviceTime, failed := b.startRequest(request)
-	defer b.finishRequest()
+	defer b.finishRequest(generation)
+	if crashAfter, crashes := b.crashesServer(request); crashes {
+		// A separate goroutine, because the end of the server waits for no handler, but
+		// a client that leaves must not save the server.
+		time.AfterFunc(crashAfter, func() { b.Crash(generation) })
+		<-request.Context().Done()
+		return
+	}
 	timer := time.NewTimer(serviceTime)
 	defer timer.Stop()
 	select {
