bulrushquarantine: stop requests that crash each server that runs them

Callers saw whole services go down for seconds, again and again: a request that comes with the same path, caller and body, but with a new ID each time, crashed every server that began to run it.

Cause: no state was held by the content of a request, and none was shared. The node beside the server could not tell a crash from a lost connection, entry nodes sent the same request to the next server at once, and the next request of the same content started anew at any node.

Now the node beside a server that ends while it runs requests reports their contents, directly to the nodes of its service, through which all requests for the service pass, and as a record to the others. A content that ran at a crash is suspect: it runs on trial only, at one server that all nodes choose alike, and one suspect at a time on a server. A content that runs to its end anywhere is free, so a good request that ran when servers were killed is not refused. Verdicts depend on the reports only, not on their order. A node that has just lost its server stops announcing it at once. Requests cost no hash while all contents are free.

--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -137,6 +137,24 @@
 	m.endRequest(reason)
 }
 
+// Refuse records that an attempt that Next asked to send must not be sent now,
+// because of the request's content.
+func (m *Machine) Refuse(number int, reason bulrushchute.Reason, retryAfter bulrushchute.Millis) {
+	a := m.attemptInPhase(number, phasePicking)
+	if a == nil {
+		return
+	}
+	a.discard()
+	if m.final != nil || m.outstanding() > 0 {
+		return
+	}
+	if !m.mayHaveRun {
+		m.lastReason = reason
+	}
+	m.retryAfter = retryAfter
+	m.endRequest(m.lastReason)
+}
+
 // Ended records the end of an attempt. It returns false when the attempt is not
 // outstanding, or the result of the request is decided; the answer must then be
 // discarded.
@@ -374,6 +392,7 @@
 	bulrushchute.ReasonMalformed:      true,
 	bulrushchute.ReasonUnknownService: true,
 	bulrushchute.ReasonCancelled:      true,
+	bulrushchute.ReasonQuarantined:    true,
 	bulrushchute.ReasonKeyHome:        true,
 	bulrushchute.ReasonKeyRecordFull:  true,
 	bulrushchute.ReasonKeyTooOld:      true,
--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -13,7 +13,6 @@
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmove"
-	"bulrushchute.example/bulrushchute/bulrushquarantine"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -79,9 +78,9 @@
 	healthPath string
 	// trial is told of each dispatch.
 	trial versionTrial
-	// runs are the requests that the backend server runs.
-	runs      *bulrushquarantine.Runs
-	serverEnd serverEnd
+	// serverEnd is what is known of the latest end of the backend server.
+	serverEnd  serverEnd
+	quarantine *quarantine
 }
 
 // versionTrial limits and observes what the backend server receives, so that the
@@ -118,7 +117,7 @@
 		pollWake:   make(chan struct{}, 1),
 		healthPath: bulrushcatalogue.DefaultHealthPath,
 		trial:      noTrial{},
-		runs:       bulrushquarantine.NewRuns(),
+		quarantine: newQuarantine(clock, ""),
 	}
 }
 
@@ -332,13 +331,21 @@
 }
 
 func (a *admission) serveUntil(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+	permit, refusal := a.quarantine.enter(ctx, attempt, deadline)
+	if refusal != nil {
+		a.logRefusal(attempt, *refusal)
+		return bulrushchute.Reply{Refusal: refusal}
+	}
+	if permit.trial {
+		defer a.quarantine.leave(attempt.ID, permit)
+	}
 	generation, granted := a.trial.takeGrant(attempt.Service, a.latestAnnouncement().Version)
 	if !granted {
 		reply := refusalReply(bulrushchute.ReasonVersionLimit, retryAfterDefault)
 		a.logRefusal(attempt, *reply.Refusal)
 		return reply
 	}
-	reply := a.serveGranted(ctx, attempt, deadline)
+	reply := a.serveGranted(ctx, attempt, deadline, permit)
 	if reply.Refusal != nil && !reply.Refusal.Reached {
 		a.trial.returnGrant(generation)
 	}
@@ -346,7 +353,7 @@
 }
 
 // serveGranted runs an attempt that the grants of a move permit.
-func (a *admission) serveGranted(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+func (a *admission) serveGranted(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis, permit trialPermit) bulrushchute.Reply {
 	a.refreshLoad(ctx)
 	if refusal := a.admit(ctx, attempt, deadline); refusal != nil {
 		a.logRefusal(attempt, *refusal)
@@ -358,7 +365,12 @@
 		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
 		return refusalReply(bulrushchute.ReasonDeadline, 0)
 	}
-	return a.dispatch(ctx, attempt, deadline)
+	if refusal := a.quarantine.start(attempt, permit); refusal != nil {
+		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
+		a.logRefusal(attempt, *refusal)
+		return bulrushchute.Reply{Refusal: refusal}
+	}
+	return a.dispatch(ctx, attempt, deadline, permit)
 }
 
 // admit requests a slot and waits for it. It returns nil when the attempt holds
@@ -453,7 +465,7 @@
 	return a.backend, a.client
 }
 
-func (a *admission) dispatch(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) bulrushchute.Reply {
+func (a *admission) dispatch(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis, permit trialPermit) bulrushchute.Reply {
 	backend, client := a.currentBackend()
 	if !attempt.Idempotent {
 		// Cancelling a non-idempotent request could leave it half done.
@@ -463,7 +475,6 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
 	defer cancel()
 	a.trial.dispatchStarted(attempt, backend.Version)
-	a.runStarted(attempt)
 	begin := time.Now()
 	result := client.dispatch(ctx, bulrushchute.Dispatch{
 		Attempt:   attempt,
@@ -472,9 +483,9 @@
 		Remaining: remaining,
 	})
 	elapsed := time.Since(begin)
-	a.runEnded(attempt.ID, result)
-	if result.mayHaveRun && result.reason == bulrushchute.ReasonConnectionLost {
-		a.checkServerEnd(backend)
+	a.quarantine.ended(attempt, permit, result)
+	if result.lostConnection() && a.checkServerEnd(backend) {
+		result.reason = bulrushchute.ReasonServerEnded
 	}
 	a.observeReport(result.report)
 	if result.answer != nil || result.refusedByServer {
@@ -493,18 +504,6 @@
 	return reply
 }
 
-func (a *admission) runStarted(attempt bulrushchute.Attempt) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.runs.Start(attempt)
-}
-
-func (a *admission) runEnded(id bulrushchute.AttemptID, result dispatchResult) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.runs.End(a.clock.Now(), id, result.answer != nil || !result.mayHaveRun)
-}
-
 // freeSlot frees the slot of a request, with a delay if the backend server may
 // still be working on it.
 func (a *admission) freeSlot(attempt bulrushchute.Attempt, result dispatchResult, end bulrushadmission.Result) {
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -12,6 +12,7 @@
 	"bulrushchute.example/bulrushchute/bulrushattempt"
 	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushmove"
+	"bulrushchute.example/bulrushchute/bulrushquarantine"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -34,6 +35,7 @@
 	serviceStates *serviceStates
 	exchange      exchanger
 	tasks         *bulrushtask.Group
+	quarantine    *quarantine
 	// observeSample records the result of each attempt, so that the versions of a
 	// move can be compared.
 	observeSample func(service bulrushchute.Service, sample bulrushmove.Sample)
@@ -139,13 +141,14 @@
 
 // send picks an instance and starts an attempt on it.
 func (ac *activeCall) send(ctx context.Context, action bulrushattempt.Action) {
-	instance, insist, found := ac.pick(action)
+	instance, insist, trial, found := ac.pick(action)
 	if !found {
 		return
 	}
 	now := ac.runner.clock.Now()
 	attempt := ac.call.newAttempt(now, instance.ID, action.Retry)
 	attempt.Insist = insist
+	attempt.Trial = trial
 	if attempt.Objective > 0 {
 		attempt.Objective = max(1, ac.call.firstRequestedAt+attempt.Objective-now)
 	}
@@ -168,28 +171,32 @@
 	return id
 }
 
-// pick chooses an instance for an attempt. The first bool reports whether the
-// attempt should insist because no other instance can take the request. The second
-// is false if no attempt can be sent.
-func (ac *activeCall) pick(action bulrushattempt.Action) (bulrushchute.Instance, bool, bool) {
+// pick chooses an instance for an attempt. It reports whether the attempt should
+// insist because no other instance can take the request, and whether it is a trial
+// of a suspect content. The last result is false if no attempt can be sent.
+func (ac *activeCall) pick(action bulrushattempt.Action) (instance bulrushchute.Instance, insist, trial, found bool) {
 	now := ac.runner.clock.Now()
 	view := ac.runner.board.Read()
 	service := ac.call.info.Service
+	if content, assessment := ac.runner.quarantine.assessAtEntry(now, ac.call.template); assessment.Verdict != bulrushquarantine.Free {
+		instance, found = ac.pickSuspect(now, view, action, content, assessment)
+		return instance, true, true, found
+	}
 	ac.serviceState.mutex.Lock()
 	defer ac.serviceState.mutex.Unlock()
 	ac.serviceState.refresh(now, view, service)
 	query := bulrushchute.PickQuery{Service: service, Exclude: action.Exclude}
-	instance, found := ac.serviceState.pick(now, view, query)
+	instance, found = ac.serviceState.pick(now, view, query)
 	if !found {
 		ac.machine.NoBackend(now, action.Attempt)
-		return instance, false, false
+		return instance, false, false, false
 	}
-	insist := action.Last || ac.serviceState.isOnlyChoice(now, query, instance.ID)
+	insist = action.Last || ac.serviceState.isOnlyChoice(now, query, instance.ID)
 	if !ac.machine.Sent(now, action.Attempt, instance.ID) {
-		return instance, false, false
+		return instance, false, false, false
 	}
 	ac.serviceState.router.Started(now, instance.ID)
-	return instance, insist, true
+	return instance, insist, false, true
 }
 
 // exchange runs one attempt and reports its result to the router, even if
@@ -200,6 +207,7 @@
 	reply, err := ac.runner.exchange(ctx, instance, attempt)
 	result := attemptResultOf(number, reply, err)
 	ac.logAttempt(instance, attempt, result)
+	ac.runner.quarantine.observeAtEntry(attempt, result)
 	observation := bulrushchute.Observation{
 		Instance:  instance.ID,
 		ElapsedMs: milliseconds(time.Since(begin)),
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -47,6 +47,11 @@
 	membership *bulrushmembership.Membership
 	keys       *keys
 	moves      *moves
+	quarantine *quarantine
+	// quarantineVersion is the version of the report of crashes that was published
+	// last, and reportsForgottenAt when expired ones of other nodes were removed.
+	quarantineVersion  uint64
+	reportsForgottenAt bulrushchute.Millis
 
 	members   map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance
 	serviceOf map[bulrushchute.InstanceID]bulrushchute.Service
@@ -87,6 +92,7 @@
 		dataCentre:      self.DataCentre,
 		keys:            n.keys,
 		moves:           n.moves,
+		quarantine:      n.quarantine,
 		inbox:           make(chan inboundControl, controlQueueSize),
 		commands:        make(chan func(bulrushchute.Millis)),
 		members:         make(map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance),
@@ -106,6 +112,7 @@
 		OnDataCentre: c.onReachability,
 		OnStatus:     c.onStatus,
 		OnRecord:     c.onRecord,
+		Accept:       c.acceptRecord,
 	})
 	return c
 }
@@ -183,6 +190,8 @@
 	c.admission.tick()
 	c.keys.tick(now)
 	c.moves.tick(now)
+	c.publishQuarantine(now)
+	c.forgetReports(now)
 	c.publishMembers()
 	c.publishWeights()
 	c.tickFreshness(now)
@@ -336,6 +345,8 @@
 		c.onKeyMap(now, record)
 	case bulrushchute.TopicConfirmation:
 		c.onConfirmation(now, record)
+	case bulrushchute.TopicQuarantine:
+		c.onQuarantine(now, record)
 	case bulrushchute.TopicMove:
 		c.moves.onRecord(record)
 	}
--- a/bulrushnode/dispatch.go
+++ b/bulrushnode/dispatch.go
@@ -24,6 +24,12 @@
 	report          bulrushchute.BackendReport
 }
 
+// lostConnection reports whether the connection ended while the backend server may
+// have run the request.
+func (dr dispatchResult) lostConnection() bool {
+	return dr.mayHaveRun && (dr.reason == bulrushchute.ReasonConnectionLost || dr.reason == bulrushchute.ReasonTruncated)
+}
+
 // backendClient sends requests to the backend server beside this node.
 type backendClient struct {
 	client    *bulrushbackend.Client
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -55,6 +55,7 @@
 	client       *bulrushwire.Client
 	server       *bulrushwire.Server
 	admission    *admission
+	quarantine   *quarantine
 	runner       *runner
 	keys         *keys
 	moves        *moves
@@ -131,12 +132,16 @@
 	n.server.OnRejected = newConnRefusalLog(clock, "peers").log
 	n.admission = newAdmission(ctx, clock, settings.ClockSkewMs, protocols)
 	n.admission.coldRateFactor = settings.ColdRateFactor
+	n.quarantine = newQuarantine(clock, n.id)
+	n.quarantine.publish = func() { n.control.do(n.context, n.control.publishQuarantine) }
+	n.admission.quarantine = n.quarantine
 	n.runner = &runner{
 		clock:         clock,
 		board:         n.board,
 		serviceStates: newServiceStates(n.self, settings, clock),
 		exchange:      n.exchange,
 		tasks:         bulrushtask.NewGroup(nil),
+		quarantine:    n.quarantine,
 	}
 	n.keys = newKeys(n, n.id)
 	n.moves = newMoves(n)
--- /dev/null
+++ b/bulrushnode/quarantine.go
@@ -0,0 +1,424 @@
+package bulrushnode
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushattempt"
+	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushquarantine"
+)
+
+const (
+	// retryAfterOnTrial is the Retry-After of a suspect request that cannot be tried
+	// now. Most contents are cleared within this time.
+	retryAfterOnTrial = 500 * bulrushchute.Millisecond
+	// compactInterval is the interval at which a node removes what has expired from
+	// its report of crashes.
+	compactInterval = bulrushchute.Second
+	// maxNotified is the number of nodes to which a changed report is sent directly.
+	// Services with more nodes learn of it from each other.
+	maxNotified = 64
+)
+
+// quarantine is the node's part in recognising requests that crash backend servers,
+// as entry node and beside its own server.
+type quarantine struct {
+	clock bulrushchute.Clock
+	// active is false while all contents are free, so that requests need no hash.
+	active atomic.Bool
+	// publish makes the changed report of this node known to others. It waits until
+	// the report is on its way.
+	publish func()
+
+	mutex  sync.Mutex
+	ledger *bulrushquarantine.Ledger
+	runs   *bulrushquarantine.Runs
+	trials *bulrushquarantine.Trials
+	// onTrial is the content that runs as a trial, nil if none does.
+	onTrial *bulrushquarantine.Content
+	// changed is closed, and replaced, when a waiting request must be decided on
+	// again.
+	changed chan struct{}
+	// reportChanged is set when the own report has changes that are not published.
+	reportChanged bool
+	compactedAt   bulrushchute.Millis
+}
+
+func newQuarantine(clock bulrushchute.Clock, id bulrushchute.InstanceID) *quarantine {
+	return &quarantine{
+		clock:   clock,
+		publish: func() {},
+		ledger:  bulrushquarantine.NewLedger(id),
+		runs:    bulrushquarantine.NewRuns(),
+		trials:  &bulrushquarantine.Trials{},
+		changed: make(chan struct{}),
+	}
+}
+
+// ledgerChanged updates what depends on the ledger. The mutex must be held.
+func (q *quarantine) ledgerChanged() {
+	q.active.Store(!q.ledger.Empty())
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
+// assessAtEntry returns what this node knows, as entry node, of the content of an
+// attempt.
+func (q *quarantine) assessAtEntry(now bulrushchute.Millis, attempt bulrushchute.Attempt) (bulrushquarantine.Content, bulrushquarantine.Assessment) {
+	if !q.active.Load() {
+		return bulrushquarantine.Content{}, bulrushquarantine.Assessment{}
+	}
+	content := bulrushquarantine.ContentOf(attempt)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return content, q.ledger.AssessAtEntry(now, content)
+}
+
+// observeAtEntry marks the content of an attempt as suspect if the reply says so,
+// until the reports of the crash arrive. An answer removes the mark.
+func (q *quarantine) observeAtEntry(attempt bulrushchute.Attempt, result attemptResult) {
+	suspect := result.end.Reason == bulrushchute.ReasonServerEnded || result.end.Reason == bulrushchute.ReasonOnTrial
+	if !suspect && (result.answer == nil || !q.active.Load()) {
+		return
+	}
+	content := bulrushquarantine.ContentOf(attempt)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if suspect {
+		q.ledger.Mark(q.clock.Now(), content)
+		q.active.Store(true)
+		return
+	}
+	q.ledger.Unmark(content)
+}
+
+// down reports whether the backend server of an instance is known to have ended.
+func (q *quarantine) down(instance bulrushchute.Instance) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.ledger.Down(instance.ID, instance.StartedAt)
+}
+
+// trialPermit is held by an attempt from its arrival at the node beside its server.
+type trialPermit struct {
+	// trial is set if the attempt is the suspect one that may run now.
+	trial bool
+	// content is that of the attempt, nil if all contents were free at its arrival.
+	content *bulrushquarantine.Content
+}
+
+// contentOf returns the content of the attempt that holds the permit.
+func (tp trialPermit) contentOf(attempt bulrushchute.Attempt) bulrushquarantine.Content {
+	if tp.content != nil {
+		return *tp.content
+	}
+	return bulrushquarantine.ContentOf(attempt)
+}
+
+// enter decides whether an attempt may go on to the backend server, and waits until
+// it may. The permit must be returned with leave.
+func (q *quarantine) enter(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) (trialPermit, *bulrushchute.Refusal) {
+	if !q.active.Load() {
+		return trialPermit{}, nil
+	}
+	content := bulrushquarantine.ContentOf(attempt)
+	timer := time.NewTimer((deadline - q.clock.Now()).Duration())
+	defer timer.Stop()
+	for {
+		entry, assessment, changed := q.tryEnter(attempt, content)
+		switch entry {
+		case bulrushquarantine.Enter, bulrushquarantine.EnterTrial:
+			return trialPermit{trial: entry == bulrushquarantine.EnterTrial, content: &content}, nil
+		case bulrushquarantine.EnterNever:
+			return trialPermit{}, refusalOfContent(q.clock.Now(), assessment)
+		}
+		reason := bulrushchute.ReasonCancelled
+		select {
+		case <-changed:
+			continue
+		case <-timer.C:
+			reason = bulrushchute.ReasonDeadline
+		case <-ctx.Done():
+		}
+		q.leave(attempt.ID, trialPermit{})
+		return trialPermit{}, &bulrushchute.Refusal{Reason: reason}
+	}
+}
+
+func (q *quarantine) tryEnter(attempt bulrushchute.Attempt, content bulrushquarantine.Content) (bulrushquarantine.Entry, bulrushquarantine.Assessment, <-chan struct{}) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	assessment := q.ledger.Assess(q.clock.Now(), content)
+	entry := q.trials.Enter(attempt.ID, assessment.Verdict, attempt.Trial)
+	if entry == bulrushquarantine.EnterTrial {
+		q.onTrial = &content
+		contentOnTrial.Log("content", content, "request", attempt.RequestID, "crashes", assessment.Crashes)
+	}
+	return entry, assessment, q.changed
+}
+
+// refusalOfContent returns the refusal of a request that must not run now.
+func refusalOfContent(now bulrushchute.Millis, assessment bulrushquarantine.Assessment) *bulrushchute.Refusal {
+	if assessment.Verdict == bulrushquarantine.Quarantined {
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonQuarantined, RetryAfter: max(1, assessment.Until-now)}
+	}
+	return &bulrushchute.Refusal{Reason: bulrushchute.ReasonOnTrial, RetryAfter: retryAfterOnTrial}
+}
+
+// leave ends the trial of an attempt, or its wait for one.
+func (q *quarantine) leave(id bulrushchute.AttemptID, permit trialPermit) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.trials.Leave(id)
+	if permit.trial {
+		q.onTrial = nil
+	}
+	q.ledgerChanged()
+}
+
+// start records that an attempt is about to be sent to the backend server. It
+// refuses one of which more is known now than when it entered.
+func (q *quarantine) start(attempt bulrushchute.Attempt, permit trialPermit) *bulrushchute.Refusal {
+	now := q.clock.Now()
+	active := q.active.Load()
+	var content bulrushquarantine.Content
+	if active {
+		content = permit.contentOf(attempt)
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if active {
+		assessment := q.ledger.Assess(now, content)
+		if assessment.Verdict == bulrushquarantine.Quarantined || assessment.Verdict == bulrushquarantine.Suspect && !permit.trial {
+			return refusalOfContent(now, assessment)
+		}
+	}
+	q.runs.Start(attempt)
+	return nil
+}
+
+// ended records the end of an attempt on the backend server.
+func (q *quarantine) ended(attempt bulrushchute.Attempt, permit trialPermit, result dispatchResult) {
+	now := q.clock.Now()
+	answered := result.answer != nil
+	clears := answered && q.active.Load()
+	var content bulrushquarantine.Content
+	if clears {
+		content = permit.contentOf(attempt)
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.runs.End(now, attempt.ID, answered || !result.mayHaveRun)
+	if clears && q.ledger.RecordAnswer(now, content) {
+		q.reportChanged = true
+		q.ledgerChanged()
+	}
+}
+
+// recordCrash records that the backend server has ended, and returns the contents of
+// the requests that it ran.
+func (q *quarantine) recordCrash(startedAt bulrushchute.Millis) ([]bulrushquarantine.Content, *bulrushquarantine.Content) {
+	now := q.clock.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	contents := q.runs.TakeContents(now)
+	if len(contents) == 0 {
+		return nil, nil
+	}
+	q.ledger.RecordCrash(bulrushquarantine.Crash{ID: newCrashID(), At: now, StartedAt: startedAt, Contents: contents, Trial: q.onTrial})
+	q.reportChanged = true
+	q.ledgerChanged()
+	return contents, q.onTrial
+}
+
+func newCrashID() bulrushquarantine.CrashID {
+	var random [8]byte
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(random[:])
+	return bulrushquarantine.CrashID(binary.LittleEndian.Uint64(random[:]))
+}
+
+// apply processes the report of another node.
+func (q *quarantine) apply(now bulrushchute.Millis, node bulrushchute.InstanceID, report bulrushquarantine.Report) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.ledger.Apply(node, report)
+	q.reportChanged = q.ledger.Compact(now) || q.reportChanged
+	q.ledgerChanged()
+}
+
+// takeReport returns the own report if it has changed since the last call.
+func (q *quarantine) takeReport(now bulrushchute.Millis) (bulrushquarantine.Report, bool) {
+	if !q.active.Load() && !q.hasChangedReport() {
+		return bulrushquarantine.Report{}, false
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if now >= q.compactedAt+compactInterval {
+		q.compactedAt = now
+		q.reportChanged = q.ledger.Compact(now) || q.reportChanged
+		q.ledgerChanged()
+	}
+	changed := q.reportChanged
+	q.reportChanged = false
+	return q.ledger.Own(), changed
+}
+
+func (q *quarantine) hasChangedReport() bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.reportChanged
+}
+
+// QuarantineStatus states how many contents are not free, and how often the backend
+// server beside the node has ended.
+type QuarantineStatus struct {
+	bulrushquarantine.Counts
+	ServerEndStatus
+}
+
+func (n *Node) quarantineStatus() QuarantineStatus {
+	n.quarantine.mutex.Lock()
+	counts := n.quarantine.ledger.Counts(n.clock.Now())
+	n.quarantine.mutex.Unlock()
+	return QuarantineStatus{Counts: counts, ServerEndStatus: n.admission.serverEndStatus()}
+}
+
+// placeSuspect chooses the instance at which a suspect request is tried. It is of the
+// version that a move in progress replaces, so that the trial says nothing about the
+// new one.
+func (ac *activeCall) placeSuspect(now bulrushchute.Millis, view bulrushboard.View, content bulrushquarantine.Content, assessment bulrushquarantine.Assessment, exclude []bulrushchute.InstanceID) (bulrushchute.Instance, bool) {
+	service := ac.call.info.Service
+	entry, _ := view.Catalogue.Service(service)
+	excluded := make(map[bulrushchute.InstanceID]bool, len(exclude))
+	for _, id := range exclude {
+		excluded[id] = true
+	}
+	var servers []bulrushquarantine.Server
+	for _, member := range view.Members(service).Instances {
+		if !isTrialVersion(entry, member.Version) || member.State == bulrushchute.StateLeaving {
+			continue
+		}
+		weight := view.DataCentres.Weights[member.DataCentre]
+		up := member.State.TakesWork() && !weight.Withdrawn && !weight.Unreachable && !excluded[member.ID] && !ac.runner.quarantine.down(member)
+		servers = append(servers, bulrushquarantine.Server{Instance: member.ID, DataCentre: member.DataCentre, Up: up})
+	}
+	chosen, found := bulrushquarantine.Place(now, content, assessment, servers)
+	if !found {
+		return bulrushchute.Instance{}, false
+	}
+	return view.Member(service, chosen)
+}
+
+// isTrialVersion reports whether suspect requests may run on servers of a version.
+func isTrialVersion(entry bulrushcatalogue.ServiceEntry, version bulrushchute.Version) bool {
+	switch {
+	case entry.Move == nil:
+		return true
+	case entry.Move.Outcome == bulrushcatalogue.MoveCompleted:
+		return version == entry.Move.ToVersion
+	default:
+		return version != entry.Move.ToVersion
+	}
+}
+
+// pickSuspect is pick for a request whose content is not free.
+func (ac *activeCall) pickSuspect(now bulrushchute.Millis, view bulrushboard.View, action bulrushattempt.Action, content bulrushquarantine.Content, assessment bulrushquarantine.Assessment) (bulrushchute.Instance, bool) {
+	ac.serviceState.mutex.Lock()
+	defer ac.serviceState.mutex.Unlock()
+	ac.serviceState.refresh(now, view, ac.call.info.Service)
+	instance, found := bulrushchute.Instance{}, false
+	if assessment.Verdict == bulrushquarantine.Suspect {
+		instance, found = ac.placeSuspect(now, view, content, assessment, action.Exclude)
+	}
+	if !found {
+		refusal := refusalOfContent(now, assessment)
+		ac.machine.Refuse(action.Attempt, refusal.Reason, refusal.RetryAfter)
+		return instance, false
+	}
+	if !ac.machine.Sent(now, action.Attempt, instance.ID) {
+		return instance, false
+	}
+	ac.serviceState.router.Started(now, instance.ID)
+	return instance, true
+}
+
+// The methods below run in control's goroutine.
+
+// publishQuarantine makes changes of this node's report of crashes known: directly to
+// the nodes of its service, through which all requests for the service pass, and as a
+// record to all others.
+func (c *control) publishQuarantine(now bulrushchute.Millis) {
+	report, changed := c.quarantine.takeReport(now)
+	if !changed {
+		return
+	}
+	value, err := report.Encode()
+	if err != nil {
+		klog.ErrorS(err, "report of crashes not published")
+		return
+	}
+	c.quarantineVersion = max(c.quarantineVersion+1, uint64(now))
+	record := bulrushchute.Record{
+		Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicQuarantine, Name: string(c.id)},
+		Version: bulrushchute.RecordVersion{Counter: c.quarantineVersion},
+		Value:   value,
+	}
+	c.membership.Table().Publish(now, record)
+	notified := 0
+	for id, member := range c.members[c.admission.latestAnnouncement().Service] {
+		if id == c.id || notified >= maxNotified {
+			continue
+		}
+		notified++
+		records := &bulrushchute.Records{Records: []bulrushchute.Record{record}}
+		c.transport.Send(member.Address, bulrushchute.Control{From: c.id, Records: records})
+	}
+}
+
+// onQuarantine handles the report of crashes of a node.
+func (c *control) onQuarantine(now bulrushchute.Millis, record bulrushchute.Record) {
+	node := bulrushchute.InstanceID(record.Key.Name)
+	if node == c.id {
+		return
+	}
+	report, err := bulrushquarantine.ParseReport(record.Value)
+	if err != nil {
+		klog.ErrorS(err, "report of crashes not taken", "instance", node)
+		return
+	}
+	c.quarantine.apply(now, node, report)
+}
+
+// acceptRecord reports whether a record of another node is still needed.
+func (c *control) acceptRecord(now bulrushchute.Millis, record bulrushchute.Record) bool {
+	return record.Key.Topic != bulrushchute.TopicQuarantine || !bulrushquarantine.Expired(now, bulrushchute.Millis(record.Version.Counter))
+}
+
+// forgetReports removes reports of crashes that no node needs any more.
+func (c *control) forgetReports(now bulrushchute.Millis) {
+	if now < c.reportsForgottenAt+bulrushchute.Minute {
+		return
+	}
+	c.reportsForgottenAt = now
+	var expired []bulrushchute.RecordKey
+	c.membership.Table().Range(bulrushchute.TopicQuarantine, func(record bulrushchute.Record) bool {
+		if !c.acceptRecord(now, record) {
+			expired = append(expired, record.Key)
+		}
+		return true
+	})
+	for _, key := range expired {
+		c.membership.Table().Forget(key)
+		c.quarantine.apply(now, bulrushchute.InstanceID(key.Name), bulrushquarantine.Report{})
+	}
+}
--- a/bulrushnode/request_log.go
+++ b/bulrushnode/request_log.go
@@ -19,6 +19,7 @@
 	attemptRefused      = bulrushlog.NewEventLogger("attempt refused")
 	attemptFailed       = bulrushlog.NewEventLogger("attempt failed")
 	attemptEnded        = bulrushlog.NewEventLogger("attempt ended")
+	contentOnTrial      = bulrushlog.NewEventLogger("content on trial")
 	serverErrorAnswered = bulrushlog.NewEventLogger("backend server failed a request")
 )
 
--- a/bulrushnode/server_end.go
+++ b/bulrushnode/server_end.go
@@ -31,13 +31,15 @@
 }
 
 // checkServerEnd finds out whether the loss of a connection means that the backend
-// server has ended, and waits for the result. Requests whose connections are lost
-// at the same time share one check.
-func (a *admission) checkServerEnd(backend Announcement) {
+// server has ended. It waits for the result, and until the nodes of the service know
+// which requests are suspect. Requests whose connections are lost at the same time
+// share one check.
+func (a *admission) checkServerEnd(backend Announcement) bool {
 	a.mutex.Lock()
 	if !backend.sameProcess(a.backend) || backend.sameProcess(a.serverEnd.process) {
+		ended := backend.sameProcess(a.serverEnd.process)
 		a.mutex.Unlock()
-		return
+		return ended
 	}
 	check := a.serverEnd.check
 	if check == nil {
@@ -51,6 +53,9 @@
 	}
 	a.mutex.Unlock()
 	<-check
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return backend.sameProcess(a.serverEnd.process)
 }
 
 // refusesConnections reports whether nothing listens at an address.
@@ -65,23 +70,31 @@
 }
 
 func (a *admission) endServerCheck(backend Announcement, check chan struct{}, ended bool) {
+	defer close(check)
+	if ended {
+		a.recordServerEnd(backend)
+	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.serverEnd.check = nil
-	close(check)
-	if ended && backend.sameProcess(a.backend) {
-		a.recordServerEnd(backend)
-	}
 }
 
-// recordServerEnd records that a backend server process has ended by itself. The
-// mutex must be held.
+// recordServerEnd records that a backend server process has ended by itself, and
+// stops announcing it.
 func (a *admission) recordServerEnd(backend Announcement) {
+	a.mutex.Lock()
+	if !backend.sameProcess(a.backend) {
+		a.mutex.Unlock()
+		return
+	}
 	a.serverEnd.process = backend
 	a.serverEnd.count++
-	contents := a.runs.TakeContents(a.clock.Now())
+	a.healthy = false
+	a.mutex.Unlock()
+	contents, trial := a.quarantine.recordCrash(backend.StartedAtMs)
 	klog.InfoS("backend server ended", "server", backend.Server, "version", backend.Version, "running", len(contents),
-		"contents", shortenContents(contents))
+		"trial", trial != nil, "contents", shortenContents(contents))
+	a.quarantine.publish()
 }
 
 func shortenContents(contents []bulrushquarantine.Content) []string {
--- a/bulrushnode/status.go
+++ b/bulrushnode/status.go
@@ -139,7 +139,7 @@
 func (n *Node) PublishMetrics() {
 	n.recorder.Publish("bulrush_requests")
 	expvar.Publish("bulrush_moves", expvar.Func(func() any { return n.moves.metrics() }))
-	expvar.Publish("bulrush_backend_server", expvar.Func(func() any { return n.admission.serverEndStatus() }))
+	expvar.Publish("bulrush_quarantine", expvar.Func(func() any { return n.quarantineStatus() }))
 	expvar.Publish("bulrush_catalogue", expvar.Func(func() any { return n.catalogueStatus() }))
 }
 
--- a/bulrushquarantine/content.go
+++ b/bulrushquarantine/content.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"net"
+	"strings"
 
 	"bulrushchute.example/bulrushchute"
 )
@@ -18,7 +20,7 @@
 func ContentOf(attempt bulrushchute.Attempt) Content {
 	hash := sha256.New()
 	for _, part := range []string{
-		string(attempt.Service), string(attempt.Caller), string(attempt.Tenant), attempt.Method, attempt.Host, attempt.Path,
+		string(attempt.Service), string(attempt.Caller), string(attempt.Tenant), attempt.Method, siteOf(attempt.Host), attempt.Path,
 	} {
 		// The length of each part keeps its end apart from the beginning of the next.
 		_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(part))))
@@ -29,6 +31,18 @@
 	return Content(hash.Sum(sum[:0]))
 }
 
+// siteOf returns the host that a caller means. It is empty for an IP address, which
+// is that of a node and differs when the request comes again at another one.
+func siteOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	if net.ParseIP(strings.Trim(host, "[]")) != nil {
+		return ""
+	}
+	return strings.ToLower(host)
+}
+
 // String returns the content in hexadecimal digits.
 func (c Content) String() string {
 	return hex.EncodeToString(c[:])
--- a/bulrushquarantine/content_test.go
+++ b/bulrushquarantine/content_test.go
@@ -27,6 +27,7 @@
 		"body":         func(a *bulrushchute.Attempt) { a.Body = []byte("c") },
 		"moved bytes":  func(a *bulrushchute.Attempt) { a.Path, a.Body = "/p?q=", []byte("1b") },
 		"moved parts":  func(a *bulrushchute.Attempt) { a.Host, a.Path = "h/", "p?q=1" },
+		"address":      func(a *bulrushchute.Attempt) { a.Host = "10.0.0.1:80" },
 	}
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -47,6 +48,23 @@
 	assert.Equal(t, ContentOf(again), ContentOf(baseAttempt()))
 }
 
+// Guards against a request that is not recognised at another node, because callers
+// that name the service address the node itself.
+func TestContentIsTheSameAtAnyNode(t *testing.T) {
+	cases := map[string][2]string{
+		"port":         {"site.example:80", "SITE.example"},
+		"IPv4 address": {"10.0.0.1:8300", "10.0.0.2:8300"},
+		"IPv6 address": {"[::1]:8300", "[::2]"},
+	}
+	for name, hosts := range cases {
+		t.Run(name, func(t *testing.T) {
+			first, second := baseAttempt(), baseAttempt()
+			first.Host, second.Host = hosts[0], hosts[1]
+			assert.Equal(t, ContentOf(first), ContentOf(second))
+		})
+	}
+}
+
 // BenchmarkContentOf measures what a request costs while some content is suspect or
 // quarantined. It costs nothing at other times.
 func BenchmarkContentOf(b *testing.B) {
--- /dev/null
+++ b/bulrushquarantine/ledger_test.go
@@ -0,0 +1,183 @@
+package bulrushquarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+const t0 = bulrushchute.Millis(1_000_000)
+
+func content(number byte) Content { return Content{number} }
+
+func crashOf(id CrashID, at bulrushchute.Millis, trial *Content, contents ...Content) Crash {
+	return Crash{ID: id, At: at, StartedAt: bulrushchute.Millis(id), Contents: contents, Trial: trial}
+}
+
+func reportOf(crashes ...Crash) Report { return Report{Crashes: crashes} }
+
+// Guards against a request that runs again too soon after it has crashed servers, or
+// never again, and against one that is refused without a trial.
+func TestVerdicts(t *testing.T) {
+	bad := content(1)
+	incidental := func(id CrashID, at bulrushchute.Millis) Crash { return crashOf(id, at, nil, bad, content(2)) }
+	trial := func(id CrashID, at bulrushchute.Millis) Crash { return crashOf(id, at, &bad, bad, content(3)) }
+	cases := map[string]struct {
+		reports []Report
+		after   bulrushchute.Millis
+		want    Verdict
+	}{
+		"nothing known":                {nil, 0, Free},
+		"ran at one crash":             {[]Report{reportOf(incidental(1, t0))}, 0, Suspect},
+		"ran at four crashes":          {[]Report{reportOf(incidental(1, t0)), reportOf(incidental(2, t0)), reportOf(incidental(3, t0)), reportOf(incidental(4, t0))}, 0, Suspect},
+		"long ago":                     {[]Report{reportOf(incidental(1, t0))}, suspectRetention, Free},
+		"trial crashed":                {[]Report{reportOf(incidental(1, t0)), reportOf(trial(2, t0))}, 0, Quarantined},
+		"third server may be risked":   {[]Report{reportOf(incidental(1, t0)), reportOf(trial(2, t0))}, retrialDelay, Suspect},
+		"three crashes":                {[]Report{reportOf(incidental(1, t0)), reportOf(trial(2, t0)), reportOf(trial(3, t0))}, retrialDelay, Quarantined},
+		"fourth server may be risked":  {[]Report{reportOf(incidental(1, t0)), reportOf(trial(2, t0)), reportOf(trial(3, t0))}, longRetrialDelay, Suspect},
+		"six crashes":                  {[]Report{reportOf(trial(1, t0), trial(2, t0), trial(3, t0), trial(4, t0), trial(5, t0), trial(6, t0))}, 23 * bulrushchute.Hour, Quarantined},
+		"a day later":                  {[]Report{reportOf(trial(1, t0), trial(2, t0), trial(3, t0), trial(4, t0), trial(5, t0), trial(6, t0))}, crashRetention, Free},
+		"ran to its end":               {[]Report{reportOf(incidental(1, t0), trial(2, t0)), {Clearances: []Clearance{{Content: bad, Crashes: []CrashID{1, 2}}}}}, 0, Free},
+		"ran to its end in between":    {[]Report{reportOf(incidental(1, t0), trial(2, t0)), {Clearances: []Clearance{{Content: bad, Crashes: []CrashID{1}}}}}, 0, Quarantined},
+		"another one ran to its end":   {[]Report{reportOf(trial(1, t0)), {Clearances: []Clearance{{Content: content(2), Crashes: []CrashID{1}}}}}, 0, Quarantined},
+		"another one crashed a server": {[]Report{reportOf(crashOf(1, t0, nil, content(2)))}, 0, Free},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger("n")
+			for number, report := range tc.reports {
+				l.Apply(bulrushchute.InstanceID(fmt.Sprint(number)), report)
+			}
+			assert.Equal(t, l.Assess(t0+tc.after, bad).Verdict, tc.want)
+		})
+	}
+}
+
+// Guards against nodes that decide differently on a request because the reports
+// reached them in another order, twice, or before an older one.
+func TestVerdictsDoNotDependOnTheOrder(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		// Each node publishes three versions of its report.
+		type version struct {
+			node   bulrushchute.InstanceID
+			number int
+			report Report
+		}
+		var versions []version
+		for node := range 4 {
+			l := NewLedger(bulrushchute.InstanceID(fmt.Sprint(node)))
+			for number := range 3 {
+				suspect := content(byte(random.IntN(3)))
+				l.RecordCrash(crashOf(CrashID(random.Uint64()), t0, &suspect, suspect, content(byte(random.IntN(3)))))
+				if random.IntN(2) == 0 {
+					l.RecordAnswer(t0, content(byte(random.IntN(3))))
+				}
+				versions = append(versions, version{node: l.own, number: number, report: l.Own()})
+			}
+		}
+		replicas := []*Ledger{NewLedger("a"), NewLedger("b")}
+		for _, replica := range replicas {
+			newest := map[bulrushchute.InstanceID]int{}
+			for range 2 {
+				random.Shuffle(len(versions), func(i, j int) { versions[i], versions[j] = versions[j], versions[i] })
+				for _, v := range versions {
+					// A record is replaced by newer versions only.
+					if known, exists := newest[v.node]; !exists || v.number > known {
+						newest[v.node] = v.number
+						replica.Apply(v.node, v.report)
+					}
+				}
+			}
+		}
+		for number := range byte(3) {
+			assert.Equal(t, replicas[0].Assess(t0, content(number)), replicas[1].Assess(t0, content(number)), "seed %d", seed)
+		}
+	}
+}
+
+// Guards against a ledger that grows with each crash, although its contents were
+// cleared or are forgotten.
+func TestLedgerIsEmptyAfterwards(t *testing.T) {
+	cases := map[string]func(observer, other *Ledger) bulrushchute.Millis{
+		"cleared by another node": func(observer, other *Ledger) bulrushchute.Millis {
+			other.RecordAnswer(t0, content(1))
+			other.RecordAnswer(t0, content(2))
+			observer.Apply("other", other.Own())
+			return t0
+		},
+		"forgotten": func(*Ledger, *Ledger) bulrushchute.Millis { return t0 + crashRetention },
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			observer, other := NewLedger("observer"), NewLedger("other")
+			first := content(1)
+			observer.RecordCrash(crashOf(1, t0, &first, first, content(2)))
+			other.Apply("observer", observer.Own())
+			now := end(observer, other)
+			assert.Assert(t, observer.Compact(now))
+			other.Apply("observer", observer.Own())
+			other.Compact(now)
+			observer.Apply("other", other.Own())
+			assert.Assert(t, observer.Empty() && other.Empty())
+			assert.Equal(t, len(observer.cleared)+len(other.cleared), 0)
+		})
+	}
+}
+
+// Guards against a report that a caller makes grow without limit, and against one
+// that loses the newest crash then.
+func TestReportIsBounded(t *testing.T) {
+	l := NewLedger("n")
+	contents := make([]Content, 10*maxContents)
+	for i := range contents {
+		contents[i] = Content{byte(i), byte(i >> 8), 1}
+	}
+	newest := content(1)
+	for id := range CrashID(10 * maxCrashes) {
+		l.RecordCrash(crashOf(id, t0, nil, append([]Content{{byte(id), byte(id >> 8), 2}}, contents...)...))
+		l.RecordAnswer(t0, Content{byte(id), byte(id >> 8), 2})
+	}
+	l.RecordCrash(crashOf(1<<32, t0, &newest, newest))
+	data, err := l.Own().Encode()
+	assert.NilError(t, err)
+	parsed, err := ParseReport(data)
+	assert.NilError(t, err)
+	assert.Equal(t, len(parsed.Crashes), maxCrashes)
+	assert.Assert(t, len(data) < 64<<10, "%d bytes", len(data))
+	assert.Equal(t, l.Assess(t0, newest).Verdict, Quarantined)
+}
+
+// Guards against bytes of a faulty node that end the process or fill its memory.
+func FuzzParseReport(f *testing.F) {
+	data, err := reportOf(crashOf(1, t0, nil, content(1))).Encode()
+	assert.NilError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		report, err := ParseReport(data)
+		if err == nil {
+			NewLedger("n").Apply("m", report)
+		}
+	})
+}
+
+// A request that ran when a server ended is tried at one other server. If that one
+// ends too, the request is quarantined; if the request runs to its end, it is free.
+func ExampleLedger() {
+	request := Content{1}
+	l := NewLedger("node")
+	l.RecordCrash(Crash{ID: 1, At: 1000, Contents: []Content{request}})
+	fmt.Println(l.Assess(1000, request).Verdict)
+	l.RecordCrash(Crash{ID: 2, At: 1200, Contents: []Content{request}, Trial: &request})
+	fmt.Println(l.Assess(1200, request).Verdict)
+	l.RecordAnswer(40_000, request)
+	fmt.Println(l.Assess(40_000, request).Verdict)
+	// Output:
+	// suspect
+	// quarantined
+	// free
+}
--- /dev/null
+++ b/bulrushquarantine/report.go
@@ -0,0 +1,114 @@
+package bulrushquarantine
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// Limits of a report. They bound what the callers of one server can make all nodes
+// keep.
+const (
+	maxCrashes    = 32
+	maxContents   = 64
+	maxClearances = 256
+)
+
+// CrashID identifies a crash. The node that observes the crash chooses it at random.
+type CrashID uint64
+
+// Crash is the end of a backend server, as the node beside it observed it.
+type Crash struct {
+	ID CrashID `cbor:"1,keyasint"`
+	// At is the time of the crash on the observer's clock.
+	At bulrushchute.Millis `cbor:"2,keyasint"`
+	// StartedAt is the start time that the server process had announced.
+	StartedAt bulrushchute.Millis `cbor:"3,keyasint"`
+	// Contents are those of the requests that ran and that have not run to their
+	// end anywhere since.
+	Contents []Content `cbor:"4,keyasint,omitempty"`
+	// Trial is the one of the contents that ran as a trial, nil if there was none.
+	Trial *Content `cbor:"5,keyasint,omitempty"`
+}
+
+// Clearance states that a request has run to its end, so that it was not the cause
+// of some crashes.
+type Clearance struct {
+	Content Content   `cbor:"1,keyasint"`
+	Crashes []CrashID `cbor:"2,keyasint"`
+}
+
+// Report is what one node has observed. It replaces the earlier reports of the node.
+type Report struct {
+	Crashes    []Crash     `cbor:"1,keyasint,omitempty"`
+	Clearances []Clearance `cbor:"2,keyasint,omitempty"`
+}
+
+// LimitError reports a Report that exceeds a limit.
+type LimitError struct {
+	What  string
+	Count int
+	Limit int
+}
+
+// Error implements error.
+func (e *LimitError) Error() string {
+	return "report of crashes has too many " + e.What
+}
+
+// Encode returns the report as CBOR.
+func (r Report) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(r)
+	return data, errors.Wrap(err, "encode report of crashes")
+}
+
+// ParseReport is the inverse of Report.Encode. Errors are matched with errors.As:
+// *LimitError.
+func ParseReport(data []byte) (Report, error) {
+	var report Report
+	if err := cbor.Unmarshal(data, &report); err != nil {
+		return Report{}, errors.Wrap(err, "parse report of crashes")
+	}
+	return report, report.check()
+}
+
+func (r Report) check() error {
+	if len(r.Crashes) > maxCrashes {
+		return &LimitError{What: "crashes", Count: len(r.Crashes), Limit: maxCrashes}
+	}
+	if len(r.Clearances) > maxClearances {
+		return &LimitError{What: "clearances", Count: len(r.Clearances), Limit: maxClearances}
+	}
+	for _, crash := range r.Crashes {
+		if len(crash.Contents) > maxContents {
+			return &LimitError{What: "contents", Count: len(crash.Contents), Limit: maxContents}
+		}
+	}
+	for _, clearance := range r.Clearances {
+		if len(clearance.Crashes) > maxCrashes {
+			return &LimitError{What: "cleared crashes", Count: len(clearance.Crashes), Limit: maxCrashes}
+		}
+	}
+	return nil
+}
+
+// withCrash returns the report with a further crash. It drops the oldest ones in
+// excess of the limit.
+func (r Report) withCrash(crash Crash) Report {
+	crash.Contents = crash.Contents[:min(len(crash.Contents), maxContents)]
+	crashes := append(slices.Clone(r.Crashes), crash)
+	r.Crashes = crashes[max(0, len(crashes)-maxCrashes):]
+	return r
+}
+
+// withClearance returns the report with a further clearance. It drops the oldest
+// ones in excess of the limit.
+func (r Report) withClearance(clearance Clearance) Report {
+	clearance.Crashes = clearance.Crashes[:min(len(clearance.Crashes), maxCrashes)]
+	clearances := append(slices.Clone(r.Clearances), clearance)
+	r.Clearances = clearances[max(0, len(clearances)-maxClearances):]
+	return r
+}
--- a/message.go
+++ b/message.go
@@ -54,6 +54,9 @@
 	// hold during a slowdown of the backend server if there is capacity, instead
 	// of refusing it. It is set when no other backend server can take the request.
 	Insist bool `cbor:"21,keyasint,omitempty"`
+	// Trial is set when the sender knows that a backend server ended while it ran a
+	// request of the same content, and has chosen the target to try it again.
+	Trial bool `cbor:"22,keyasint,omitempty"`
 }
 
 // Reply is the result of an attempt. Exactly one of Answer, Refusal and Failure
@@ -107,6 +110,9 @@
 	// TopicConfirmation holds one record, the latest confirmation that the
 	// catalogue is current.
 	TopicConfirmation
+	// TopicQuarantine holds what each node has observed of crashes of its backend
+	// server.
+	TopicQuarantine
 )
 
 // RecordVersion orders the versions of one record. The version of a record only
--- a/request.go
+++ b/request.go
@@ -101,10 +101,18 @@
 	ReasonKeyFromFuture  Reason = "key_from_future"
 	ReasonKeyFormat      Reason = "key_format"
 	ReasonConnectionLost Reason = "connection_lost"
-	ReasonTruncated      Reason = "answer_truncated"
-	ReasonTooLarge       Reason = "too_large"
-	ReasonTooDeep        Reason = "too_deep"
-	ReasonCancelled      Reason = "cancelled"
+	// ReasonServerEnded means that the backend server ended while it ran the request.
+	ReasonServerEnded Reason = "server_ended"
+	// ReasonOnTrial means that a backend server ended while it ran a request of the
+	// same content, and that this request cannot be tried now.
+	ReasonOnTrial Reason = "content_on_trial"
+	// ReasonQuarantined means that backend servers ended each time that they ran a
+	// request of the same content.
+	ReasonQuarantined Reason = "content_quarantined"
+	ReasonTruncated   Reason = "answer_truncated"
+	ReasonTooLarge    Reason = "too_large"
+	ReasonTooDeep     Reason = "too_deep"
+	ReasonCancelled   Reason = "cancelled"
 	// ReasonMalformed also applies to a key that was used for another request.
 	ReasonMalformed      Reason = "malformed"
 	ReasonUnknownService Reason = "unknown_service"
