bulrushquarantine: try a quarantined content on a version that has not crashed

A repaired version of a server may serve a request that crashed the one before.

A crash names the version of the server now. A quarantined content is suspect for a server of another version, so that it is tried there once, while the version is in force and unless six servers have crashed.

--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -43,6 +43,8 @@
 	ledger *bulrushquarantine.Ledger
 	runs   *bulrushquarantine.Runs
 	trials *bulrushquarantine.Trials
+	// version is that of the backend server beside this node.
+	version bulrushchute.Version
 	// onTrial is the content that runs as a trial, nil if none does.
 	onTrial *bulrushquarantine.Content
 	// changed is closed, and replaced, when a waiting request must be decided on
@@ -158,7 +160,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	assessment := q.ledger.Assess(q.clock.Now(), content)
-	entry := q.trials.Enter(attempt.ID, assessment.Verdict, attempt.Trial)
+	entry := q.trials.Enter(attempt.ID, assessment.At(q.version), attempt.Trial)
 	if entry == bulrushquarantine.EnterTrial {
 		q.onTrial = &content
 		contentOnTrial.Log("content", content, "request", attempt.RequestID, "crashes", assessment.Crashes)
@@ -174,6 +176,13 @@
 	return &bulrushchute.Refusal{Reason: bulrushchute.ReasonOnTrial, RetryAfter: retryAfterOnTrial}
 }
 
+// setVersion sets the version of the backend server beside this node.
+func (q *quarantine) setVersion(version bulrushchute.Version) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.version = version
+}
+
 // leave ends the trial of an attempt, or its wait for one.
 func (q *quarantine) leave(id bulrushchute.AttemptID, permit trialPermit) {
 	q.mutex.Lock()
@@ -198,7 +207,8 @@
 	defer q.mutex.Unlock()
 	if active {
 		assessment := q.ledger.Assess(now, content)
-		if assessment.Verdict == bulrushquarantine.Quarantined || assessment.Verdict == bulrushquarantine.Suspect && !permit.trial {
+		verdict := assessment.At(q.version)
+		if verdict == bulrushquarantine.Quarantined || verdict == bulrushquarantine.Suspect && !permit.trial {
 			return refusalOfContent(now, assessment)
 		}
 	}
@@ -234,7 +244,7 @@
 	if len(contents) == 0 {
 		return nil, nil
 	}
-	q.ledger.RecordCrash(bulrushquarantine.Crash{ID: newCrashID(), At: now, StartedAt: startedAt, Contents: contents, Trial: q.onTrial})
+	q.ledger.RecordCrash(bulrushquarantine.Crash{ID: newCrashID(), At: now, StartedAt: startedAt, Version: q.version, Contents: contents, Trial: q.onTrial})
 	q.reportChanged = true
 	q.ledgerChanged()
 	return contents, q.onTrial
@@ -309,7 +319,8 @@
 			continue
 		}
 		weight := view.DataCentres.Weights[member.DataCentre]
-		up := member.State.TakesWork() && !weight.Withdrawn && !weight.Unreachable && !excluded[member.ID] && !ac.runner.quarantine.down(member)
+		up := member.State.TakesWork() && !weight.Withdrawn && !weight.Unreachable && !excluded[member.ID] &&
+			assessment.At(member.Version) == bulrushquarantine.Suspect && !ac.runner.quarantine.down(member)
 		servers = append(servers, bulrushquarantine.Server{Instance: member.ID, DataCentre: member.DataCentre, Up: up})
 	}
 	chosen, found := bulrushquarantine.Place(now, content, assessment, servers)
@@ -336,10 +347,7 @@
 	ac.serviceState.mutex.Lock()
 	defer ac.serviceState.mutex.Unlock()
 	ac.serviceState.refresh(now, view, ac.call.info.Service)
-	instance, found := bulrushchute.Instance{}, false
-	if assessment.Verdict == bulrushquarantine.Suspect {
-		instance, found = ac.placeSuspect(now, view, content, assessment, action.Exclude)
-	}
+	instance, found := ac.placeSuspect(now, view, content, assessment, action.Exclude)
 	if !found {
 		refusal := refusalOfContent(now, assessment)
 		ac.machine.Refuse(action.Attempt, refusal.Reason, refusal.RetryAfter)
--- a/bulrushnode/quarantine_test.go
+++ b/bulrushnode/quarantine_test.go
@@ -20,7 +20,7 @@
 // attempt.
 func reportAgainst(attempt bulrushchute.Attempt, at bulrushchute.Millis, trial bool) bulrushquarantine.Report {
 	content := bulrushquarantine.ContentOf(attempt)
-	crash := bulrushquarantine.Crash{ID: bulrushquarantine.CrashID(at), At: at, Contents: []bulrushquarantine.Content{content}}
+	crash := bulrushquarantine.Crash{ID: bulrushquarantine.CrashID(at), At: at, Version: "v1", Contents: []bulrushquarantine.Content{content}}
 	if trial {
 		crash.Trial = &content
 	}
--- a/bulrushquarantine/ledger.go
+++ b/bulrushquarantine/ledger.go
@@ -64,13 +64,26 @@
 	Crashes int
 	// LastCrashAt is the time of the latest of them, 0 if there is none.
 	LastCrashAt bulrushchute.Millis
+	// Versions are those of the servers that crashed.
+	Versions []bulrushchute.Version
+}
+
+// At returns the verdict for a server of a given version. A version that has not run
+// the content yet may have been repaired, so it is tried once, unless too many
+// servers have crashed already.
+func (a Assessment) At(version bulrushchute.Version) Verdict {
+	if a.Verdict == Quarantined && a.Crashes < certainCrashes+maxRetrials && !slices.Contains(a.Versions, version) {
+		return Suspect
+	}
+	return a.Verdict
 }
 
 // evidence is a crash as evidence against one of its contents.
 type evidence struct {
-	crash CrashID
-	at    bulrushchute.Millis
-	trial bool
+	crash   CrashID
+	at      bulrushchute.Millis
+	version bulrushchute.Version
+	trial   bool
 }
 
 type clearanceKey struct {
@@ -138,7 +151,7 @@
 func (l *Ledger) indexCrash(crash Crash, content Content, count int) {
 	if count > 0 {
 		l.byContent[content] = append(l.byContent[content], evidence{
-			crash: crash.ID, at: crash.At, trial: crash.Trial != nil && *crash.Trial == content,
+			crash: crash.ID, at: crash.At, version: crash.Version, trial: crash.Trial != nil && *crash.Trial == content,
 		})
 		return
 	}
@@ -215,7 +228,10 @@
 	assessment := Assessment{Crashes: len(valid)}
 	for _, e := range valid {
 		assessment.LastCrashAt = max(assessment.LastCrashAt, e.at)
+		assessment.Versions = append(assessment.Versions, e.version)
 	}
+	slices.Sort(assessment.Versions)
+	assessment.Versions = slices.Compact(assessment.Versions)
 	switch {
 	case len(valid) > 0 && trial:
 		assessment.Until = assessment.LastCrashAt + quarantineDuration(len(valid))
--- a/bulrushquarantine/ledger_test.go
+++ b/bulrushquarantine/ledger_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against a repaired version that is not tried until the quarantine ends, and
+// against one that is tried although it crashed, or after too many crashes.
+func TestNewVersionIsTried(t *testing.T) {
+	bad := content(1)
+	trial := func(id CrashID, version bulrushchute.Version) Crash {
+		crash := crashOf(id, t0, &bad, bad)
+		crash.Version = version
+		return crash
+	}
+	cases := map[string]struct {
+		crashes []Crash
+		version bulrushchute.Version
+		want    Verdict
+	}{
+		"version that crashed":        {[]Crash{trial(1, "v1"), trial(2, "v1")}, "v1", Quarantined},
+		"new version":                 {[]Crash{trial(1, "v1"), trial(2, "v1")}, "v2", Suspect},
+		"new version crashed as well": {[]Crash{trial(1, "v1"), trial(2, "v1"), trial(3, "v2")}, "v2", Quarantined},
+		"too many crashes":            {[]Crash{trial(1, "v1"), trial(2, "v2"), trial(3, "v3"), trial(4, "v4"), trial(5, "v5"), trial(6, "v6")}, "v7", Quarantined},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger("n")
+			l.Apply("m", reportOf(tc.crashes...))
+			assert.Equal(t, l.Assess(t0, bad).At(tc.version), tc.want)
+		})
+	}
+}
+
 // Guards against nodes that decide differently on a request because the reports
 // reached them in another order, twice, or before an older one.
 func TestVerdictsDoNotDependOnTheOrder(t *testing.T) {
@@ -95,7 +123,7 @@
 			}
 		}
 		for number := range byte(3) {
-			assert.Equal(t, replicas[0].Assess(t0, content(number)), replicas[1].Assess(t0, content(number)), "seed %d", seed)
+			assert.DeepEqual(t, replicas[0].Assess(t0, content(number)), replicas[1].Assess(t0, content(number)))
 		}
 	}
 }
--- a/bulrushquarantine/report.go
+++ b/bulrushquarantine/report.go
@@ -27,6 +27,8 @@
 	At bulrushchute.Millis `cbor:"2,keyasint"`
 	// StartedAt is the start time that the server process had announced.
 	StartedAt bulrushchute.Millis `cbor:"3,keyasint"`
+	// Version is that of the server.
+	Version bulrushchute.Version `cbor:"6,keyasint,omitempty"`
 	// Contents are those of the requests that ran and that have not run to their
 	// end anywhere since.
 	Contents []Content `cbor:"4,keyasint,omitempty"`
