bulrushquarantine: keep quarantined contents when all nodes are lost at once

Reports of crashes were kept in the memory of the nodes only. After a loss of power of the whole fleet, a request that had crashed three servers was unknown, and could crash the next ones from the start.

The part of a report of which the cause is known is also an object in the store now: one a process, written when a trial or a quarantine ends, so that the calls do not grow with requests. The first reader of each data centre lists these objects once when it becomes that, and publishes them as records; a record of a process that is known is newer.

TestQuarantineOutlivesTheLossOfAllNodes fails without the reading (trial: free instead of quarantined); TestQuarantineIsStoredThoughAnswersAreLost and TestLatestQuarantineIsStored cover lost answers and fast changes.

--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -263,6 +263,10 @@
 	n.tasks.Start(readerCtx, "reader", catalogueReader.run)
 	n.tasks.Start(readerCtx, "confirmations", catalogueReader.runConfirmations)
 	n.tasks.Start(readerCtx, "move leases", n.moves.runLeases)
+	n.tasks.Start(readerCtx, "quarantine writer", func(ctx context.Context) error {
+		writer := &quarantineWriter{store: n.store, instance: n.id}
+		return writer.run(ctx, n.quarantine.durable)
+	})
 	<-ctx.Done()
 	stopReaders()
 	err = n.drain(&callerEndpoint{listener: callerListener, server: callerServer, entryHandler: n.entryHandler, cancel: cancelRequests}, peerServer)
--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -53,6 +53,10 @@
 	// reportChanged is set when the own report has changes that are not published.
 	reportChanged bool
 	compactedAt   bulrushchute.Millis
+	// durable receives the part of the own report that is kept in the store, when it
+	// has changed. It holds the latest one.
+	durable     chan bulrushquarantine.Report
+	lastDurable bulrushquarantine.Report
 }
 
 func newQuarantine(clock bulrushchute.Clock, id bulrushchute.InstanceID) *quarantine {
@@ -63,6 +67,7 @@
 		runs:    bulrushquarantine.NewRuns(),
 		trials:  &bulrushquarantine.Trials{},
 		changed: make(chan struct{}),
+		durable: make(chan bulrushquarantine.Report, 1),
 	}
 }
 
@@ -280,9 +285,27 @@
 	}
 	changed := q.reportChanged
 	q.reportChanged = false
+	if changed || now == q.compactedAt {
+		q.updateDurable(now)
+	}
 	return q.ledger.Own(), changed
 }
 
+// updateDurable passes a changed durable part of the own report to the writer, in
+// place of an earlier one that the writer has not taken. The mutex must be held.
+func (q *quarantine) updateDurable(now bulrushchute.Millis) {
+	durable := q.ledger.Durable(now)
+	if durable.Equal(q.lastDurable) {
+		return
+	}
+	q.lastDurable = durable
+	select {
+	case <-q.durable:
+	default:
+	}
+	q.durable <- durable
+}
+
 func (q *quarantine) hasChangedReport() bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -143,6 +143,7 @@
 		watches.Start(ctx, string(kind), func(ctx context.Context) error { return r.watch(ctx, kind) })
 	}
 	watches.Start(ctx, "seeds", r.maintainSeeds)
+	watches.Start(ctx, "quarantines", r.readQuarantines)
 	klog.InfoS("reading the store", "data_centre", r.node.settings.DataCentre)
 	for ctx.Err() == nil {
 		bulrushtask.Pause(ctx, rankInterval)
--- a/bulrushquarantine/content.go
+++ b/bulrushquarantine/content.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"net"
+	"strconv"
 	"strings"
 
 	"bulrushchute.example/bulrushchute"
@@ -31,6 +32,32 @@
 	return Content(hash.Sum(sum[:0]))
 }
 
+// ContentError reports a text that is no content.
+type ContentError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *ContentError) Error() string {
+	return "no content of a request: " + strconv.Quote(e.Text)
+}
+
+// MarshalText returns the content in hexadecimal digits, for JSON.
+func (c Content) MarshalText() ([]byte, error) {
+	return []byte(c.String()), nil
+}
+
+// UnmarshalText is the inverse of MarshalText. Errors are matched with errors.As:
+// *ContentError.
+func (c *Content) UnmarshalText(text []byte) error {
+	data, err := hex.DecodeString(string(text))
+	if err != nil || len(data) != len(c) {
+		return &ContentError{Text: string(text)}
+	}
+	copy(c[:], data)
+	return nil
+}
+
 // siteOf returns the host that a caller means. It is empty for an IP address, which
 // is that of a node and differs when the request comes again at another one.
 func siteOf(host string) string {
--- a/bulrushquarantine/ledger.go
+++ b/bulrushquarantine/ledger.go
@@ -316,6 +316,22 @@
 	return l.reports[l.own]
 }
 
+// Durable returns the part of this node's report that must outlive the loss of all
+// nodes: the crashes with the contents that a trial found to be their cause.
+func (l *Ledger) Durable(now bulrushchute.Millis) Report {
+	var durable Report
+	for _, crash := range l.reports[l.own].Crashes {
+		crash.Contents = slices.DeleteFunc(slices.Clone(crash.Contents), func(content Content) bool {
+			_, trial := l.valid(now, content)
+			return !trial
+		})
+		if len(crash.Contents) > 0 {
+			durable.Crashes = append(durable.Crashes, crash)
+		}
+	}
+	return durable
+}
+
 // Counts are the numbers of contents by verdict.
 type Counts struct {
 	Suspect     int `json:"suspect"`
--- a/bulrushquarantine/report.go
+++ b/bulrushquarantine/report.go
@@ -22,31 +22,47 @@
 
 // Crash is the end of a backend server, as the node beside it observed it.
 type Crash struct {
-	ID CrashID `cbor:"1,keyasint"`
+	ID CrashID `cbor:"1,keyasint" json:"id,string"`
 	// At is the time of the crash on the observer's clock.
-	At bulrushchute.Millis `cbor:"2,keyasint"`
+	At bulrushchute.Millis `cbor:"2,keyasint" json:"at_ms"`
 	// StartedAt is the start time that the server process had announced.
-	StartedAt bulrushchute.Millis `cbor:"3,keyasint"`
+	StartedAt bulrushchute.Millis `cbor:"3,keyasint" json:"started_at_ms"`
 	// Version is that of the server.
-	Version bulrushchute.Version `cbor:"6,keyasint,omitempty"`
+	Version bulrushchute.Version `cbor:"6,keyasint,omitempty" json:"version,omitempty"`
 	// Contents are those of the requests that ran and that have not run to their
 	// end anywhere since.
-	Contents []Content `cbor:"4,keyasint,omitempty"`
+	Contents []Content `cbor:"4,keyasint,omitempty" json:"contents,omitempty"`
 	// Trial is the one of the contents that ran as a trial, nil if there was none.
-	Trial *Content `cbor:"5,keyasint,omitempty"`
+	Trial *Content `cbor:"5,keyasint,omitempty" json:"trial,omitempty"`
 }
 
 // Clearance states that a request has run to its end, so that it was not the cause
 // of some crashes.
 type Clearance struct {
-	Content Content   `cbor:"1,keyasint"`
-	Crashes []CrashID `cbor:"2,keyasint"`
+	Content Content   `cbor:"1,keyasint" json:"content"`
+	Crashes []CrashID `cbor:"2,keyasint" json:"crashes"`
 }
 
 // Report is what one node has observed. It replaces the earlier reports of the node.
 type Report struct {
-	Crashes    []Crash     `cbor:"1,keyasint,omitempty"`
-	Clearances []Clearance `cbor:"2,keyasint,omitempty"`
+	Crashes    []Crash     `cbor:"1,keyasint,omitempty" json:"crashes,omitempty"`
+	Clearances []Clearance `cbor:"2,keyasint,omitempty" json:"clearances,omitempty"`
+}
+
+// Equal reports whether two reports state the same crashes with the same contents.
+func (r Report) Equal(other Report) bool {
+	return slices.EqualFunc(r.Crashes, other.Crashes, func(a, b Crash) bool {
+		return a.ID == b.ID && slices.Equal(a.Contents, b.Contents)
+	})
+}
+
+// LastCrashAt returns the time of the latest crash, 0 if there is none.
+func (r Report) LastCrashAt() bulrushchute.Millis {
+	latest := bulrushchute.Millis(0)
+	for _, crash := range r.Crashes {
+		latest = max(latest, crash.At)
+	}
+	return latest
 }
 
 // LimitError reports a Report that exceeds a limit.
@@ -74,10 +90,11 @@
 	if err := cbor.Unmarshal(data, &report); err != nil {
 		return Report{}, errors.Wrap(err, "parse report of crashes")
 	}
-	return report, report.check()
+	return report, report.Check()
 }
 
-func (r Report) check() error {
+// Check returns a *LimitError if the report exceeds a limit.
+func (r Report) Check() error {
 	if len(r.Crashes) > maxCrashes {
 		return &LimitError{What: "crashes", Count: len(r.Crashes), Limit: maxCrashes}
 	}
--- a/store.go
+++ b/store.go
@@ -28,7 +28,11 @@
 	KindLeases Kind = "leases"
 	// KindSeeds has one object for each data centre, with addresses of nodes
 	// through which a new node joins.
-	KindSeeds  Kind = "seeds"
+	KindSeeds Kind = "seeds"
+	// KindQuarantines has one object for each node process whose report of crashes
+	// has quarantined contents.
+	KindQuarantines Kind = "quarantines"
+
 	KindStatus Kind = "status"
 )
 
