bulrushnode: notice the end of a server whose caller had already left

A crash was looked for only when a connection was lost while a request was out. If the caller of the request that caused it had given up, no request was out, and the crash stayed unseen; the trial of such a request also ended with its caller, so that a second suspect could run beside it.

A connection that cannot be opened is a reason to look as well. Requests that ended without an answer count among those that ran for 2 s, and a trial without an answer ends only then. The soak crashes servers, and sends a request that crashes each server, beside its other faults, and checks the users' rule.

TestServerEndAfterACancellation failed before (0 ends seen; the dial was not checked).

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -13,6 +13,7 @@
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmove"
+	"bulrushchute.example/bulrushchute/bulrushquarantine"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -337,9 +338,29 @@
 		a.logRefusal(attempt, *refusal)
 		return bulrushchute.Reply{Refusal: refusal}
 	}
+	reply := a.servePermitted(ctx, attempt, deadline, permit)
 	if permit.trial {
-		defer a.quarantine.leave(attempt.ID, permit)
+		a.endTrial(attempt.ID, permit, reply)
 	}
+	return reply
+}
+
+// endTrial ends the trial of a suspect request, with a delay if the backend server may
+// still be working on it.
+func (a *admission) endTrial(id bulrushchute.AttemptID, permit trialPermit, reply bulrushchute.Reply) {
+	if reply.Failure == nil || reply.Failure.Reason == bulrushchute.ReasonServerEnded {
+		a.quarantine.leave(id, permit)
+		return
+	}
+	a.tasks.Start(a.context, "unanswered trial", func(ctx context.Context) error {
+		bulrushtask.Pause(ctx, bulrushquarantine.UnansweredMemory.Duration())
+		a.quarantine.leave(id, permit)
+		return nil
+	})
+}
+
+// servePermitted runs an attempt that need not wait for a trial, if a move permits it.
+func (a *admission) servePermitted(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis, permit trialPermit) bulrushchute.Reply {
 	generation, granted := a.trial.takeGrant(attempt.Service, a.latestAnnouncement().Version)
 	if !granted {
 		reply := refusalReply(bulrushchute.ReasonVersionLimit, retryAfterDefault)
@@ -485,7 +506,7 @@
 	})
 	elapsed := time.Since(begin)
 	a.quarantine.ended(attempt, permit, result)
-	if result.lostConnection() && a.checkServerEnd(backend) {
+	if result.lostConnection() && a.checkServerEnd(backend) && result.mayHaveRun {
 		result.reason = bulrushchute.ReasonServerEnded
 	}
 	a.observeReport(result.report)
--- a/bulrushnode/dispatch.go
+++ b/bulrushnode/dispatch.go
@@ -24,10 +24,10 @@
 	report          bulrushchute.BackendReport
 }
 
-// lostConnection reports whether the connection ended while the backend server may
-// have run the request.
+// lostConnection reports whether the connection ended before a whole answer, or could
+// not be opened.
 func (dr dispatchResult) lostConnection() bool {
-	return dr.mayHaveRun && (dr.reason == bulrushchute.ReasonConnectionLost || dr.reason == bulrushchute.ReasonTruncated)
+	return dr.answer == nil && (dr.reason == bulrushchute.ReasonConnectionLost || dr.reason == bulrushchute.ReasonTruncated)
 }
 
 // backendClient sends requests to the backend server beside this node.
--- a/bulrushnode/server_end_test.go
+++ b/bulrushnode/server_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushquarantine"
 )
 
 // startLosingServer starts a server that resets the connection of each request once
@@ -36,6 +38,36 @@
 	return bulrushchute.Address(listener.Addr().String())
 }
 
+// Guards against a crash that is not noticed because the caller had left before it:
+// no request is out then.
+func TestServerEndAfterACancellation(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a, clock, announcement := newTestAdmission(t, answerOK)
+	announcement.Address = bulrushchute.Address(listener.Addr().String())
+	a.announce(announcement)
+	cancelled, other := attemptTo("board", 1, clock), attemptTo("board", 2, clock)
+	other.Path = "/other"
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		connection, err := listener.Accept()
+		if err == nil {
+			_, _ = http.ReadRequest(bufio.NewReader(connection))
+		}
+		cancel()
+	}()
+	reply := a.serve(ctx, cancelled)
+	assert.Equal(t, reply.Failure.Reason, bulrushchute.ReasonCancelled)
+	assert.NilError(t, listener.Close())
+	reply = a.serve(t.Context(), other)
+	assert.Assert(t, reply.Refusal != nil)
+	assert.Equal(t, a.serverEndStatus().Ends, 1)
+	_, assessment := a.quarantine.assessAtEntry(clock.Now(), cancelled)
+	assert.Equal(t, assessment.Verdict, bulrushquarantine.Suspect)
+	_, assessment = a.quarantine.assessAtEntry(clock.Now(), other)
+	assert.Equal(t, assessment.Verdict, bulrushquarantine.Free, "it never ran")
+}
+
 // Guards against an end of the backend server that is not noticed, and against a
 // reset connection that counts as one.
 func TestServerEndIsNoticed(t *testing.T) {
--- a/bulrushquarantine/runs.go
+++ b/bulrushquarantine/runs.go
@@ -6,9 +6,9 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// unansweredMemory is the time for which a request that ended without an answer may
-// still be running on the backend server, as after a cancellation.
-const unansweredMemory = bulrushchute.Second
+// UnansweredMemory is the time for which a request that ended without an answer, as
+// after a cancellation, may still be running on the backend server.
+const UnansweredMemory = 2 * bulrushchute.Second
 
 // Runs are the requests that a backend server runs, and those that it may still run
 // although they have ended without an answer.
@@ -48,7 +48,7 @@
 
 func (r *Runs) forget(now bulrushchute.Millis) {
 	r.unanswered = slices.DeleteFunc(r.unanswered, func(run unansweredRun) bool {
-		return now >= run.endedAt+unansweredMemory
+		return now >= run.endedAt+UnansweredMemory
 	})
 }
 
--- a/cmd/bulrushbench/bulrushdemo/crash_test.go
+++ b/cmd/bulrushbench/bulrushdemo/crash_test.go
@@ -155,6 +155,17 @@
 	return crashes, runs
 }
 
+// checkLateRuns checks the users' rule on a request that crashes its servers.
+func checkLateRuns(t *testing.T, crashes, runs []time.Time) {
+	t.Helper()
+	if len(crashes) < knownAfterCrashes {
+		return
+	}
+	known := crashes[knownAfterCrashes-1].Add(knownWithin)
+	late := slices.DeleteFunc(runs, func(at time.Time) bool { return at.Before(known) })
+	assert.Check(t, len(late) <= maxLateRuns, "%d runs later than %s after the third crash", len(late), knownWithin)
+}
+
 func countOutcomes(outcomes []outcome) map[string]int {
 	counts := make(map[string]int)
 	for _, o := range outcomes {
@@ -181,11 +192,7 @@
 			crashes, runs := crashRecords(fleet)
 			t.Logf("crashes=%d runs=%d told=%v good=%v", len(crashes), len(runs), countOutcomes(crashing), countOutcomes(good))
 			assert.Assert(t, len(crashes) > 0)
-			if len(crashes) >= knownAfterCrashes {
-				known := crashes[knownAfterCrashes-1].Add(knownWithin)
-				late := slices.DeleteFunc(runs, func(at time.Time) bool { return at.Before(known) })
-				assert.Check(t, len(late) <= maxLateRuns, "%d runs later than %s after the third crash", len(late), knownWithin)
-			}
+			checkLateRuns(t, crashes, runs)
 			assert.Check(t, tc.maxCrashes == 0 || len(crashes) <= tc.maxCrashes, "%d crashes", len(crashes))
 			checkServedAtTheEnd(t, good)
 			for _, o := range crashing {
--- a/cmd/bulrushbench/bulrushdemo/fault_test.go
+++ b/cmd/bulrushbench/bulrushdemo/fault_test.go
@@ -50,6 +50,9 @@
 	ledgerService = "ledger"
 )
 
+// faultBehaviour is the behaviour of the servers of newFleet.
+var faultBehaviour = bulrushstandin.Behaviour{ServiceMs: 5, CrashPath: crashPath, CrashAfterMs: crashAfterMs}
+
 // newFleet starts four instances in each of two data centres: two of
 // viewService and two of ledgerService.
 func newFleet(t *testing.T) (*bulrushdemo.Fleet, []*bulrushdemo.Instance) {
@@ -87,7 +90,7 @@
 		DataCentre: fmt.Sprintf("dc-%d", number%2),
 		Backend: bulrushstandin.Config{
 			Service: service, Version: "v1", Slots: 10, Connections: 240, ColdSlots: 2, WarmMs: 500,
-			Behaviour: bulrushstandin.Behaviour{ServiceMs: 5}, Seed: uint64(number),
+			RestartMs: 300, Behaviour: faultBehaviour, Seed: uint64(number),
 		},
 	})
 	assert.NilError(t, err)
--- a/cmd/bulrushbench/bulrushdemo/soak_test.go
+++ b/cmd/bulrushbench/bulrushdemo/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,7 +15,6 @@
 
 	"bulrushchute.example/bulrushchute/bulrushstore"
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushdemo"
-	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushstandin"
 )
 
 var (
@@ -37,7 +37,9 @@
 	t         *testing.T
 	fleet     *bulrushdemo.Fleet
 	instances []*bulrushdemo.Instance
-	deadline  time.Time
+	// callers are the instances that no fault but a crash of their server hits.
+	callers  []*bulrushdemo.Instance
+	deadline time.Time
 	// startMutex keeps two workers from starting instances at the same time,
 	// since Fleet.Start is not safe for concurrent use.
 	startMutex sync.Mutex
@@ -48,7 +50,7 @@
 func (s *soak) runWorker(worker int, random *rand.Rand) {
 	for time.Now().Before(s.deadline) {
 		duration := time.Duration(100+random.IntN(1500)) * time.Millisecond
-		fault := random.IntN(4)
+		fault := random.IntN(6)
 		s.t.Logf("worker=%d fault=%d duration=%s", worker, fault, duration)
 		switch {
 		case worker == freezeWorker:
@@ -59,6 +61,12 @@
 			s.replace(worker, s.fleet.Leave)
 		case fault == 2:
 			s.slow(s.instances[worker], duration)
+		case fault == 3:
+			backend := s.instances[worker].Backend
+			backend.Crash(backend.Generation())
+			time.Sleep(duration)
+		case fault == 4:
+			s.sendCrashing(random, duration)
 		default:
 			s.injectStoreFaults(random.Uint64(), duration)
 		}
@@ -83,10 +91,20 @@
 	assert.Check(s.t, previous.WaitExit())
 }
 
+// sendCrashing sends a request that crashes each server that runs it, to the nodes
+// that callers use, at a random pace.
+func (s *soak) sendCrashing(random *rand.Rand, duration time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	callEvery(ctx, s.callers, crashPath, time.Duration(20+random.IntN(400))*time.Millisecond)
+}
+
 func (s *soak) slow(instance *bulrushdemo.Instance, duration time.Duration) {
-	instance.Backend.SetBehaviour(bulrushstandin.Behaviour{ServiceMs: 60})
+	behaviour := faultBehaviour
+	behaviour.ServiceMs = 60
+	instance.Backend.SetBehaviour(behaviour)
 	time.Sleep(duration)
-	instance.Backend.SetBehaviour(bulrushstandin.Behaviour{ServiceMs: 5})
+	instance.Backend.SetBehaviour(faultBehaviour)
 }
 
 func (s *soak) injectStoreFaults(seed uint64, duration time.Duration) {
@@ -96,7 +114,8 @@
 }
 
 // Guards against lost, duplicated or crossed requests while freezes, crashes,
-// replacements, slow servers and a failing store overlap at random. The checks
+// replacements, slow servers, a failing store and a request that crashes its servers
+// overlap at random, and against that request reaching too many servers. The checks
 // compare the results that callers saw with the records of the backend servers.
 func TestSoak(t *testing.T) {
 	for offset := range uint64(*soakSeeds) {
@@ -104,7 +123,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			fleet, instances := newFleet(t)
 			// runUnderLoad sends requests for 1 s before the faults begin.
-			s := &soak{t: t, fleet: fleet, instances: instances, deadline: time.Now().Add(time.Second + *soakDuration)}
+			s := &soak{t: t, fleet: fleet, instances: instances, callers: slices.Clone(instances[soakWorkers:]), deadline: time.Now().Add(time.Second + *soakDuration)}
 			runUnderLoad(t, fleet, callerAddresses(instances, instances[freezeWorker]), func() {
 				var workers sync.WaitGroup
 				for worker := range soakWorkers {
@@ -116,6 +135,8 @@
 				}
 				workers.Wait()
 			})
+			crashes, runs := crashRecords(fleet)
+			checkLateRuns(t, crashes, runs)
 		})
 	}
 }
--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -76,7 +76,7 @@
 	// LastWorkAt is when the latest request arrived; probes do not count.
 	LastWorkAt time.Time `json:"last_work_at"`
 	// CrashRunsAt are the times at which requests to Behaviour.CrashPath began to
-	// run, and CrashesAt those of the crashes.
+	// run, and CrashesAt those of the crashes that they caused.
 	CrashRunsAt []time.Time `json:"crash_runs_at"`
 	CrashesAt   []time.Time `json:"crashes_at"`
 }
@@ -191,14 +191,20 @@
 // address after RestartMs. The call has no effect if the process of the given
 // generation has ended already.
 func (b *Backend) Crash(generation int) {
+	b.crash(generation, false)
+}
+
+func (b *Backend) crash(generation int, byRequest bool) {
 	b.lifeMutex.Lock()
 	defer b.lifeMutex.Unlock()
 	if b.process == nil || generation != b.Generation() {
 		return
 	}
-	b.mutex.Lock()
-	b.report.CrashesAt = append(b.report.CrashesAt, time.Now())
-	b.mutex.Unlock()
+	if byRequest {
+		b.mutex.Lock()
+		b.report.CrashesAt = append(b.report.CrashesAt, time.Now())
+		b.mutex.Unlock()
+	}
 	// An error is that of closing the listener, which ends with the process anyway.
 	_ = b.endProcess()
 	time.AfterFunc(time.Duration(b.config.RestartMs)*time.Millisecond, b.restart)
@@ -369,7 +375,7 @@
 	if crashAfter, crashes := b.crashesServer(request); crashes {
 		// A separate goroutine, because the end of the server waits for no handler, but
 		// a client that leaves must not save the server.
-		time.AfterFunc(crashAfter, func() { b.Crash(generation) })
+		time.AfterFunc(crashAfter, func() { b.crash(generation, true) })
 		<-request.Context().Done()
 		return
 	}
