bulrushquarantine: recent answers keep frequent good requests free of suspicion

Only crashes are sent directly to the nodes of the service now; clearances travel as records, so that a crash costs each of these nodes one message.

--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +43,9 @@
 	mutex  sync.Mutex
 	ledger *bulrushquarantine.Ledger
 	runs   *bulrushquarantine.Runs
-	trials *bulrushquarantine.Trials
+	// answers are the recent ones of the backend server beside this node.
+	answers bulrushquarantine.Answers
+	trials  *bulrushquarantine.Trials
 	// version is that of the backend server beside this node.
 	version bulrushchute.Version
 	// onTrial is the content that runs as a trial, nil if none does.
@@ -50,8 +53,10 @@
 	// changed is closed, and replaced, when a waiting request must be decided on
 	// again.
 	changed chan struct{}
-	// reportChanged is set when the own report has changes that are not published.
+	// reportChanged is set when the own report has changes that are not published, and
+	// crashed when one of them is a crash.
 	reportChanged bool
+	crashed       bool
 	compactedAt   bulrushchute.Millis
 	// durable receives the part of the own report that is kept in the store, when it
 	// has changed. It holds the latest one.
@@ -233,6 +238,9 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.runs.End(now, attempt.ID, answered || !result.mayHaveRun)
+	if answered {
+		q.answers.Record(now, attempt)
+	}
 	if clears && q.ledger.RecordAnswer(now, content) {
 		q.reportChanged = true
 		q.ledgerChanged()
@@ -246,11 +254,13 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	contents := q.runs.TakeContents(now)
+	answered := q.answers.Contents(now)
+	contents = slices.DeleteFunc(contents, func(content bulrushquarantine.Content) bool { return answered[content] })
 	if len(contents) == 0 {
 		return nil, nil
 	}
 	q.ledger.RecordCrash(bulrushquarantine.Crash{ID: newCrashID(), At: now, StartedAt: startedAt, Version: q.version, Contents: contents, Trial: q.onTrial})
-	q.reportChanged = true
+	q.reportChanged, q.crashed = true, true
 	q.ledgerChanged()
 	return contents, q.onTrial
 }
@@ -267,14 +277,29 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.ledger.Apply(node, report)
+	q.clearAnswered(now, report)
 	q.reportChanged = q.ledger.Compact(now) || q.reportChanged
 	q.ledgerChanged()
 }
 
-// takeReport returns the own report if it has changed since the last call.
-func (q *quarantine) takeReport(now bulrushchute.Millis) (bulrushquarantine.Report, bool) {
+// clearAnswered clears contents of a report that this node's server has answered
+// lately. The mutex must be held.
+func (q *quarantine) clearAnswered(now bulrushchute.Millis, report bulrushquarantine.Report) {
+	if len(report.Crashes) == 0 {
+		return
+	}
+	for content := range q.answers.Contents(now) {
+		if report.Names(content) && q.ledger.RecordAnswer(now, content) {
+			q.reportChanged = true
+		}
+	}
+}
+
+// takeReport returns the own report, whether it has changed since the last call, and
+// whether that is because of a crash.
+func (q *quarantine) takeReport(now bulrushchute.Millis) (report bulrushquarantine.Report, changed, crashed bool) {
 	if !q.active.Load() && !q.hasChangedReport() {
-		return bulrushquarantine.Report{}, false
+		return report, false, false
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -283,12 +308,12 @@
 		q.reportChanged = q.ledger.Compact(now) || q.reportChanged
 		q.ledgerChanged()
 	}
-	changed := q.reportChanged
-	q.reportChanged = false
+	changed, crashed = q.reportChanged, q.crashed
+	q.reportChanged, q.crashed = false, false
 	if changed || now == q.compactedAt {
 		q.updateDurable(now)
 	}
-	return q.ledger.Own(), changed
+	return q.ledger.Own(), changed, crashed
 }
 
 // updateDurable passes a changed durable part of the own report to the writer, in
@@ -385,11 +410,11 @@
 
 // The methods below run in control's goroutine.
 
-// publishQuarantine makes changes of this node's report of crashes known: directly to
-// the nodes of its service, through which all requests for the service pass, and as a
-// record to all others.
+// publishQuarantine makes changes of this node's report of crashes known as a record. A
+// crash is also sent directly to the nodes of the service, through which all requests
+// for the service pass.
 func (c *control) publishQuarantine(now bulrushchute.Millis) {
-	report, changed := c.quarantine.takeReport(now)
+	report, changed, crashed := c.quarantine.takeReport(now)
 	if !changed {
 		return
 	}
@@ -405,6 +430,13 @@
 		Value:   value,
 	}
 	c.membership.Table().Publish(now, record)
+	if crashed {
+		c.notifyService(record)
+	}
+}
+
+// notifyService sends a record to nodes of the same service.
+func (c *control) notifyService(record bulrushchute.Record) {
 	notified := 0
 	for id, member := range c.members[c.admission.latestAnnouncement().Service] {
 		if id == c.id || notified >= maxNotified {
--- a/bulrushnode/quarantine_test.go
+++ b/bulrushnode/quarantine_test.go
@@ -179,3 +179,28 @@
 		})
 	}
 }
+
+// Guards against a frequent good request that becomes suspect at each crash, on the
+// node whose server crashed or on another one that has just answered it.
+func TestRecentlyAnsweredIsNotSuspect(t *testing.T) {
+	cases := map[string]func(a *admission, attempt bulrushchute.Attempt, now bulrushchute.Millis){
+		"own server crashed": func(a *admission, attempt bulrushchute.Attempt, _ bulrushchute.Millis) {
+			assert.Assert(t, a.quarantine.start(attempt, trialPermit{}) == nil)
+			a.quarantine.recordCrash(0)
+		},
+		"another server crashed": func(a *admission, attempt bulrushchute.Attempt, now bulrushchute.Millis) {
+			a.quarantine.apply(now, "other", reportAgainst(attempt, now, false))
+		},
+	}
+	for name, crash := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, clock, _ := newTestAdmission(t, answerOK)
+			attempt := attemptTo("board", 1, clock)
+			assert.Assert(t, a.serve(t.Context(), attempt).Answer != nil)
+			attempt.ID = bulrushchute.AttemptID{2}
+			crash(a, attempt, clock.Now())
+			_, assessment := a.quarantine.assessAtEntry(clock.Now(), attempt)
+			assert.Equal(t, assessment.Verdict, bulrushquarantine.Free)
+		})
+	}
+}
--- a/bulrushquarantine/report.go
+++ b/bulrushquarantine/report.go
@@ -56,6 +56,11 @@
 	})
 }
 
+// Names reports whether a content ran at one of the crashes.
+func (r Report) Names(content Content) bool {
+	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return slices.Contains(crash.Contents, content) })
+}
+
 // LastCrashAt returns the time of the latest crash, 0 if there is none.
 func (r Report) LastCrashAt() bulrushchute.Millis {
 	latest := bulrushchute.Millis(0)
