bulrushquarantine: keep the likely cause when a report is full

A report named the contents at a crash in the order of their hashes and dropped its oldest crash, so that on a server with more than 64 requests at a time, or after 32 crashes, the cause could be the one that is left out.

Contents are in the order of their beginning, the latest first, since a crash usually follows soon after the beginning of its cause. A crash that ended a trial is dropped only if all have.

TestReportIsBounded (the known cause was dropped before), TestContentsAtACrash.

--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -137,7 +137,7 @@
 }
 
 // enter decides whether an attempt may go on to the backend server, and waits until
-// it may. The permit must be returned with leave.
+// it may. A permit for a trial must be returned with leave.
 func (q *quarantine) enter(ctx context.Context, attempt bulrushchute.Attempt, deadline bulrushchute.Millis) (trialPermit, *bulrushchute.Refusal) {
 	if !q.active.Load() {
 		return trialPermit{}, nil
@@ -222,7 +222,7 @@
 			return refusalOfContent(now, assessment)
 		}
 	}
-	q.runs.Start(attempt)
+	q.runs.Start(now, attempt)
 	return nil
 }
 
--- a/bulrushquarantine/ledger_test.go
+++ b/bulrushquarantine/ledger_test.go
@@ -165,7 +165,8 @@
 	for i := range contents {
 		contents[i] = Content{byte(i), byte(i >> 8), 1}
 	}
-	newest := content(1)
+	newest, oldest := content(1), content(2)
+	l.RecordCrash(crashOf(1<<33, t0, &oldest, oldest))
 	for id := range CrashID(10 * maxCrashes) {
 		l.RecordCrash(crashOf(id, t0, nil, append([]Content{{byte(id), byte(id >> 8), 2}}, contents...)...))
 		l.RecordAnswer(t0, Content{byte(id), byte(id >> 8), 2})
@@ -178,6 +179,7 @@
 	assert.Equal(t, len(parsed.Crashes), maxCrashes)
 	assert.Assert(t, len(data) < 64<<10, "%d bytes", len(data))
 	assert.Equal(t, l.Assess(t0, newest).Verdict, Quarantined)
+	assert.Equal(t, l.Assess(t0, oldest).Verdict, Quarantined, "dropped although its cause is known")
 }
 
 // Guards against bytes of a faulty node that end the process or fill its memory.
--- a/bulrushquarantine/report.go
+++ b/bulrushquarantine/report.go
@@ -119,12 +119,16 @@
 	return nil
 }
 
-// withCrash returns the report with a further crash. It drops the oldest ones in
-// excess of the limit.
+// withCrash returns the report with a further crash. In excess of the limit it drops
+// the oldest one that ended no trial, or else the oldest one.
 func (r Report) withCrash(crash Crash) Report {
 	crash.Contents = crash.Contents[:min(len(crash.Contents), maxContents)]
 	crashes := append(slices.Clone(r.Crashes), crash)
-	r.Crashes = crashes[max(0, len(crashes)-maxCrashes):]
+	if len(crashes) > maxCrashes {
+		dropped := max(0, slices.IndexFunc(crashes, func(c Crash) bool { return c.Trial == nil }))
+		crashes = slices.Delete(crashes, dropped, dropped+1)
+	}
+	r.Crashes = crashes
 	return r
 }
 
--- a/bulrushquarantine/runs_test.go
+++ b/bulrushquarantine/runs_test.go
@@ -19,15 +19,24 @@
 		steps func(r *Runs)
 		want  []string
 	}{
-		"running":            {func(r *Runs) { r.Start(attemptOn(1, "/a")) }, []string{"/a"}},
-		"answered":           {func(r *Runs) { r.Start(attemptOn(1, "/a")); r.End(1900, bulrushchute.AttemptID{1}, true) }, nil},
-		"cancelled just now": {func(r *Runs) { r.Start(attemptOn(1, "/a")); r.End(1900, bulrushchute.AttemptID{1}, false) }, []string{"/a"}},
+		"running":            {func(r *Runs) { r.Start(1000, attemptOn(1, "/a")) }, []string{"/a"}},
+		"answered":           {func(r *Runs) { r.Start(1000, attemptOn(1, "/a")); r.End(1900, bulrushchute.AttemptID{1}, true) }, nil},
+		"cancelled just now": {func(r *Runs) { r.Start(1000, attemptOn(1, "/a")); r.End(1900, bulrushchute.AttemptID{1}, false) }, []string{"/a"}},
 		"cancelled long ago": {func(r *Runs) {
-			r.Start(attemptOn(1, "/a"))
+			r.Start(1000, attemptOn(1, "/a"))
 			r.End(2000-UnansweredMemory, bulrushchute.AttemptID{1}, false)
 		}, nil},
-		"same content twice":  {func(r *Runs) { r.Start(attemptOn(1, "/a")); r.Start(attemptOn(2, "/a")) }, []string{"/a"}},
-		"crashed once before": {func(r *Runs) { r.Start(attemptOn(1, "/a")); r.TakeContents(1999); r.Start(attemptOn(2, "/b")) }, []string{"/b"}},
+		"same content twice": {func(r *Runs) { r.Start(1000, attemptOn(1, "/a")); r.Start(1000, attemptOn(2, "/a")) }, []string{"/a"}},
+		"latest first": {func(r *Runs) {
+			r.Start(1000, attemptOn(1, "/a"))
+			r.Start(1200, attemptOn(2, "/b"))
+			r.Start(1100, attemptOn(3, "/c"))
+		}, []string{"/b", "/c", "/a"}},
+		"crashed once before": {func(r *Runs) {
+			r.Start(1000, attemptOn(1, "/a"))
+			r.TakeContents(1999)
+			r.Start(1000, attemptOn(2, "/b"))
+		}, []string{"/b"}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/bulrushquarantine/simulation_test.go
+++ b/bulrushquarantine/simulation_test.go
@@ -224,7 +224,7 @@
 		run.endsAt = s.now + simCrashAfter
 		s.badRuns = append(s.badRuns, s.now)
 	}
-	target.runs.Start(attempt)
+	target.runs.Start(s.now, attempt)
 	target.active = append(target.active, run)
 	return verdict
 }
