--- a/bulrushquarantine/ledger_test.go
+++ b/bulrushquarantine/ledger_test.go
@@ -211,3 +211,23 @@
 	// quarantined
 	// free
 }
+
+// Guards against reports of all nodes that exceed the memory of a node at the target
+// size, when callers crash each server as often as a report can hold.
+func TestFullReportsOfAllNodesFitIntoMemory(t *testing.T) {
+	const (
+		targetNodes = 23_000
+		memoryBytes = 256 << 20
+	)
+	l := NewLedger("10.2.0.15:7220/4c44c96d4118")
+	for id := range CrashID(maxCrashes) {
+		contents := make([]Content, maxContents)
+		for i := range contents {
+			contents[i] = Content{byte(id), byte(i), 1}
+		}
+		l.RecordCrash(crashOf(id, t0, nil, contents...))
+	}
+	data, err := l.Own().Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, targetNodes*len(data) < memoryBytes, "%d MB", targetNodes*len(data)>>20)
+}
--- a/bulrushquarantine/simulation_test.go
+++ b/bulrushquarantine/simulation_test.go
@@ -316,3 +316,29 @@
 		})
 	}
 }
+
+// Guards against a rare good request that is refused because a server was killed for
+// another reason during its trial. Frequent ones are cleared by other runs meanwhile.
+func TestRareGoodRequestInASimulatedFleet(t *testing.T) {
+	for _, every := range []bulrushchute.Millis{200, 500, 1000, 2000} {
+		t.Run(fmt.Sprintf("every %d ms", every), func(t *testing.T) {
+			quarantined, sent := 0, 0
+			for seed := range uint64(40) {
+				s := newSimulation(seed)
+				for s.now < t0+simEnd/3 {
+					s.step("")
+					if s.now%every == 0 {
+						sent++
+						if s.request("/good", "") == Quarantined {
+							quarantined++
+						}
+					}
+					if s.now%bulrushchute.Second == 0 {
+						s.crash(s.nodes[s.random.IntN(len(s.nodes))])
+					}
+				}
+			}
+			assert.Equal(t, quarantined, 0, "of %d", sent)
+		})
+	}
+}
