Reserve the ports of nodes that tests and the demo start

Its tests picked a port by listening on port 0 and closing the listener, and started a node there later. Until then any outgoing connection could take the port, since it lay in the ephemeral range. The node then ended, its error was not read, and awaitArrival waited without end for a request to arrive.

bulrushport reserves ports below the ephemeral range, by binding the UDP port of the same number until the owner releases it.

--- a/bulrushnode/tls_node_test.go
+++ b/bulrushnode/tls_node_test.go
@@ -2,16 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushport"
 	"bulrushchute.example/bulrushchute/bulrushstore"
 )
 
@@ -51,29 +49,19 @@
 	}
 }
 
-// nextPort starts below the ephemeral ports, which the system assigns to
-// outgoing connections, since a restarted node needs the same port again.
-var nextPort = 20000 + os.Getpid()*20%12000
-
-func freeAddress(t *testing.T) bulrushchute.Address {
-	for range 1000 {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort))
-		nextPort++
-		if listener, err := net.Listen("tcp", address); err == nil {
-			assert.NilError(t, listener.Close())
-			return bulrushchute.Address(address)
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+func reserveAddress(t *testing.T) bulrushchute.Address {
+	reservation, err := bulrushport.Reserve(t.Context())
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, reservation.Release()) })
+	return reservation.Address
 }
 
-// nodeSettings returns settings with free addresses.
+// nodeSettings returns settings with reserved addresses.
 func nodeSettings(t *testing.T) Settings {
 	return Settings{
 		DataCentre:    "ub-1",
-		CallerAddress: freeAddress(t),
-		PeerAddress:   freeAddress(t),
+		CallerAddress: reserveAddress(t),
+		PeerAddress:   reserveAddress(t),
 		ClockSkewMs:   DefaultClockSkewMs,
 		GraceMs:       minGraceMs,
 	}
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -19,6 +19,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushnode"
+	"bulrushchute.example/bulrushchute/bulrushport"
 	"bulrushchute.example/bulrushchute/bulrushstore"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 	"bulrushchute.example/bulrushchute/cmd/bulrushbench/bulrushstandin"
@@ -33,12 +34,6 @@
 	readyTimeout      = 20 * time.Second
 	readyPollInterval = 50 * time.Millisecond
 	stopTimeout       = 30 * time.Second
-
-	// Range of the nodes' ports. Each process starts at a port that depends on
-	// its process ID, so that concurrent runs do not use the same ports.
-	firstPort       = 10_000
-	lastPort        = 20_000
-	portsPerProcess = 100
 )
 
 // InstanceConfig describes one instance: a backend server with its node.
@@ -78,8 +73,7 @@
 	context     context.Context
 	cancel      context.CancelFunc
 	instances   []*Instance
-	// nextPort is the port to try next.
-	nextPort int
+	reservations []*bulrushport.Reservation
 }
 
 // NewFleet starts the stand-in for the store. Nodes will run the program at the
@@ -103,7 +97,6 @@
 		tasks:       bulrushtask.NewGroup(nil),
 		context:     ctx,
 		cancel:      cancel,
-		nextPort:    firstPort + os.Getpid()*portsPerProcess%(lastPort-firstPort),
 	}
 	f.StoreHandler = bulrushstore.NewHandler(f.MemoryStore, bulrushstore.HandlerSettings{})
 	f.storeServer = &http.Server{Handler: f.StoreHandler, ReadHeaderTimeout: requestTimeout}
@@ -114,7 +107,11 @@
 
 // Start starts a backend server and its node.
 func (f *Fleet) Start(config InstanceConfig) (*Instance, error) {
-	backend, err := bulrushstandin.Start(f.context, loopback+":0", config.Backend)
+	backendAddress, err := f.reserveAddress()
+	if err != nil {
+		return nil, err
+	}
+	backend, err := bulrushstandin.Start(f.context, string(backendAddress), config.Backend)
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +124,7 @@
 		ClockSkewMs:       clockSkewMs,
 		TrustTenantHeader: true,
 	}
-	if err := f.assignAddresses(f.context, &instance.Settings); err != nil {
+	if err := f.assignAddresses(&instance.Settings); err != nil {
 		return nil, err
 	}
 	f.instances = append(f.instances, instance)
@@ -138,33 +135,27 @@
 	return instance, nil
 }
 
-// assignAddresses sets the addresses on which the node listens to free ports.
-func (f *Fleet) assignAddresses(ctx context.Context, settings *bulrushnode.Settings) error {
+// assignAddresses sets the addresses on which the node listens.
+func (f *Fleet) assignAddresses(settings *bulrushnode.Settings) error {
 	for _, address := range []*bulrushchute.Address{&settings.CallerAddress, &settings.PeerAddress, &settings.OperatorAddress} {
-		free, err := f.freePort(ctx)
+		reserved, err := f.reserveAddress()
 		if err != nil {
 			return err
 		}
-		*address = free
+		*address = reserved
 	}
 	return nil
 }
 
-// freePort returns the next free port of the range, which lies below the
-// ephemeral ports: an outgoing connection could take one of those between this
-// check and the start of the node.
-func (f *Fleet) freePort(ctx context.Context) (bulrushchute.Address, error) {
-	var listenConfig net.ListenConfig
-	for f.nextPort < lastPort {
-		address := fmt.Sprintf("%s:%d", loopback, f.nextPort)
-		f.nextPort++
-		listener, err := listenConfig.Listen(ctx, "tcp", address)
-		if err != nil {
-			continue
-		}
-		return bulrushchute.Address(address), errors.Wrap(listener.Close(), "close the probing listener")
+// reserveAddress returns an address that is kept until Stop, since nodes and
+// backend servers that restart need theirs again.
+func (f *Fleet) reserveAddress() (bulrushchute.Address, error) {
+	reservation, err := bulrushport.Reserve(f.context)
+	if err != nil {
+		return "", err
 	}
-	return "", errors.New("no free port for the node")
+	f.reservations = append(f.reservations, reservation)
+	return reservation.Address, nil
 }
 
 func (f *Fleet) startNode(instance *Instance) error {
@@ -419,6 +410,12 @@
 	f.cancel()
 	_ = f.storeServer.Close()
 	f.tasks.Wait()
+	for _, reservation := range f.reservations {
+		if err := reservation.Release(); err != nil && firstErr == nil {
+			firstErr = err
+		}
+	}
+	f.reservations = nil
 	return firstErr
 }
 
