Quarantine a content after two trials, and notice other ends of servers

Callers saw: a rare good request refused with content_quarantined for 30 s or more because a server was killed for another reason during its trial.

Cause: one crash during a trial counted as proof of its cause, whatever else ended servers at that time.

Change: two trials have to end with their servers. Reports also state when a server ended that ran nothing which may be the cause: it was idle, or all of its requests have run to their end elsewhere since. If that happened within 30 s of a trial's crash in the same service, it takes four crashes. The prober asks whether the server has ended when a health check fails, so that idle ones are noticed; a server that said that it leaves doesn't count.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -147,7 +147,7 @@
 	}
 	a.notifyWaiters(a.controller.ObserveCold(now, announcement.ColdMs))
 	a.backend = announcement
-	a.quarantine.setVersion(announcement.Version)
+	a.quarantine.setServer(announcement.Service, announcement.Version)
 	a.healthy = true
 	if announcement.State == BackendDraining || a.draining {
 		a.controller.Drain(now)
--- a/bulrushnode/prober.go
+++ b/bulrushnode/prober.go
@@ -83,6 +83,9 @@
 		return
 	}
 	p.recordResult(ok)
+	if !ok && backend.State == BackendServing {
+		p.admission.checkServerEnd(backend)
+	}
 	p.admission.observeProbe(bulrushadmission.ProbeReport{Kind: kind, Failed: !ok, Cold: report.Cold}, report.Draining)
 }
 
--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -186,11 +186,12 @@
 	return &bulrushchute.Refusal{Reason: bulrushchute.ReasonOnTrial, RetryAfter: retryAfterOnTrial}
 }
 
-// setVersion sets the version of the backend server beside this node.
-func (q *quarantine) setVersion(version bulrushchute.Version) {
+// setServer sets the service and the version of the backend server beside this node.
+func (q *quarantine) setServer(service bulrushchute.Service, version bulrushchute.Version) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.version = version
+	q.ledger.SetService(service)
 }
 
 // leave ends the trial of an attempt, or its wait for one.
@@ -247,20 +248,26 @@
 	}
 }
 
-// recordCrash records that the backend server has ended, and returns the contents of
-// the requests that it ran.
-func (q *quarantine) recordCrash(startedAt bulrushchute.Millis) ([]bulrushquarantine.Content, *bulrushquarantine.Content) {
+// recordEnd records that the backend server has ended, and returns the contents of
+// the requests that may have caused it. With announced set, the server had said that
+// it leaves.
+func (q *quarantine) recordEnd(startedAt bulrushchute.Millis, announced bool) ([]bulrushquarantine.Content, *bulrushquarantine.Content) {
 	now := q.clock.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	contents := q.runs.TakeContents(now)
 	answered := q.answers.Contents(now)
 	contents = slices.DeleteFunc(contents, func(content bulrushquarantine.Content) bool { return answered[content] })
+	if len(contents) == 0 && announced {
+		return nil, nil
+	}
+	q.reportChanged = true
 	if len(contents) == 0 {
+		q.ledger.RecordEnd(now)
 		return nil, nil
 	}
 	q.ledger.RecordCrash(bulrushquarantine.Crash{ID: newCrashID(), At: now, StartedAt: startedAt, Version: q.version, Contents: contents, Trial: q.onTrial})
-	q.reportChanged, q.crashed = true, true
+	q.crashed = true
 	q.ledgerChanged()
 	return contents, q.onTrial
 }
--- a/bulrushnode/server_end.go
+++ b/bulrushnode/server_end.go
@@ -90,8 +90,9 @@
 	a.serverEnd.process = backend
 	a.serverEnd.count++
 	a.healthy = false
+	announced := a.backend.State == BackendDraining
 	a.mutex.Unlock()
-	contents, trial := a.quarantine.recordCrash(backend.StartedAtMs)
+	contents, trial := a.quarantine.recordEnd(backend.StartedAtMs, announced)
 	klog.InfoS("backend server ended", "server", backend.Server, "version", backend.Version, "running", len(contents),
 		"trial", trial != nil, "contents", shortenContents(contents))
 	a.quarantine.publish()
--- a/bulrushnode/server_end_test.go
+++ b/bulrushnode/server_end_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushquarantine"
 )
 
@@ -89,3 +90,44 @@
 		})
 	}
 }
+
+// Guards against an idle server that ends and is no sign of other ends, and against a
+// planned stop or a failed health check that is one.
+func TestIdleServerEndIsReported(t *testing.T) {
+	cases := map[string]struct {
+		ends  bool
+		state BackendState
+		want  int
+	}{
+		"ended":             {true, BackendServing, 1},
+		"ended as it said":  {true, BackendDraining, 0},
+		"fails its checks":  {false, BackendServing, 0},
+		"fails, and leaves": {false, BackendDraining, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, clock, announcement := newTestAdmission(t, func(writer http.ResponseWriter, _ *http.Request) {
+				writer.WriteHeader(http.StatusInternalServerError)
+			})
+			if tc.ends {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				assert.NilError(t, err)
+				assert.NilError(t, listener.Close())
+				announcement.Address = bulrushchute.Address(listener.Addr().String())
+			}
+			announcement.State = tc.state
+			a.announce(announcement)
+			p := newProber(a, func(bulrushchute.Service) bulrushcatalogue.Probe {
+				return bulrushcatalogue.Probe{BudgetPerS: 10, HealthPath: "/health", LoadPath: "/health"}
+			})
+			for range 2 {
+				p.probe(t.Context())
+				clock.Advance(bulrushchute.Second)
+			}
+			report, changed, _ := a.quarantine.takeReport(clock.Now())
+			assert.Equal(t, changed, tc.want > 0)
+			assert.Equal(t, len(report.Ends), tc.want)
+			assert.Assert(t, tc.want == 0 || report.Service == "board")
+		})
+	}
+}
--- a/bulrushquarantine/ledger.go
+++ b/bulrushquarantine/ledger.go
@@ -11,15 +11,21 @@
 	// which no trial crashed a server, and crashRetention that for all others.
 	suspectRetention = bulrushchute.Hour
 	crashRetention   = 24 * bulrushchute.Hour
-	// retrialDelay is the time after the second crash at which a third server is
-	// risked, so that a coincidence is found out soon. longRetrialDelay is the time
-	// after the third crash; it doubles with each further one.
-	retrialDelay     = 30 * bulrushchute.Second
-	longRetrialDelay = 10 * bulrushchute.Minute
-	// certainCrashes is the number of crashes after which a content counts as their
-	// cause, and maxRetrials the number of servers that are risked after that.
+	// causeTrials is the number of trials that have to end with their servers before
+	// a content counts as the cause: another event may have met the first one by
+	// chance.
+	causeTrials = 2
+	// coincidenceWindow is the time around the crash of a trial within which an end of
+	// another server of the service, for another reason, makes a coincidence likely.
+	// The content then counts as the cause after coincidentCrashes crashes only.
+	coincidenceWindow = 30 * bulrushchute.Second
+	coincidentCrashes = 4
+	// retrialDelay is the time from the last crash to the next trial. It doubles with
+	// each crash in excess of certainCrashes.
+	retrialDelay   = 10 * bulrushchute.Minute
 	certainCrashes = 3
-	maxRetrials    = 3
+	// maxRetrials is the number of servers that are risked after certainCrashes.
+	maxRetrials = 3
 	// maxClockSkew limits how far in the future a crash may be.
 	maxClockSkew = bulrushchute.Minute
 	// markDuration is the time for which a node regards a content as suspect because
@@ -83,6 +89,7 @@
 	crash   CrashID
 	at      bulrushchute.Millis
 	version bulrushchute.Version
+	service bulrushchute.Service
 	trial   bool
 }
 
@@ -95,12 +102,15 @@
 // the reports only, not on the order in which they arrived.
 type Ledger struct {
 	own     bulrushchute.InstanceID
+	service bulrushchute.Service
 	reports map[bulrushchute.InstanceID]Report
 	// byContent holds the crashes of all reports, and cleared the number of reports
 	// that clear a content of a crash.
 	byContent map[Content][]evidence
 	cleared   map[clearanceKey]int
-	marks     map[Content]bulrushchute.Millis
+	// ends holds those of all reports.
+	ends  map[bulrushchute.Service][]bulrushchute.Millis
+	marks map[Content]bulrushchute.Millis
 }
 
 // NewLedger returns the empty ledger of a node.
@@ -110,6 +120,7 @@
 		reports:   make(map[bulrushchute.InstanceID]Report),
 		byContent: make(map[Content][]evidence),
 		cleared:   make(map[clearanceKey]int),
+		ends:      make(map[bulrushchute.Service][]bulrushchute.Millis),
 		marks:     make(map[Content]bulrushchute.Millis),
 	}
 }
@@ -123,7 +134,7 @@
 func (l *Ledger) Apply(node bulrushchute.InstanceID, report Report) {
 	l.index(l.reports[node], -1)
 	delete(l.reports, node)
-	if len(report.Crashes) == 0 && len(report.Clearances) == 0 {
+	if report.empty() {
 		return
 	}
 	l.reports[node] = report
@@ -134,9 +145,12 @@
 func (l *Ledger) index(report Report, count int) {
 	for _, crash := range report.Crashes {
 		for _, content := range crash.Contents {
-			l.indexCrash(crash, content, count)
+			l.indexCrash(report.Service, crash, content, count)
 		}
 	}
+	for _, at := range report.Ends {
+		l.indexEnd(report.Service, at, count)
+	}
 	for _, clearance := range report.Clearances {
 		for _, crash := range clearance.Crashes {
 			key := clearanceKey{content: clearance.Content, crash: crash}
@@ -148,10 +162,23 @@
 	}
 }
 
-func (l *Ledger) indexCrash(crash Crash, content Content, count int) {
+func (l *Ledger) indexEnd(service bulrushchute.Service, at bulrushchute.Millis, count int) {
+	if count > 0 {
+		l.ends[service] = append(l.ends[service], at)
+		return
+	}
+	if i := slices.Index(l.ends[service], at); i >= 0 {
+		l.ends[service] = slices.Delete(l.ends[service], i, i+1)
+	}
+	if len(l.ends[service]) == 0 {
+		delete(l.ends, service)
+	}
+}
+
+func (l *Ledger) indexCrash(service bulrushchute.Service, crash Crash, content Content, count int) {
 	if count > 0 {
 		l.byContent[content] = append(l.byContent[content], evidence{
-			crash: crash.ID, at: crash.At, version: crash.Version, trial: crash.Trial != nil && *crash.Trial == content,
+			crash: crash.ID, at: crash.At, version: crash.Version, service: service, trial: crash.Trial != nil && *crash.Trial == content,
 		})
 		return
 	}
@@ -161,15 +188,31 @@
 	}
 }
 
+// SetService sets the service of the backend server beside this node.
+func (l *Ledger) SetService(service bulrushchute.Service) {
+	l.service = service
+}
+
 // RecordCrash adds a crash of the backend server beside this node to its report.
 func (l *Ledger) RecordCrash(crash Crash) {
-	l.Apply(l.own, l.reports[l.own].withCrash(crash))
+	l.applyOwn(l.Own().withCrash(crash))
+}
+
+// RecordEnd adds an end of the backend server beside this node that no request can
+// have caused to its report.
+func (l *Ledger) RecordEnd(now bulrushchute.Millis) {
+	l.applyOwn(l.Own().withEnd(now))
+}
+
+func (l *Ledger) applyOwn(report Report) {
+	report.Service = l.service
+	l.Apply(l.own, report)
 }
 
 // RecordAnswer records that a request of a content has run to its end on the backend
 // server beside this node. It reports whether that changed the node's report.
 func (l *Ledger) RecordAnswer(now bulrushchute.Millis, content Content) bool {
-	valid, _ := l.valid(now, content)
+	valid := l.valid(now, content)
 	if len(valid) == 0 {
 		return false
 	}
@@ -177,7 +220,7 @@
 	for _, e := range valid {
 		clearance.Crashes = append(clearance.Crashes, e.crash)
 	}
-	l.Apply(l.own, l.reports[l.own].withClearance(clearance))
+	l.applyOwn(l.Own().withClearance(clearance))
 	return true
 }
 
@@ -205,26 +248,51 @@
 }
 
 // valid returns the crashes of which a content was not cleared and that still count
-// against it, and whether one of them ended a trial.
-func (l *Ledger) valid(now bulrushchute.Millis, content Content) ([]evidence, bool) {
+// against it.
+func (l *Ledger) valid(now bulrushchute.Millis, content Content) []evidence {
 	var valid []evidence
-	trial := false
 	for _, e := range l.byContent[content] {
 		if l.cleared[clearanceKey{content: content, crash: e.crash}] > 0 || now >= e.at+crashRetention {
 			continue
 		}
 		valid = append(valid, e)
-		trial = trial || e.trial
 	}
-	if !trial {
+	if countTrials(valid) == 0 {
 		valid = slices.DeleteFunc(valid, func(e evidence) bool { return now >= e.at+suspectRetention })
 	}
-	return valid, trial
+	return valid
+}
+
+// countTrials returns the number of crashes that ended a trial.
+func countTrials(valid []evidence) int {
+	count := 0
+	for _, e := range valid {
+		if e.trial {
+			count++
+		}
+	}
+	return count
+}
+
+// causes reports whether a content counts as the cause of crashes.
+func (l *Ledger) causes(valid []evidence) bool {
+	if countTrials(valid) < causeTrials {
+		return false
+	}
+	return len(valid) >= coincidentCrashes || !slices.ContainsFunc(valid, func(e evidence) bool { return e.trial && l.othersEnded(e) })
+}
+
+// othersEnded reports whether servers of the service ended for another reason about
+// the time of a crash.
+func (l *Ledger) othersEnded(e evidence) bool {
+	return slices.ContainsFunc(l.ends[e.service], func(at bulrushchute.Millis) bool {
+		return at >= e.at-coincidenceWindow && at <= e.at+coincidenceWindow
+	})
 }
 
 // Assess returns what is known of a content.
 func (l *Ledger) Assess(now bulrushchute.Millis, content Content) Assessment {
-	valid, trial := l.valid(now, content)
+	valid := l.valid(now, content)
 	assessment := Assessment{Crashes: len(valid)}
 	for _, e := range valid {
 		assessment.LastCrashAt = max(assessment.LastCrashAt, e.at)
@@ -233,7 +301,7 @@
 	slices.Sort(assessment.Versions)
 	assessment.Versions = slices.Compact(assessment.Versions)
 	switch {
-	case len(valid) > 0 && trial:
+	case l.causes(valid):
 		assessment.Until = assessment.LastCrashAt + quarantineDuration(len(valid))
 		assessment.Verdict = Suspect
 		if now < assessment.Until {
@@ -251,14 +319,10 @@
 // quarantineDuration returns the time from the last of a number of crashes to the
 // next trial.
 func quarantineDuration(crashes int) bulrushchute.Millis {
-	switch {
-	case crashes < certainCrashes:
-		return retrialDelay
-	case crashes < certainCrashes+maxRetrials:
-		return longRetrialDelay << (crashes - certainCrashes)
-	default:
+	if crashes >= certainCrashes+maxRetrials {
 		return crashRetention
 	}
+	return retrialDelay << max(0, crashes-certainCrashes)
 }
 
 // Down reports whether the backend server beside a node has ended, if the process
@@ -269,25 +333,30 @@
 
 // Compact removes from this node's report what no longer matters: contents that were
 // cleared, crashes that count against nothing, and clearances of crashes that no
-// report names any more. It reports whether the report changed.
+// report names any more. A crash of which all contents were cleared becomes an end for
+// another reason. It reports whether the report changed.
 func (l *Ledger) Compact(now bulrushchute.Millis) bool {
 	for content, until := range l.marks {
 		if now >= until {
 			delete(l.marks, content)
 		}
 	}
-	report := l.reports[l.own]
-	compacted := Report{}
-	changed := false
+	report := l.Own()
+	compacted := Report{Ends: slices.DeleteFunc(slices.Clone(report.Ends), func(at bulrushchute.Millis) bool { return now >= at+suspectRetention })}
+	changed := len(compacted.Ends) != len(report.Ends)
 	for _, crash := range report.Crashes {
 		contents := slices.DeleteFunc(slices.Clone(crash.Contents), func(content Content) bool {
-			valid, _ := l.valid(now, content)
+			valid := l.valid(now, content)
 			return !slices.ContainsFunc(valid, func(e evidence) bool { return e.crash == crash.ID })
 		})
 		changed = changed || len(contents) != len(crash.Contents)
 		crash.Contents = contents
-		if len(contents) > 0 {
+		switch {
+		case len(contents) > 0:
 			compacted.Crashes = append(compacted.Crashes, crash)
+		case now < crash.At+suspectRetention:
+			// All of its requests have run to their end elsewhere.
+			compacted = compacted.withEnd(crash.At)
 		}
 	}
 	for _, clearance := range report.Clearances {
@@ -298,7 +367,7 @@
 		}
 	}
 	if changed {
-		l.Apply(l.own, compacted)
+		l.applyOwn(compacted)
 	}
 	return changed
 }
@@ -317,13 +386,12 @@
 }
 
 // Durable returns the part of this node's report that must outlive the loss of all
-// nodes: the crashes with the contents that a trial found to be their cause.
+// nodes: the crashes with the contents of which a trial ended with its server.
 func (l *Ledger) Durable(now bulrushchute.Millis) Report {
-	var durable Report
-	for _, crash := range l.reports[l.own].Crashes {
+	durable := Report{Service: l.service}
+	for _, crash := range l.Own().Crashes {
 		crash.Contents = slices.DeleteFunc(slices.Clone(crash.Contents), func(content Content) bool {
-			_, trial := l.valid(now, content)
-			return !trial
+			return countTrials(l.valid(now, content)) == 0
 		})
 		if len(crash.Contents) > 0 {
 			durable.Crashes = append(durable.Crashes, crash)
--- a/bulrushquarantine/report.go
+++ b/bulrushquarantine/report.go
@@ -15,6 +15,7 @@
 	maxCrashes    = 32
 	maxContents   = 64
 	maxClearances = 256
+	maxEnds       = 8
 )
 
 // CrashID identifies a crash. The node that observes the crash chooses it at random.
@@ -47,6 +48,17 @@
 type Report struct {
 	Crashes    []Crash     `cbor:"1,keyasint,omitempty" json:"crashes,omitempty"`
 	Clearances []Clearance `cbor:"2,keyasint,omitempty" json:"clearances,omitempty"`
+	// Ends are the times, on the observer's clock, at which the backend server ended
+	// for another reason: it ran no request, or only ones that ran to their end
+	// elsewhere since.
+	Ends []bulrushchute.Millis `cbor:"3,keyasint,omitempty" json:"ends_ms,omitempty"`
+	// Service is that of the backend server.
+	Service bulrushchute.Service `cbor:"4,keyasint,omitempty" json:"service,omitempty"`
+}
+
+// empty reports whether the report states nothing.
+func (r Report) empty() bool {
+	return len(r.Crashes) == 0 && len(r.Clearances) == 0 && len(r.Ends) == 0
 }
 
 // Equal reports whether two reports state the same crashes with the same contents.
@@ -106,6 +118,9 @@
 	if len(r.Clearances) > maxClearances {
 		return &LimitError{What: "clearances", Count: len(r.Clearances), Limit: maxClearances}
 	}
+	if len(r.Ends) > maxEnds {
+		return &LimitError{What: "ends", Count: len(r.Ends), Limit: maxEnds}
+	}
 	for _, crash := range r.Crashes {
 		if len(crash.Contents) > maxContents {
 			return &LimitError{What: "contents", Count: len(crash.Contents), Limit: maxContents}
@@ -140,3 +155,11 @@
 	r.Clearances = clearances[max(0, len(clearances)-maxClearances):]
 	return r
 }
+
+// withEnd returns the report with a further end of the backend server that no request
+// caused. It drops the oldest ones in excess of the limit.
+func (r Report) withEnd(at bulrushchute.Millis) Report {
+	ends := append(slices.Clone(r.Ends), at)
+	r.Ends = ends[max(0, len(ends)-maxEnds):]
+	return r
+}
