Bound the reports of crashes over all nodes

Cause: a report of crashes was bounded for each node only, at 32 crashes of 64 contents and 256 clearances. Full reports of 23,000 nodes need 773 MB, of the 256 MB that a node may use, and each node keeps and indexes all.

Change: a report holds 12 crashes, 64 contents in all and 32 clearances; contents that were on trial are dropped last. A node indexes all reports of its own service, and those of other services up to 100,000 entries. Without them an entry node sends a request of such a service in vain, since the nodes beside the servers decide. Reports that were left out are taken when there is room, looked for once a minute.

--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -52,6 +52,8 @@
 	// last, and reportsForgottenAt when expired ones of other nodes were removed.
 	quarantineVersion  uint64
 	reportsForgottenAt bulrushchute.Millis
+	// reportsLeftOut is set when the quarantine had no room for a report.
+	reportsLeftOut bool
 
 	members   map[bulrushchute.Service]map[bulrushchute.InstanceID]bulrushchute.Instance
 	serviceOf map[bulrushchute.InstanceID]bulrushchute.Service
--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -279,14 +279,16 @@
 	return bulrushquarantine.CrashID(binary.LittleEndian.Uint64(random[:]))
 }
 
-// apply processes the report of another node.
-func (q *quarantine) apply(now bulrushchute.Millis, node bulrushchute.InstanceID, report bulrushquarantine.Report) {
+// apply processes the report of another node. It returns false if there is no room
+// for it now.
+func (q *quarantine) apply(now bulrushchute.Millis, node bulrushchute.InstanceID, report bulrushquarantine.Report) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.ledger.Apply(node, report)
+	kept := q.ledger.Apply(node, report)
 	q.clearAnswered(now, report)
 	q.reportChanged = q.ledger.Compact(now) || q.reportChanged
 	q.ledgerChanged()
+	return kept
 }
 
 // clearAnswered clears contents of a report that this node's server has answered
@@ -466,7 +468,9 @@
 		klog.ErrorS(err, "report of crashes not taken", "instance", node)
 		return
 	}
-	c.quarantine.apply(now, node, report)
+	if !c.quarantine.apply(now, node, report) {
+		c.reportsLeftOut = true
+	}
 }
 
 // acceptRecord reports whether a record of another node is still needed.
@@ -474,21 +478,34 @@
 	return record.Key.Topic != bulrushchute.TopicQuarantine || !bulrushquarantine.Expired(now, bulrushchute.Millis(record.Version.Counter))
 }
 
-// forgetReports removes reports of crashes that no node needs any more.
+// forgetReports removes reports of crashes that no node needs any more, and takes
+// those for which there was no room before.
 func (c *control) forgetReports(now bulrushchute.Millis) {
 	if now < c.reportsForgottenAt+bulrushchute.Minute {
 		return
 	}
 	c.reportsForgottenAt = now
-	var expired []bulrushchute.RecordKey
+	var expired, kept []bulrushchute.Record
 	c.membership.Table().Range(bulrushchute.TopicQuarantine, func(record bulrushchute.Record) bool {
-		if !c.acceptRecord(now, record) {
-			expired = append(expired, record.Key)
+		if c.acceptRecord(now, record) {
+			kept = append(kept, record)
+		} else {
+			expired = append(expired, record)
 		}
 		return true
 	})
-	for _, key := range expired {
-		c.membership.Table().Forget(key)
-		c.quarantine.apply(now, bulrushchute.InstanceID(key.Name), bulrushquarantine.Report{})
+	for _, record := range expired {
+		c.membership.Table().Forget(record.Key)
+		c.quarantine.apply(now, bulrushchute.InstanceID(record.Key.Name), bulrushquarantine.Report{})
+	}
+	if !c.reportsLeftOut {
+		return
+	}
+	c.reportsLeftOut = false
+	for _, record := range kept {
+		c.onQuarantine(now, record)
+		if c.reportsLeftOut {
+			return
+		}
 	}
 }
--- a/bulrushnode/quarantine_test.go
+++ b/bulrushnode/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -205,3 +206,37 @@
 		})
 	}
 }
+
+// Guards against a report that was left out for lack of room and is never taken, so
+// that an entry node sends requests of other services in vain until a restart.
+func TestLeftOutReportIsTakenLater(t *testing.T) {
+	const reports, contents = 2_000, 64
+	n := newTestNode("a")
+	now := bulrushchute.Millis(1_000_000)
+	publish := func(number int, version uint64, report bulrushquarantine.Report) bulrushchute.Record {
+		value, err := report.Encode()
+		assert.NilError(t, err)
+		record := bulrushchute.Record{
+			Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicQuarantine, Name: strconv.Itoa(number)},
+			Version: bulrushchute.RecordVersion{Counter: version},
+			Value:   value,
+		}
+		n.control.membership.Table().Publish(now, record)
+		return record
+	}
+	for number := range reports {
+		crash := bulrushquarantine.Crash{ID: bulrushquarantine.CrashID(number + 1), At: now}
+		for i := range contents {
+			crash.Contents = append(crash.Contents, bulrushquarantine.Content{byte(number), byte(number >> 8), byte(i)})
+		}
+		n.control.onQuarantine(now, publish(number, uint64(now), bulrushquarantine.Report{Service: "other", Crashes: []bulrushquarantine.Crash{crash}}))
+	}
+	last := bulrushquarantine.Content{byte((reports - 1) & 0xff), byte((reports - 1) >> 8), 0}
+	assert.Equal(t, n.quarantine.ledger.Assess(now, last).Verdict, bulrushquarantine.Free)
+	for number := range reports / 2 {
+		n.control.onQuarantine(now, publish(number, uint64(now)+1, bulrushquarantine.Report{}))
+	}
+	now += bulrushchute.Minute
+	n.control.forgetReports(now)
+	assert.Equal(t, n.quarantine.ledger.Assess(now, last).Verdict, bulrushquarantine.Suspect)
+}
--- a/bulrushquarantine/ledger.go
+++ b/bulrushquarantine/ledger.go
@@ -33,6 +33,9 @@
 	markDuration = 2 * bulrushchute.Second
 	// maxMarks bounds the marks that a node keeps.
 	maxMarks = 4096
+	// maxOtherEntries bounds the index entries of the reports of other services. Full
+	// reports of 700 nodes fit.
+	maxOtherEntries = 100_000
 )
 
 // Verdict tells what may be done with a request.
@@ -99,7 +102,9 @@
 }
 
 // Ledger is a node's replica of the reports of all nodes. What it states depends on
-// the reports only, not on the order in which they arrived.
+// the reports only, not on the order in which they arrived, unless those of other
+// services than the node's own exceed its size: it leaves out the last ones then. The
+// nodes of such a service still know all of its reports, and decide.
 type Ledger struct {
 	own     bulrushchute.InstanceID
 	service bulrushchute.Service
@@ -108,6 +113,8 @@
 	// that clear a content of a crash.
 	byContent map[Content][]evidence
 	cleared   map[clearanceKey]int
+	// otherEntries is the number of index entries of other services.
+	otherEntries int
 	// ends holds those of all reports.
 	ends  map[bulrushchute.Service][]bulrushchute.Millis
 	marks map[Content]bulrushchute.Millis
@@ -130,19 +137,27 @@
 	return len(l.byContent) == 0 && len(l.marks) == 0
 }
 
-// Apply replaces the report of a node.
-func (l *Ledger) Apply(node bulrushchute.InstanceID, report Report) {
+// Apply replaces the report of a node. It returns false if the report is left out
+// because there is no room for it.
+func (l *Ledger) Apply(node bulrushchute.InstanceID, report Report) bool {
 	l.index(l.reports[node], -1)
 	delete(l.reports, node)
 	if report.empty() {
-		return
+		return true
+	}
+	if report.Service != l.service && l.otherEntries+report.size() > maxOtherEntries {
+		return false
 	}
 	l.reports[node] = report
 	l.index(report, 1)
+	return true
 }
 
 // index adds a report to the index, or removes it.
 func (l *Ledger) index(report Report, count int) {
+	if report.Service != l.service {
+		l.otherEntries += count * report.size()
+	}
 	for _, crash := range report.Crashes {
 		for _, content := range crash.Contents {
 			l.indexCrash(report.Service, crash, content, count)
@@ -190,7 +205,16 @@
 
 // SetService sets the service of the backend server beside this node.
 func (l *Ledger) SetService(service bulrushchute.Service) {
+	if service == l.service {
+		return
+	}
 	l.service = service
+	l.otherEntries = 0
+	for _, report := range l.reports {
+		if report.Service != service {
+			l.otherEntries += report.size()
+		}
+	}
 }
 
 // RecordCrash adds a crash of the backend server beside this node to its report.
--- a/bulrushquarantine/report.go
+++ b/bulrushquarantine/report.go
@@ -10,12 +10,15 @@
 )
 
 // Limits of a report. They bound what the callers of one server can make all nodes
-// keep.
+// keep: 3 KB encoded.
 const (
-	maxCrashes    = 32
+	maxCrashes = 12
+	// maxContents is the number of contents of all crashes together.
 	maxContents   = 64
-	maxClearances = 256
-	maxEnds       = 8
+	maxClearances = 32
+	// maxCleared is the number of crashes of all clearances together.
+	maxCleared = 64
+	maxEnds    = 8
 )
 
 // CrashID identifies a crash. The node that observes the crash chooses it at random.
@@ -112,47 +115,84 @@
 
 // Check returns a *LimitError if the report exceeds a limit.
 func (r Report) Check() error {
-	if len(r.Crashes) > maxCrashes {
-		return &LimitError{What: "crashes", Count: len(r.Crashes), Limit: maxCrashes}
+	counts := map[string]struct{ count, limit int }{
+		"crashes":         {len(r.Crashes), maxCrashes},
+		"contents":        {r.contents(), maxContents},
+		"clearances":      {len(r.Clearances), maxClearances},
+		"cleared crashes": {r.cleared(), maxCleared},
+		"ends":            {len(r.Ends), maxEnds},
 	}
-	if len(r.Clearances) > maxClearances {
-		return &LimitError{What: "clearances", Count: len(r.Clearances), Limit: maxClearances}
-	}
-	if len(r.Ends) > maxEnds {
-		return &LimitError{What: "ends", Count: len(r.Ends), Limit: maxEnds}
+	for what, c := range counts {
+		if c.count > c.limit {
+			return &LimitError{What: what, Count: c.count, Limit: c.limit}
+		}
 	}
+	return nil
+}
+
+// contents returns the number of contents of all crashes.
+func (r Report) contents() int {
+	count := 0
 	for _, crash := range r.Crashes {
-		if len(crash.Contents) > maxContents {
-			return &LimitError{What: "contents", Count: len(crash.Contents), Limit: maxContents}
-		}
+		count += len(crash.Contents)
 	}
+	return count
+}
+
+// cleared returns the number of crashes of all clearances.
+func (r Report) cleared() int {
+	count := 0
 	for _, clearance := range r.Clearances {
-		if len(clearance.Crashes) > maxCrashes {
-			return &LimitError{What: "cleared crashes", Count: len(clearance.Crashes), Limit: maxCrashes}
-		}
+		count += len(clearance.Crashes)
 	}
-	return nil
+	return count
+}
+
+// size returns the number of entries that the report adds to the index of a Ledger.
+func (r Report) size() int {
+	return r.contents() + r.cleared() + len(r.Ends)
 }
 
-// withCrash returns the report with a further crash. In excess of the limit it drops
-// the oldest one that ended no trial, or else the oldest one.
+// withCrash returns the report with a further crash. In excess of the limits it drops
+// the oldest crash that ended no trial, or else the oldest one, and then the contents
+// of the oldest crashes that were not on trial.
 func (r Report) withCrash(crash Crash) Report {
-	crash.Contents = crash.Contents[:min(len(crash.Contents), maxContents)]
 	crashes := append(slices.Clone(r.Crashes), crash)
 	if len(crashes) > maxCrashes {
 		dropped := max(0, slices.IndexFunc(crashes, func(c Crash) bool { return c.Trial == nil }))
 		crashes = slices.Delete(crashes, dropped, dropped+1)
 	}
 	r.Crashes = crashes
+	excess := r.contents() - maxContents
+	for i := range crashes {
+		contents := crashes[i].withoutExcess(excess)
+		excess -= len(crashes[i].Contents) - len(contents)
+		crashes[i].Contents = contents
+	}
+	r.Crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return len(c.Contents) == 0 })
 	return r
 }
 
+// withoutExcess returns the contents without the last ones that were not on trial.
+func (c Crash) withoutExcess(excess int) []Content {
+	contents := slices.Clone(c.Contents)
+	for i := len(contents) - 1; i >= 0 && excess > 0; i-- {
+		if c.Trial == nil || contents[i] != *c.Trial {
+			contents = slices.Delete(contents, i, i+1)
+			excess--
+		}
+	}
+	return contents
+}
+
 // withClearance returns the report with a further clearance. It drops the oldest
-// ones in excess of the limit.
+// ones in excess of the limits.
 func (r Report) withClearance(clearance Clearance) Report {
-	clearance.Crashes = clearance.Crashes[:min(len(clearance.Crashes), maxCrashes)]
-	clearances := append(slices.Clone(r.Clearances), clearance)
-	r.Clearances = clearances[max(0, len(clearances)-maxClearances):]
+	clearance.Crashes = clearance.Crashes[:min(len(clearance.Crashes), maxCleared)]
+	r.Clearances = append(slices.Clone(r.Clearances), clearance)
+	for len(r.Clearances) > maxClearances || r.cleared() > maxCleared {
+		r.Clearances = r.Clearances[1:]
+	}
 	return r
 }
 
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -64,15 +64,15 @@
 	Store        *bulrushstore.Client
 	// Seeds are the peer addresses through which nodes that start from now on
 	// may join.
-	Seeds       []bulrushchute.Address
-	nodeBinary  string
-	dir         string
-	storeURL    string
-	storeServer *http.Server
-	tasks       *bulrushtask.Group
-	context     context.Context
-	cancel      context.CancelFunc
-	instances   []*Instance
+	Seeds        []bulrushchute.Address
+	nodeBinary   string
+	dir          string
+	storeURL     string
+	storeServer  *http.Server
+	tasks        *bulrushtask.Group
+	context      context.Context
+	cancel       context.CancelFunc
+	instances    []*Instance
 	reservations []*bulrushport.Reservation
 }
 
