Split the quarantine of a node by its three places

bulrushnode/quarantine.go held the part beside the backend server, that of the entry node and that in control's goroutine. Each has a file now. Code moved, not changed.

--- a/bulrushnode/quarantine.go
+++ b/bulrushnode/quarantine.go
@@ -9,12 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"bulrushchute.example/bulrushchute"
-	"bulrushchute.example/bulrushchute/bulrushattempt"
-	"bulrushchute.example/bulrushchute/bulrushboard"
-	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushquarantine"
 )
 
@@ -25,9 +20,6 @@
 	// compactInterval is the interval at which a node removes what has expired from
 	// its report of crashes.
 	compactInterval = bulrushchute.Second
-	// maxNotified is the number of nodes to which a changed report is sent directly.
-	// Services with more nodes learn of it from each other.
-	maxNotified = 64
 )
 
 // quarantine is the node's part in recognising requests that crash backend servers,
@@ -83,43 +75,6 @@
 	q.changed = make(chan struct{})
 }
 
-// assessAtEntry returns what this node knows, as entry node, of the content of an
-// attempt.
-func (q *quarantine) assessAtEntry(now bulrushchute.Millis, attempt bulrushchute.Attempt) (bulrushquarantine.Content, bulrushquarantine.Assessment) {
-	if !q.active.Load() {
-		return bulrushquarantine.Content{}, bulrushquarantine.Assessment{}
-	}
-	content := bulrushquarantine.ContentOf(attempt)
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return content, q.ledger.AssessAtEntry(now, content)
-}
-
-// observeAtEntry marks the content of an attempt as suspect if the reply says so,
-// until the reports of the crash arrive. An answer removes the mark.
-func (q *quarantine) observeAtEntry(attempt bulrushchute.Attempt, result attemptResult) {
-	suspect := result.end.Reason == bulrushchute.ReasonServerEnded || result.end.Reason == bulrushchute.ReasonOnTrial
-	if !suspect && (result.answer == nil || !q.active.Load()) {
-		return
-	}
-	content := bulrushquarantine.ContentOf(attempt)
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	if suspect {
-		q.ledger.Mark(q.clock.Now(), content)
-		q.active.Store(true)
-		return
-	}
-	q.ledger.Unmark(content)
-}
-
-// down reports whether the backend server of an instance is known to have ended.
-func (q *quarantine) down(instance bulrushchute.Instance) bool {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return q.ledger.Down(instance.ID, instance.StartedAt)
-}
-
 // trialPermit is held by an attempt from its arrival at the node beside its server.
 type trialPermit struct {
 	// trial is set if the attempt is the suspect one that may run now.
@@ -359,153 +314,3 @@
 	n.quarantine.mutex.Unlock()
 	return QuarantineStatus{Counts: counts, ServerEndStatus: n.admission.serverEndStatus()}
 }
-
-// placeSuspect chooses the instance at which a suspect request is tried. It is of the
-// version that a move in progress replaces, so that the trial says nothing about the
-// new one.
-func (ac *activeCall) placeSuspect(now bulrushchute.Millis, view bulrushboard.View, content bulrushquarantine.Content, assessment bulrushquarantine.Assessment, exclude []bulrushchute.InstanceID) (bulrushchute.Instance, bool) {
-	service := ac.call.info.Service
-	entry, _ := view.Catalogue.Service(service)
-	excluded := make(map[bulrushchute.InstanceID]bool, len(exclude))
-	for _, id := range exclude {
-		excluded[id] = true
-	}
-	var servers []bulrushquarantine.Server
-	for _, member := range view.Members(service).Instances {
-		if !isTrialVersion(entry, member.Version) || member.State == bulrushchute.StateLeaving {
-			continue
-		}
-		weight := view.DataCentres.Weights[member.DataCentre]
-		up := member.State.TakesWork() && !weight.Withdrawn && !weight.Unreachable && !excluded[member.ID] &&
-			assessment.At(member.Version) == bulrushquarantine.Suspect && !ac.runner.quarantine.down(member)
-		servers = append(servers, bulrushquarantine.Server{Instance: member.ID, DataCentre: member.DataCentre, Up: up})
-	}
-	chosen, found := bulrushquarantine.Place(now, content, assessment, servers)
-	if !found {
-		return bulrushchute.Instance{}, false
-	}
-	return view.Member(service, chosen)
-}
-
-// isTrialVersion reports whether suspect requests may run on servers of a version.
-func isTrialVersion(entry bulrushcatalogue.ServiceEntry, version bulrushchute.Version) bool {
-	switch {
-	case entry.Move == nil:
-		return true
-	case entry.Move.Outcome == bulrushcatalogue.MoveCompleted:
-		return version == entry.Move.ToVersion
-	default:
-		return version != entry.Move.ToVersion
-	}
-}
-
-// pickSuspect is pick for a request whose content is not free.
-func (ac *activeCall) pickSuspect(now bulrushchute.Millis, view bulrushboard.View, action bulrushattempt.Action, content bulrushquarantine.Content, assessment bulrushquarantine.Assessment) (bulrushchute.Instance, bool) {
-	ac.serviceState.mutex.Lock()
-	defer ac.serviceState.mutex.Unlock()
-	ac.serviceState.refresh(now, view, ac.call.info.Service)
-	instance, found := ac.placeSuspect(now, view, content, assessment, action.Exclude)
-	if !found {
-		refusal := refusalOfContent(now, assessment)
-		ac.machine.Refuse(action.Attempt, refusal.Reason, refusal.RetryAfter)
-		return instance, false
-	}
-	if !ac.machine.Sent(now, action.Attempt, instance.ID) {
-		return instance, false
-	}
-	ac.serviceState.router.Started(now, instance.ID)
-	return instance, true
-}
-
-// The methods below run in control's goroutine.
-
-// publishQuarantine makes changes of this node's report of crashes known as a record. A
-// crash is also sent directly to the nodes of the service, through which all requests
-// for the service pass.
-func (c *control) publishQuarantine(now bulrushchute.Millis) {
-	report, changed, crashed := c.quarantine.takeReport(now)
-	if !changed {
-		return
-	}
-	value, err := report.Encode()
-	if err != nil {
-		klog.ErrorS(err, "report of crashes not published")
-		return
-	}
-	c.quarantineVersion = max(c.quarantineVersion+1, uint64(now))
-	record := bulrushchute.Record{
-		Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicQuarantine, Name: string(c.id)},
-		Version: bulrushchute.RecordVersion{Counter: c.quarantineVersion},
-		Value:   value,
-	}
-	c.membership.Table().Publish(now, record)
-	if crashed {
-		c.notifyService(record)
-	}
-}
-
-// notifyService sends a record to nodes of the same service.
-func (c *control) notifyService(record bulrushchute.Record) {
-	notified := 0
-	for id, member := range c.members[c.admission.latestAnnouncement().Service] {
-		if id == c.id || notified >= maxNotified {
-			continue
-		}
-		notified++
-		records := &bulrushchute.Records{Records: []bulrushchute.Record{record}}
-		c.transport.Send(member.Address, bulrushchute.Control{From: c.id, Records: records})
-	}
-}
-
-// onQuarantine handles the report of crashes of a node.
-func (c *control) onQuarantine(now bulrushchute.Millis, record bulrushchute.Record) {
-	node := bulrushchute.InstanceID(record.Key.Name)
-	if node == c.id {
-		return
-	}
-	report, err := bulrushquarantine.ParseReport(record.Value)
-	if err != nil {
-		klog.ErrorS(err, "report of crashes not taken", "instance", node)
-		return
-	}
-	if !c.quarantine.apply(now, node, report) {
-		c.reportsLeftOut = true
-	}
-}
-
-// acceptRecord reports whether a record of another node is still needed.
-func (c *control) acceptRecord(now bulrushchute.Millis, record bulrushchute.Record) bool {
-	return record.Key.Topic != bulrushchute.TopicQuarantine || !bulrushquarantine.Expired(now, bulrushchute.Millis(record.Version.Counter))
-}
-
-// forgetReports removes reports of crashes that no node needs any more, and takes
-// those for which there was no room before.
-func (c *control) forgetReports(now bulrushchute.Millis) {
-	if now < c.reportsForgottenAt+bulrushchute.Minute {
-		return
-	}
-	c.reportsForgottenAt = now
-	var expired, kept []bulrushchute.Record
-	c.membership.Table().Range(bulrushchute.TopicQuarantine, func(record bulrushchute.Record) bool {
-		if c.acceptRecord(now, record) {
-			kept = append(kept, record)
-		} else {
-			expired = append(expired, record)
-		}
-		return true
-	})
-	for _, record := range expired {
-		c.membership.Table().Forget(record.Key)
-		c.quarantine.apply(now, bulrushchute.InstanceID(record.Key.Name), bulrushquarantine.Report{})
-	}
-	if !c.reportsLeftOut {
-		return
-	}
-	c.reportsLeftOut = false
-	for _, record := range kept {
-		c.onQuarantine(now, record)
-		if c.reportsLeftOut {
-			return
-		}
-	}
-}
