Send nothing to a server that is back until it has announced itself

Cause: after the end of a backend server its node went on to dispatch requests to the address, at the rate that the former process took. A new process that listens, cold, before its announcement got them; the health checks that it answers even made the node announce it as ready.

Change: from the end of a server until a process announces itself the node refuses with node_not_ready, and announces the server as starting.

TestServerIsBackBeforeItsAnnouncement failed before: the new process ran the request.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -149,6 +149,7 @@
 	a.backend = announcement
 	a.quarantine.setServer(announcement.Service, announcement.Version)
 	a.healthy = true
+	a.serverEnd.awaited = false
 	if announcement.State == BackendDraining || a.draining {
 		a.controller.Drain(now)
 	} else {
@@ -186,13 +187,33 @@
 	klog.InfoS("backend server says that it leaves", "server", backend.Server)
 }
 
-// confirm records that the backend server has announced itself again.
+// heard records that the backend server has announced itself, perhaps as it did
+// before.
+func (a *admission) heard() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.serverEnd.awaited = false
+	if a.backend.Service != "" {
+		a.unconfirmed = false
+	}
+}
+
+// confirm records that the backend server has answered since the start of this node.
 func (a *admission) confirm() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.unconfirmed = false
 }
 
+// awaitsServer reports whether the backend server has ended, and no process has
+// announced itself since. One that listens already is colder than what is known of
+// the former one.
+func (a *admission) awaitsServer() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.serverEnd.awaited
+}
+
 // replaceClient creates a client with the connection limit in force. The
 // connections of the previous client close when their requests end.
 func (a *admission) replaceClient(address bulrushchute.Address) {
@@ -297,7 +318,7 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	switch {
-	case a.backend.Service == "" || !a.healthy || a.unconfirmed:
+	case a.backend.Service == "" || !a.healthy || a.unconfirmed || a.serverEnd.awaited:
 		return a.backend, bulrushchute.StateStarting
 	case a.backend.State == BackendDraining:
 		return a.backend, bulrushchute.StateLeaving
@@ -387,6 +408,10 @@
 		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
 		return refusalReply(bulrushchute.ReasonDeadline, 0)
 	}
+	if a.awaitsServer() {
+		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
+		return refusalReply(bulrushchute.ReasonNotReady, retryAfterDefault)
+	}
 	if refusal := a.quarantine.start(attempt, permit); refusal != nil {
 		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
 		a.logRefusal(attempt, *refusal)
@@ -442,6 +467,8 @@
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonIsolated, RetryAfter: retryAfterDefault}
 	case a.backend.Service == "":
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterDefault}
+	case a.serverEnd.awaited:
+		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterDefault}
 	case a.unconfirmed && !a.draining:
 		return &bulrushchute.Refusal{Reason: bulrushchute.ReasonNotReady, RetryAfter: retryAfterStarting}
 	case a.backend.Cold && !a.configured && !a.draining:
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -335,9 +335,7 @@
 	if err := announcement.checkHost(n.settings.BackendAddress); err != nil {
 		return err
 	}
-	if n.admission.latestAnnouncement().Service != "" {
-		n.admission.confirm()
-	}
+	n.admission.heard()
 	if n.admission.isLatest(announcement) {
 		return nil
 	}
--- a/bulrushnode/server_end.go
+++ b/bulrushnode/server_end.go
@@ -24,6 +24,8 @@
 type serverEnd struct {
 	// process is the announcement of the server process that ended last.
 	process Announcement
+	// awaited is set from the end of a server process until one announces itself.
+	awaited bool
 	// check is closed when the current check ends. It is nil when there is none.
 	check chan struct{}
 	// count is the number of ends since the start of the node.
@@ -89,7 +91,7 @@
 	}
 	a.serverEnd.process = backend
 	a.serverEnd.count++
-	a.healthy = false
+	a.serverEnd.awaited = true
 	announced := a.backend.State == BackendDraining
 	a.mutex.Unlock()
 	contents, trial := a.quarantine.recordEnd(backend.StartedAtMs, announced)
--- a/bulrushnode/server_end_test.go
+++ b/bulrushnode/server_end_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -91,6 +92,35 @@
 	}
 }
 
+// Guards against requests to a server that is back after its end, and cold, before it
+// has announced itself, at the rate that the former process took.
+func TestServerIsBackBeforeItsAnnouncement(t *testing.T) {
+	a, clock, announcement := newTestAdmission(t, answerOK)
+	address := announcement.Address
+	announcement.Address = startLosingServer(t, true)
+	a.announce(announcement)
+	assert.Assert(t, a.serve(t.Context(), attemptTo("board", 1, clock)).Failure != nil)
+	runs := 0
+	listener, err := net.Listen("tcp", string(announcement.Address))
+	assert.NilError(t, err)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs++ })}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { assert.NilError(t, server.Close()) }()
+
+	a.setHealthy(true)
+	other := attemptTo("board", 2, clock)
+	other.Path = "/other"
+	reply := a.serve(t.Context(), other)
+	assert.Equal(t, reply.Refusal.Reason, bulrushchute.ReasonNotReady)
+	assert.Equal(t, runs, 0)
+	_, state := a.state()
+	assert.Equal(t, state, bulrushchute.StateStarting)
+
+	announcement.Address, announcement.StartedAtMs = address, clock.Now()
+	a.announce(announcement)
+	assert.Assert(t, a.serve(t.Context(), other).Answer != nil)
+}
+
 // Guards against an idle server that ends and is no sign of other ends, and against a
 // planned stop or a failed health check that is one.
 func TestIdleServerEndIsReported(t *testing.T) {
