Forget ended connections without a scan of all with each attempt

Cause: Ledger.Expire, called with each attempt that a node takes from a peer, went through all connections of the node to forget the ended ones. So the cost of an attempt grew with the number of peers.

Change: the ends of connections are kept in their order, and only the oldest is looked at.

TestConnectionsAreForgotten guards what is forgotten; it passes on the old code as well, but for the list that is new.

--- a/bulrushresume/ledger.go
+++ b/bulrushresume/ledger.go
@@ -94,6 +94,13 @@
 	fences map[ConnectionID]bulrushchute.Millis
 	// connections are the known connections: when they ended, or 0.
 	connections map[ConnectionID]bulrushchute.Millis
+	// endings are the ends of connections that may still be known, oldest first.
+	endings []ending
+}
+
+type ending struct {
+	connection ConnectionID
+	at         bulrushchute.Millis
 }
 
 type entry struct {
@@ -217,6 +224,7 @@
 // short time.
 func (l *Ledger) Lost(now bulrushchute.Millis, connection ConnectionID) {
 	l.connections[connection] = now
+	l.endings = append(l.endings, ending{connection: connection, at: now})
 	for id, attempt := range l.attempts {
 		if attempt.running && attempt.connection == connection {
 			l.lost[id] = now
@@ -243,10 +251,12 @@
 		delete(l.attempts, l.ended[0])
 		l.ended = l.ended[1:]
 	}
-	for connection, endedAt := range l.connections {
-		if endedAt > 0 && now >= endedAt+connectionMemory {
-			delete(l.connections, connection)
+	for len(l.endings) > 0 && now >= l.endings[0].at+connectionMemory {
+		// A connection that was opened again since has another time.
+		if oldest := l.endings[0]; l.connections[oldest.connection] == oldest.at {
+			delete(l.connections, oldest.connection)
 		}
+		l.endings = l.endings[1:]
 	}
 	for connection, until := range l.fences {
 		if endedAt, known := l.connections[connection]; now >= until && (!known || endedAt > 0) {
--- a/bulrushresume/ledger_test.go
+++ b/bulrushresume/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -257,3 +258,48 @@
 		}
 	}
 }
+
+// Guards against connections that are remembered for ever, or forgotten although they
+// are open again.
+func TestConnectionsAreForgotten(t *testing.T) {
+	l := NewLedger(DefaultLimits)
+	closed, reopened, closedAgain := connectionOf(1), connectionOf(2), connectionOf(3)
+	for _, connection := range []ConnectionID{closed, reopened, closedAgain} {
+		l.Opened(connection)
+		l.Lost(testStart, connection)
+	}
+	l.Opened(reopened)
+	l.Opened(closedAgain)
+	l.Lost(testStart+1, closedAgain)
+	known := func() int { return len(l.connections) }
+	l.Expire(testStart + connectionMemory - 1)
+	assert.Equal(t, known(), 3)
+	l.Expire(testStart + connectionMemory)
+	assert.Equal(t, known(), 2)
+	l.Expire(testStart + connectionMemory + 1)
+	assert.Equal(t, known(), 1)
+	assert.Assert(t, l.Fence(testStart, []ConnectionID{reopened}))
+	assert.Equal(t, len(l.endings), 0)
+}
+
+// The cost of an attempt must not grow with the connections that are open meanwhile.
+func BenchmarkAttemptBesideConnections(b *testing.B) {
+	for _, connections := range []int{10, 100, 1000} {
+		b.Run(strconv.Itoa(connections), func(b *testing.B) {
+			l := NewLedger(DefaultLimits)
+			for number := range connections {
+				l.Opened(ConnectionID{byte(number), byte(number >> 8), 1})
+			}
+			current := ConnectionID{1}
+			l.Opened(current)
+			now := bulrushchute.Millis(1_000_000)
+			for number := 0; b.Loop(); number++ {
+				id := bulrushchute.AttemptID{byte(number), byte(number >> 8), byte(number >> 16), byte(number >> 24)}
+				now += bulrushchute.Millis(number & 1)
+				l.Begin(now, current, id, 100)
+				l.End(now, id, bulrushchute.Reply{ID: id})
+				l.Expire(now)
+			}
+		})
+	}
+}
