Keep half of a service up between the trials of one content

Cause: since two trials have to end with their servers, the third server was risked right after the second one had ended. In a service with one server a data centre the rule for data centres spares nothing, so a crashing request could leave one server of four up.

The first trial of a content is as before, since most suspects are good and are cleared by it.

--- a/bulrushquarantine/ledger.go
+++ b/bulrushquarantine/ledger.go
@@ -71,6 +71,8 @@
 	// Crashes is the number of servers that ended while they ran the content, since
 	// it last ran to its end.
 	Crashes int
+	// Trials is the number of them that ended a trial.
+	Trials int
 	// LastCrashAt is the time of the latest of them, 0 if there is none.
 	LastCrashAt bulrushchute.Millis
 	// Versions are those of the servers that crashed.
@@ -317,7 +319,7 @@
 // Assess returns what is known of a content.
 func (l *Ledger) Assess(now bulrushchute.Millis, content Content) Assessment {
 	valid := l.valid(now, content)
-	assessment := Assessment{Crashes: len(valid)}
+	assessment := Assessment{Crashes: len(valid), Trials: countTrials(valid)}
 	for _, e := range valid {
 		assessment.LastCrashAt = max(assessment.LastCrashAt, e.at)
 		assessment.Versions = append(assessment.Versions, e.version)
--- a/bulrushquarantine/place.go
+++ b/bulrushquarantine/place.go
@@ -23,9 +23,10 @@
 // request that comes to many nodes at once is tried at one server at a time.
 //
 // At least half of the servers stay up in each data centre that has two or more, and
-// one server of the service, whatever becomes of the trial. If that is still not
-// possible a while after the last crash, any server is risked: the others will not
-// be back soon.
+// one server of the service, whatever becomes of the trial. After the crash of a trial,
+// which makes another one likely, half of the service's servers stay up. If that is
+// still not possible a while after the last crash, any server is risked: the others
+// will not be back soon.
 func Place(now bulrushchute.Millis, content Content, assessment Assessment, servers []Server) (bulrushchute.InstanceID, bool) {
 	total := make(map[bulrushchute.DataCentre]int)
 	up := make(map[bulrushchute.DataCentre]int)
@@ -37,9 +38,10 @@
 			allUp++
 		}
 	}
+	enoughLeft := allUp > 1 && (assessment.Trials == 0 || 2*(allUp-1) >= len(servers))
 	instance, found := choose(content, servers, func(server Server) bool {
 		dc := server.DataCentre
-		return allUp > 1 && (total[dc] < 2 || 2*(up[dc]-1) >= total[dc])
+		return enoughLeft && (total[dc] < 2 || 2*(up[dc]-1) >= total[dc])
 	})
 	if found || len(servers) > 1 && now < assessment.LastCrashAt+returnTime {
 		return instance, found
