Let API keys decide the tenant of a request

The routing table holds digests of keys, from which the entry node finds the tenant. Requests without a known key get 401, or 503 while the catalogue may be out of date. The key is checked again before each attempt. A tenant's rank goes before its route's. Without tenants in the table, nothing changes.

--- a/bulrushcatalogue/resolve.go
+++ b/bulrushcatalogue/resolve.go
@@ -20,6 +20,8 @@
 	// Attempts limits the attempts of one request that may have run. If it is 0,
 	// only bulrushattempt.MaxAttempts applies.
 	Attempts int
+	// Anonymous is set if the request needs no API key.
+	Anonymous bool
 }
 
 // Resolve returns the policy of the route that matches a request. The longest
--- a/bulrushcatalogue/routing.go
+++ b/bulrushcatalogue/routing.go
@@ -23,6 +23,10 @@
 	// Services holds the entries of the services that the routes refer to.
 	Services []ServiceEntry `json:"services" validate:"max=5000"`
 	Callers  CallerLimits   `json:"callers,omitzero"`
+	// RequiresKeys rejects requests without the API key of one of the Tenants,
+	// except on anonymous routes. Without it, Tenants has no effect.
+	RequiresKeys bool          `json:"requires_keys,omitempty"`
+	Tenants      []TenantEntry `json:"tenants,omitempty" validate:"max=5000,dive"`
 }
 
 // HostRoute sends the requests for a host and path prefix to services.
@@ -43,6 +47,8 @@
 	// only bulrushattempt.MaxAttempts applies.
 	Attempts int      `json:"attempts,omitempty" validate:"min=0,max=100"`
 	Targets  []Target `json:"targets" validate:"min=1,max=100,dive"`
+	// Anonymous routes need no API key.
+	Anonymous bool `json:"anonymous,omitempty"`
 }
 
 // Target is a service that receives a share of a route's requests.
@@ -85,6 +91,9 @@
 	if err != nil {
 		return err
 	}
+	if err := rt.checkTenants(); err != nil {
+		return err
+	}
 	return rt.checkTargets(services)
 }
 
@@ -113,7 +122,11 @@
 // Class returns the class of the route's requests, which follows from its rank.
 // Ranks beyond the last class belong to the last class.
 func (hr HostRoute) Class() bulrushchute.Class {
-	return bulrushchute.Class(min(hr.Rank, bulrushchute.ClassCount-1))
+	return classOfRank(hr.Rank)
+}
+
+func classOfRank(rank int) bulrushchute.Class {
+	return bulrushchute.Class(min(rank, bulrushchute.ClassCount-1))
 }
 
 // RequestPolicy returns the policy for requests that match the route.
@@ -125,6 +138,7 @@
 		TimeoutMs:   hr.TimeoutMs,
 		ObjectiveMs: hr.ObjectiveMs,
 		Attempts:    hr.Attempts,
+		Anonymous:   hr.Anonymous,
 	}
 }
 
@@ -138,6 +152,10 @@
 	// byHost holds the routes of each host, longest prefix first.
 	byHost     map[string][]*HostRoute
 	routeCount int
+	// keys is nil if the table requires no API keys.
+	keys *keyIndex
+	// tenants is sorted by name.
+	tenants []TenantEntry
 }
 
 func newRouting(table RoutingTable, version bulrushchute.RecordVersion) Routing {
@@ -150,7 +168,12 @@
 	for _, routes := range byHost {
 		slices.SortStableFunc(routes, func(a, b *HostRoute) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	return Routing{Label: table.Label, Version: version, Callers: table.Callers, byHost: byHost, routeCount: len(table.Routes)}
+	routing := Routing{Label: table.Label, Version: version, Callers: table.Callers, byHost: byHost, routeCount: len(table.Routes)}
+	if table.RequiresKeys {
+		routing.tenants = sortedTenants(table.Tenants)
+		routing.keys = newKeyIndex(routing.tenants)
+	}
+	return routing
 }
 
 // InForce reports whether a routing table is in force.
--- a/bulrushcatalogue/structure.go
+++ b/bulrushcatalogue/structure.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +16,10 @@
 // rootField is the field that errors name for the document as a whole.
 const rootField = "document"
 
+// textUnmarshaler is implemented by types whose JSON form is a string that they
+// check themselves.
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
 // maxErrorValueBytes limits how much of a rejected value an error includes.
 const maxErrorValueBytes = 80
 
@@ -58,6 +63,9 @@
 	case json.Number:
 		return checkNumber(path, t, v, optional)
 	case string:
+		if reflect.PointerTo(t).Implements(textUnmarshaler) {
+			return nil
+		}
 		return checkScalar(path, t, strconv.Quote(v), reflect.String)
 	case bool:
 		return checkScalar(path, t, strconv.FormatBool(v), reflect.Bool)
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -56,9 +56,11 @@
 	// request, which is earlier than arrivedAt for a retry. It is 0 at the home of a
 	// key.
 	firstRequestedAt bulrushchute.Millis
-	// unknownService is set if the catalogue has no service for the request but may
-	// lack it.
-	unknownService bool
+	// unresolved is set if the catalogue has no service for the request, or no tenant
+	// for its API key, but may be out of date.
+	unresolved bool
+	// caller is who sent the request. It is zero at the home of a key.
+	caller callerIdentity
 }
 
 // newAttempt returns a new attempt of the call, for one instance.
@@ -178,6 +180,12 @@
 	now := ac.runner.clock.Now()
 	view := ac.runner.board.Read()
 	service := ac.call.info.Service
+	if !ac.call.caller.allowed(view.Catalogue.Routing()) {
+		ac.serviceState.mutex.Lock()
+		defer ac.serviceState.mutex.Unlock()
+		ac.machine.Refuse(action.Attempt, bulrushchute.ReasonUnknownKey, 0)
+		return instance, false, false, false
+	}
 	if content, assessment := ac.runner.quarantine.assessAtEntry(now, ac.call.template); assessment.Verdict != bulrushquarantine.Free {
 		instance, found = ac.pickSuspect(now, view, action, content, assessment)
 		return instance, true, true, found
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -102,7 +102,7 @@
 
 func (eh *entryHandler) serve(ctx context.Context, view bulrushboard.View, prepared call, key string) callResult {
 	switch {
-	case view.State == bulrushboard.NodeStarting || prepared.unknownService:
+	case view.State == bulrushboard.NodeStarting || prepared.unresolved:
 		return notRun(bulrushchute.ReasonNotReady, retryAfterStarting)
 	case view.State == bulrushboard.NodeIsolated:
 		if eh.serveIsolated {
@@ -136,12 +136,18 @@
 		return call{}, "", &rejection{status: http.StatusBadRequest, reason: bulrushchute.ReasonTooDeep, cause: cause}
 	}
 	match, found := eh.matchRoute(view.Catalogue, parsed, request)
+	caller, identified := identifyCaller(view.Catalogue.Routing(), match.policy, parsed.APIKey)
 	// The catalogue of a node that is starting, or that was not confirmed lately, may
-	// lack the service. Its serve refuses the request with a Retry-After.
-	if !found && view.State != bulrushboard.NodeStarting && view.CatalogueCurrent {
+	// lack the service or the API key. Its serve refuses the request with a
+	// Retry-After.
+	mayReject := view.State != bulrushboard.NodeStarting && view.CatalogueCurrent
+	if !found && mayReject {
 		return call{}, "", rejectUnknownService(parsed, request)
 	}
-	prepared, err := eh.newCall(match, parsed, request)
+	if found && !identified && mayReject {
+		return call{}, "", &rejection{status: http.StatusUnauthorized, reason: bulrushchute.ReasonUnknownKey, cause: &apiKeyError{missing: parsed.APIKey == ""}}
+	}
+	prepared, err := eh.newCall(match, caller, parsed, request)
 	if err != nil {
 		return call{}, "", &rejection{status: http.StatusBadRequest, reason: bulrushchute.ReasonMalformed, cause: err}
 	}
@@ -154,7 +160,7 @@
 		return call{}, "", rejectBody(err)
 	}
 	prepared.template.Body = body
-	prepared.unknownService = !found
+	prepared.unresolved = !found || !identified
 	return prepared, parsed.Key, nil
 }
 
@@ -225,9 +231,9 @@
 
 // newCall builds a call from the request line and the headers. The body is
 // added later.
-func (eh *entryHandler) newCall(match routeMatch, parsed bulrushchute.CallerRequest, request *http.Request) (call, error) {
+func (eh *entryHandler) newCall(match routeMatch, caller callerIdentity, parsed bulrushchute.CallerRequest, request *http.Request) (call, error) {
 	policy := match.policy
-	class, err := lowerClass(policy.Class, parsed.ClassName)
+	class, err := lowerClass(caller.tenant.Class(policy.Class), parsed.ClassName)
 	if err != nil {
 		return call{}, err
 	}
@@ -238,7 +244,7 @@
 	info := bulrushchute.RequestInfo{
 		Service:    match.entry.Service,
 		Route:      policy.Route,
-		Tenant:     eh.tenantOf(request),
+		Tenant:     eh.tenantOf(caller, request),
 		Class:      class,
 		Deadline:   deadlineOf(arrivedAt, policy.TimeoutMs, parsed),
 		Objective:  policy.ObjectiveMs,
@@ -255,7 +261,7 @@
 		Method:     request.Method,
 		Path:       requestTarget(request),
 		Host:       request.Host,
-		Header:     forwardedFields(request.Header, eh.protocol.Reserved),
+		Header:     forwardedFields(request.Header, eh.notForwarded(caller)),
 		Tenant:     info.Tenant,
 		Class:      info.Class,
 		Depth:      info.Depth,
@@ -265,7 +271,10 @@
 		Objective:  info.Objective,
 	}
 	firstRequestedAt := arrivedAt - eh.waitEstimator.waited(policy, parsed.Timeout)
-	return call{info: info, template: template, subset: match.entry.Subset, arrivedAt: arrivedAt, firstRequestedAt: firstRequestedAt}, nil
+	return call{
+		info: info, template: template, caller: caller, subset: match.entry.Subset,
+		arrivedAt: arrivedAt, firstRequestedAt: firstRequestedAt,
+	}, nil
 }
 
 func moveInProgress(entry bulrushcatalogue.ServiceEntry) bool {
@@ -298,7 +307,13 @@
 	return deadline
 }
 
-func (eh *entryHandler) tenantOf(request *http.Request) bulrushchute.Tenant {
+func (eh *entryHandler) tenantOf(caller callerIdentity, request *http.Request) bulrushchute.Tenant {
+	switch {
+	case caller.tenant != nil:
+		return caller.tenant.Tenant
+	case caller.keysRequired:
+		return ""
+	}
 	if eh.trustTenantHeader {
 		return bulrushchute.Tenant(request.Header.Get(headerTenant))
 	}
@@ -339,6 +354,8 @@
 	switch {
 	case final.Reason == bulrushchute.ReasonKeyFormat || final.Reason == bulrushchute.ReasonMalformed:
 		return http.StatusBadRequest
+	case final.Reason == bulrushchute.ReasonUnknownKey && final.Outcome == bulrushchute.OutcomeNotRun:
+		return http.StatusUnauthorized
 	case final.Outcome == bulrushchute.OutcomeNotRun:
 		return http.StatusServiceUnavailable
 	case final.Reason == bulrushchute.ReasonDeadline:
--- a/bulrushnode/header.go
+++ b/bulrushnode/header.go
@@ -21,6 +21,7 @@
 	headerOutcome        = "Bulrush-Outcome"
 	headerReason         = "Bulrush-Reason"
 	headerIdempotencyKey = "Idempotency-Key"
+	headerAPIKey         = "Bulrush-Api-Key"
 	headerContentLength  = "Content-Length"
 	headerRetryAfter     = "Retry-After"
 
--- a/bulrushnode/protocol.go
+++ b/bulrushnode/protocol.go
@@ -41,6 +41,7 @@
 		Depth:     int(depth),
 		Retry:     header.Get(headerRetry) != "",
 		Key:       header.Get(headerIdempotencyKey),
+		APIKey:    header.Get(headerAPIKey),
 	}, nil
 }
 
@@ -49,6 +50,12 @@
 	return strings.HasPrefix(name, headerPrefix)
 }
 
+// IdentifiesTenant implements bulrushchute.CallerProtocol. The headers are
+// reserved, whether or not the table requires API keys.
+func (nativeProtocol) IdentifiesTenant(name string) bool {
+	return name == headerAPIKey || name == headerTenant
+}
+
 // WriteOutcome implements bulrushchute.CallerProtocol.
 func (nativeProtocol) WriteOutcome(header http.Header, outcome bulrushchute.RequestOutcome) {
 	header.Set(headerOutcome, outcome.Outcome.String())
--- a/bulrushnode/tls_test.go
+++ b/bulrushnode/tls_test.go
@@ -222,7 +222,7 @@
 	config, err := settings.parseCallerTLS()
 	assert.NilError(t, err)
 	handler := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		_, _ = fmt.Fprintf(writer, "%s %s", (&entryHandler{}).tenantOf(request), request.Proto)
+		_, _ = fmt.Fprintf(writer, "%s %s", (&entryHandler{}).tenantOf(callerIdentity{}, request), request.Proto)
 	})
 	refusals := make(messageWriter, 16)
 	address := serveOn(t, config, handler, refusals)
--- a/bulrushwire/message.go
+++ b/bulrushwire/message.go
@@ -179,7 +179,7 @@
 func checkControl(control bulrushchute.Control) error {
 	set := countTrue(control.Heartbeat != nil, control.HeartbeatAck != nil, control.Have != nil,
 		control.Want != nil, control.Records != nil, control.Digest != nil,
-		control.Evidence != nil, control.PromiseAsk != nil, control.Promise != nil, control.Confirmation != nil)
+		control.Evidence != nil, control.PromiseAsk != nil, control.Promise != nil, control.Confirmation != nil, control.Usage != nil)
 	if set != 1 {
 		return &MessageError{Problem: "control message without exactly one content field"}
 	}
--- a/message.go
+++ b/message.go
@@ -113,6 +113,8 @@
 	// TopicQuarantine holds what each node has observed of crashes of its backend
 	// server.
 	TopicQuarantine
+	// TopicUsage holds one record, the node that sends the usage reports.
+	TopicUsage
 )
 
 // RecordVersion orders the versions of one record. The version of a record only
@@ -158,6 +160,7 @@
 	PromiseAsk   *PromiseAsk   `cbor:"9,keyasint,omitempty"`
 	Promise      *Promise      `cbor:"10,keyasint,omitempty"`
 	Confirmation *Confirmation `cbor:"11,keyasint,omitempty"`
+	Usage        *Usage        `cbor:"12,keyasint,omitempty"`
 }
 
 // Confirmation tells a node that has started which state of the catalogue a
--- a/protocol.go
+++ b/protocol.go
@@ -26,6 +26,9 @@
 	Retry bool
 	// Key is the idempotency key.
 	Key string
+	// APIKey is the key that identifies the caller's tenant. It must not be logged
+	// or sent to another process.
+	APIKey string
 }
 
 // RequestOutcome is what a node tells a caller about how a request ended.
@@ -43,6 +46,10 @@
 	// Reserved reports whether a header belongs to the protocol itself. Such
 	// headers are neither passed on to backend servers nor accepted from them.
 	Reserved(name string) bool
+	// IdentifiesTenant reports whether a header holds the API key or the tenant. If
+	// the routing table requires API keys, such headers are not passed on to backend
+	// servers.
+	IdentifiesTenant(name string) bool
 	// WriteOutcome adds the headers that state how a request ended.
 	WriteOutcome(header http.Header, outcome RequestOutcome)
 }
--- a/request.go
+++ b/request.go
@@ -116,6 +116,9 @@
 	// ReasonMalformed also applies to a key that was used for another request.
 	ReasonMalformed      Reason = "malformed"
 	ReasonUnknownService Reason = "unknown_service"
+	// ReasonUnknownKey means that the routing table requires an API key, and that
+	// the request has none or one that no tenant has.
+	ReasonUnknownKey Reason = "unknown_api_key"
 )
 
 // MaxDepth limits the nesting of calls: a request that is nested in this many
--- a/store.go
+++ b/store.go
@@ -33,6 +33,9 @@
 	// has quarantined contents.
 	KindQuarantines Kind = "quarantines"
 
+	// KindUsage has one object, the ledger of usage reports.
+	KindUsage Kind = "usage"
+
 	KindStatus Kind = "status"
 )
 
