--- a/clock_test.go
+++ b/clock_test.go
@@ -42,3 +42,13 @@
 	assert.Equal(t, (1500 * bulrushchute.Millisecond).Duration(), 1500*time.Millisecond)
 	assert.Equal(t, bulrushchute.MillisOf(1999*time.Microsecond), bulrushchute.Millis(1))
 }
+
+// Guards against a clock that does not advance or starts at another time.
+func TestBootClock(t *testing.T) {
+	clock := bulrushchute.NewBootClock()
+	before := bulrushchute.WallClock{}.Now()
+	first := clock.Now()
+	assert.Assert(t, first >= before-1 && first <= bulrushchute.WallClock{}.Now()+1)
+	time.Sleep(5 * time.Millisecond)
+	assert.Assert(t, clock.Now() >= first+4)
+}
