Send whole responses to slow readers at a planned stop

closeIfIdle counted a request as ended when its handler had returned, and closed the connection although the response was still being written, as a large one is for long on a narrow link.

The connection counts sent responses now.

--- a/bulrushcaller/connection.go
+++ b/bulrushcaller/connection.go
@@ -53,6 +53,9 @@
 	started    int
 	finished   int
 	aheadBytes int
+	// sent counts the requests whose response is written, or cannot be written any
+	// more. A large response to a caller that reads slowly is finished long before.
+	sent int
 	// stopped is set when no further request may be started.
 	stopped bool
 }
@@ -132,11 +135,11 @@
 	}
 }
 
-// closeIfIdle closes the connection if it has no request.
+// closeIfIdle closes the connection if it has no request and no response to send.
 func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.started == c.finished && !c.parsing && c.input.empty() {
+	if c.started == c.sent && !c.parsing && c.input.empty() {
 		c.stopped = true
 		_ = c.socket.Close()
 	}
@@ -304,6 +307,7 @@
 			_, err := c.socket.Write(next.encode(closing))
 			failed = err != nil
 		}
+		c.countSent()
 		close(next.sent)
 		if closing || failed {
 			c.stop()
@@ -324,6 +328,12 @@
 	return c.stopped && c.finished == c.started
 }
 
+func (c *connection) countSent() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.sent++
+}
+
 // stop ends the parser.
 func (c *connection) stop() {
 	c.mutex.Lock()
