Keep keys and digests out of errors of the routing table

A tenant with more than 1,000 keys was reported with its first digests, and a key in the clear in place of a list of digests with the key itself. Errors now describe such values: the number of entries of a list, or a value of another type.

--- a/bulrushcatalogue/structure.go
+++ b/bulrushcatalogue/structure.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,9 +15,10 @@
 // rootField is the field that errors name for the document as a whole.
 const rootField = "document"
 
-// textUnmarshaler is implemented by types whose JSON form is a string that they
-// check themselves.
-var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+var (
+	keyDigestType  = reflect.TypeFor[KeyDigest]()
+	keyDigestsType = reflect.TypeFor[[]KeyDigest]()
+)
 
 // maxErrorValueBytes limits how much of a rejected value an error includes.
 const maxErrorValueBytes = 80
@@ -57,15 +57,15 @@
 	if err != nil {
 		return newFieldError(path, err.Error(), "valid JSON")
 	}
+	if t == keyDigestType || t == keyDigestsType {
+		return c.checkDigests(path, t, token)
+	}
 	switch v := token.(type) {
 	case json.Delim:
 		return c.checkComposite(path, t, v)
 	case json.Number:
 		return checkNumber(path, t, v, optional)
 	case string:
-		if reflect.PointerTo(t).Implements(textUnmarshaler) {
-			return nil
-		}
 		return checkScalar(path, t, strconv.Quote(v), reflect.String)
 	case bool:
 		return checkScalar(path, t, strconv.FormatBool(v), reflect.Bool)
@@ -74,6 +74,19 @@
 	}
 }
 
+// checkDigests checks a digest or a list of digests. Its errors do not contain the
+// value, which may be an API key by mistake.
+func (c structureChecker) checkDigests(path string, t reflect.Type, token json.Token) error {
+	if delim, ok := token.(json.Delim); ok && delim == '[' && t == keyDigestsType {
+		return c.checkArray(path, t)
+	}
+	if _, ok := token.(string); ok && t == keyDigestType {
+		// KeyDigest.UnmarshalText checks the text.
+		return nil
+	}
+	return newFieldError(path, "a value of another type", "SHA-256 digests as a list of strings")
+}
+
 func (c structureChecker) checkComposite(path string, t reflect.Type, delim json.Delim) error {
 	if delim == '{' {
 		if t.Kind() != reflect.Struct {
--- a/bulrushcatalogue/tenant_test.go
+++ b/bulrushcatalogue/tenant_test.go
@@ -1,6 +1,7 @@
 package bulrushcatalogue
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -68,6 +69,7 @@
 		"repeated key":  {func(rt *RoutingTable) { rt.Tenants[1].Keys[0] = rt.Tenants[1].Keys[1] }, "tenants[1].key_digests[1]"},
 		"repeated name": {func(rt *RoutingTable) { rt.Tenants[1].Tenant = "late" }, "tenants[1].tenant"},
 		"no name":       {func(rt *RoutingTable) { rt.Tenants[0].Tenant = "" }, "tenants[0].tenant"},
+		"too many keys": {func(rt *RoutingTable) { rt.Tenants[0].Keys = make([]KeyDigest, 1001) }, "tenants[0].key_digests: value \"1001 entries\""},
 		"rank":          {func(rt *RoutingTable) { *rt.Tenants[1].Rank = -1 }, "tenants[1].rank"},
 	}
 	for name, tc := range cases {
@@ -83,6 +85,27 @@
 	assert.Assert(t, !strings.Contains(err.Error(), "instead"))
 }
 
+// Guards against errors that print a key which stands where a digest belongs.
+func TestErrorsContainNoKey(t *testing.T) {
+	cases := map[string]struct{ digests, field string }{
+		"text":        {`["s3cret"]`, "document"},
+		"no list":     {`"s3cret"`, "tenants[0].key_digests"},
+		"number":      {`[8675309]`, "tenants[0].key_digests[0]"},
+		"number only": {`8675309`, "tenants[0].key_digests"},
+		"nested list": {`[["s3cret"]]`, "tenants[0].key_digests[0]"},
+		"null":        {`[null]`, "tenants[0].key_digests[0]"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseRouting([]byte(`{"label":"7","tenants":[{"tenant":"a","key_digests":` + tc.digests + `}]}`))
+			var field *bulrushchute.FieldError
+			assert.Assert(t, errors.As(err, &field), "%v", err)
+			assert.Equal(t, field.Field, tc.field, "%v", err)
+			assert.Assert(t, !strings.Contains(err.Error(), "s3cret") && !strings.Contains(err.Error(), "8675309"), "%v", err)
+		})
+	}
+}
+
 func BenchmarkTenantLookup(b *testing.B) {
 	table := tenantTable()
 	for i := range 1000 {
--- a/bulrushcatalogue/validate.go
+++ b/bulrushcatalogue/validate.go
@@ -90,7 +90,16 @@
 	}
 	violation := violations[0]
 	_, path, _ := strings.Cut(violation.Namespace(), ".")
-	return newFieldError(path, fmt.Sprint(violation.Value()), allowedValues(violation))
+	return newFieldError(path, describeValue(violation), allowedValues(violation))
+}
+
+// describeValue describes the value of a violation. It does not print the entries
+// of a list, which may be digests of API keys.
+func describeValue(violation validator.FieldError) string {
+	if violation.Kind() == reflect.Slice {
+		return fmt.Sprintf("%d entries", reflect.ValueOf(violation.Value()).Len())
+	}
+	return fmt.Sprint(violation.Value())
 }
 
 func allowedValues(violation validator.FieldError) string {
