Name the called system in errors of unavailability

UnavailableError always said that the store was unavailable, but the sink of usage reports returns it too, and operators would look at the wrong system.

The error and bulrushstore.Operation have a field for the system's name. Errors of calls to the store read as before.

--- a/bulrushstore/operation.go
+++ b/bulrushstore/operation.go
@@ -8,7 +8,7 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// Operation describes one call to a store over HTTP. Its methods separate
+// Operation describes one call over HTTP to a store or a similar system. Its methods separate
 // failures of calls that certainly had no effect from failures of writes that
 // may have taken effect.
 type Operation struct {
@@ -16,6 +16,8 @@
 	Name string
 	// Writes is set for a call that changes the store.
 	Writes bool
+	// System is the name of the called system in errors, empty for the store.
+	System string
 }
 
 // NewHTTPClient returns a client that does not follow redirects, because
@@ -45,7 +47,7 @@
 
 // UnavailableError returns the error for a call that certainly had no effect.
 func (o Operation) UnavailableError(cause error) error {
-	return &bulrushchute.UnavailableError{Operation: o.Name, Cause: cause}
+	return &bulrushchute.UnavailableError{Operation: o.Name, Cause: cause, System: o.System}
 }
 
 // UnknownOutcomeError returns the error for a call whose response was lost,
--- a/errors.go
+++ b/errors.go
@@ -1,6 +1,7 @@
 package bulrushchute
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 )
@@ -62,16 +63,18 @@
 	return errors.As(err, &conflict) || errors.As(err, &exists)
 }
 
-// UnavailableError reports a failed call to the store that certainly had no
-// effect.
+// UnavailableError reports a failed call to the store, or to the sink of usage
+// reports, that certainly had no effect.
 type UnavailableError struct {
 	Operation string
 	Cause     error
+	// System is the system that was called, empty for the store.
+	System string
 }
 
 // Error implements error.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("store unavailable during %s: %v", e.Operation, e.Cause)
+	return fmt.Sprintf("%s unavailable during %s: %v", cmp.Or(e.System, "store"), e.Operation, e.Cause)
 }
 
 // Unwrap returns the cause.
