Show tenants and usage reports in the status of a node

Operators could not see which tenants are in force on a node, and usage reports need a status.

/v1/catalogue has the routing table's version and its tenants with rank and number of keys, never keys or digests. /v1/status and the variable bulrush_usage have the status of usage reports, with at most 64 tenants, once the node has a function that provides it.

--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -63,6 +63,9 @@
 	entryHandler *entryHandler
 	recorder     *bulrushmetric.Recorder
 	tasks        *bulrushtask.Group
+	// usageStatus returns the status of usage reports with all tenants. It is nil if
+	// the node does not take part in them, and is called concurrently.
+	usageStatus func() UsageStatus
 	// kinds are the kinds of objects that readers watch in the store.
 	kinds []bulrushchute.Kind
 	// context is cancelled at the end of the drain. The tasks of the node run
--- a/bulrushnode/status.go
+++ b/bulrushnode/status.go
@@ -31,6 +31,8 @@
 	DataCentres []DataCentreStatus      `json:"data_centres"`
 	// KeyHome is set while the node is the home of any idempotency keys.
 	KeyHome bool `json:"key_home"`
+	// Usage is nil if the node does not take part in usage reports.
+	Usage *UsageStatus `json:"usage,omitempty"`
 }
 
 // DataCentreStatus is the status of a data centre as seen by this node.
@@ -55,6 +57,7 @@
 		LateReplies: n.client.LateReplies(),
 		Resumptions: n.client.Resumptions(),
 		KeyHome:     n.keys.isHome(),
+		Usage:       n.readUsage(),
 	}
 	counts := make(map[bulrushchute.DataCentre]int)
 	services := make(map[bulrushchute.Service]bool)
@@ -105,6 +108,31 @@
 type CatalogueEntries struct {
 	Services    []ServiceInForce    `json:"services"`
 	DataCentres []DataCentreInForce `json:"data_centres"`
+	// Routing is nil if no routing table is in force.
+	Routing *RoutingInForce `json:"routing,omitempty"`
+}
+
+// RoutingInForce describes the routing table, apart from its routes and services.
+type RoutingInForce struct {
+	// Label is the operators' name for the version of the table.
+	Label string `json:"label"`
+	// Version is the store's version of the table, and OperatorVersion that of the
+	// operators, 0 if they don't number their versions.
+	Version         uint64 `json:"version"`
+	OperatorVersion uint64 `json:"operator_version"`
+	// RequiresKeys is set if requests need an API key, except on anonymous routes.
+	RequiresKeys bool `json:"requires_keys"`
+	// Tenants are sorted by name. There are none unless RequiresKeys is set.
+	Tenants []TenantInForce `json:"tenants"`
+}
+
+// TenantInForce describes a tenant without its keys.
+type TenantInForce struct {
+	Tenant bulrushchute.Tenant `json:"tenant"`
+	// Rank is nil if that of the route applies.
+	Rank *int `json:"rank,omitempty"`
+	// Keys is the number of the tenant's API keys.
+	Keys int `json:"keys"`
 }
 
 // ServiceInForce is a service's entry with its store version.
@@ -131,9 +159,27 @@
 		entry, _ := set.DataCentre(name)
 		entries.DataCentres = append(entries.DataCentres, DataCentreInForce{Version: set.DataCentreVersion(name), Entry: entry})
 	}
+	entries.Routing = newRoutingInForce(set.Routing())
 	return entries
 }
 
+func newRoutingInForce(routing bulrushcatalogue.Routing) *RoutingInForce {
+	if !routing.InForce() {
+		return nil
+	}
+	result := &RoutingInForce{
+		Label:           routing.Label,
+		Version:         routing.Version.Counter,
+		OperatorVersion: routing.Version.Epoch,
+		RequiresKeys:    routing.RequiresKeys(),
+		Tenants:         []TenantInForce{},
+	}
+	for _, tenant := range routing.Tenants() {
+		result.Tenants = append(result.Tenants, TenantInForce{Tenant: tenant.Tenant, Rank: tenant.Rank, Keys: len(tenant.Keys)})
+	}
+	return result
+}
+
 // PublishMetrics publishes the node's metrics as expvar variables. It must be
 // called at most once per process.
 func (n *Node) PublishMetrics() {
@@ -141,6 +187,9 @@
 	expvar.Publish("bulrush_moves", expvar.Func(func() any { return n.moves.metrics() }))
 	expvar.Publish("bulrush_quarantine", expvar.Func(func() any { return n.quarantineStatus() }))
 	expvar.Publish("bulrush_catalogue", expvar.Func(func() any { return n.catalogueStatus() }))
+	if n.usageStatus != nil {
+		expvar.Publish("bulrush_usage", expvar.Func(func() any { return n.readUsage() }))
+	}
 }
 
 func (a *admission) probeCounts() map[string]uint64 {
--- /dev/null
+++ b/bulrushnode/usage_status.go
@@ -0,0 +1,81 @@
+package bulrushnode
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"bulrushchute.example/bulrushchute"
+)
+
+// maxUsageTenants limits the tenants in UsageStatus.OpenCounts, as maxTenants
+// limits those with histograms of their own.
+const maxUsageTenants = 64
+
+// UsageStatus is the status of usage reports as seen by a node. Windows are 0 if
+// they are not known.
+type UsageStatus struct {
+	// Holder is the node that holds the duty to send reports, empty if there is none.
+	Holder        bulrushchute.InstanceID `json:"holder"`
+	HolderAddress bulrushchute.Address    `json:"holder_address"`
+	// Token is the fencing token of the holder's term.
+	Token uint64 `json:"token"`
+	// HoldsDuty is set if this node is the holder. The fields from
+	// AcknowledgedWindow to RepeatsSent are zero on other nodes.
+	HoldsDuty bool `json:"holds_duty"`
+	// SettledWindow is the last window whose counts are in the ledger, and
+	// SettledEndMs the instant at which it ended.
+	SettledWindow bulrushchute.UsageWindow `json:"settled_window"`
+	SettledEndMs  bulrushchute.Millis      `json:"settled_end_ms"`
+	// AcknowledgedWindow is the last window whose report the platform has accepted.
+	AcknowledgedWindow bulrushchute.UsageWindow `json:"acknowledged_window"`
+	// MissingWindows are past windows whose reports the platform has not accepted.
+	MissingWindows []bulrushchute.UsageWindow `json:"missing_windows"`
+	// IncompleteWindows counts the windows that were settled without the counts of
+	// all nodes.
+	IncompleteWindows uint64 `json:"incomplete_windows"`
+	// ReportsSent counts the reports sent to the platform, and RepeatsSent those
+	// among them that were sent before.
+	ReportsSent uint64 `json:"reports_sent"`
+	RepeatsSent uint64 `json:"repeats_sent"`
+	// MessagesSent counts the messages with counts that this node has sent to other
+	// nodes, and MessageRepeats those among them that were sent before.
+	MessagesSent   uint64 `json:"messages_sent"`
+	MessageRepeats uint64 `json:"message_repeats"`
+	// OpenWindow is the current window, and OpenCounts what this node has counted in
+	// it. If there are more than 64 tenants, OpenCounts has those with the highest
+	// counts, and OtherCount is the sum of the others.
+	OpenWindow bulrushchute.UsageWindow `json:"open_window"`
+	OpenCounts bulrushchute.UsageCounts `json:"open_counts"`
+	OtherCount uint64                   `json:"other_count"`
+}
+
+// withLimitedTenants returns a copy with at most maxUsageTenants tenants.
+func (us UsageStatus) withLimitedTenants() UsageStatus {
+	if len(us.OpenCounts) <= maxUsageTenants {
+		return us
+	}
+	tenants := slices.SortedFunc(maps.Keys(us.OpenCounts), func(a, b bulrushchute.Tenant) int {
+		return cmp.Or(cmp.Compare(us.OpenCounts[b], us.OpenCounts[a]), cmp.Compare(a, b))
+	})
+	limited := make(bulrushchute.UsageCounts, maxUsageTenants)
+	for i, tenant := range tenants {
+		if i < maxUsageTenants {
+			limited[tenant] = us.OpenCounts[tenant]
+		} else {
+			us.OtherCount += us.OpenCounts[tenant]
+		}
+	}
+	us.OpenCounts = limited
+	return us
+}
+
+// readUsage returns the status of usage reports, or nil if the node does not take
+// part in them.
+func (n *Node) readUsage() *UsageStatus {
+	if n.usageStatus == nil {
+		return nil
+	}
+	status := n.usageStatus().withLimitedTenants()
+	return &status
+}
