--- a/cmd/bulrushctl/bulrushcommand/command.go
+++ b/cmd/bulrushctl/bulrushcommand/command.go
@@ -116,7 +116,7 @@
 	flags.BoolVar(&c.jsonOutput, "json", false, "print JSON in place of tables")
 	command.AddCommand(c.newValidateCommand(), c.newDiffCommand(), c.newApplyCommand(), c.newGetCommand(),
 		c.newWithdrawCommand(), c.newReturnCommand(), c.newMoveCommand(), c.newStatusCommand(), c.newEventsCommand(),
-		c.newExplainCommand())
+		c.newExplainCommand(), c.newTenantsCommand(), c.newUsageCommand())
 	return command
 }
 
