Divide retry budgets between tenants

All tenants of a service shared the buckets that pay for attempts after a refusal at an entry node. A tenant most of whose requests are refused emptied them, so that each refusal of another tenant's request was final.

Each tenant now has an account in the bucket, filled by the deposits of its own requests.

--- a/bulrushattempt/budget.go
+++ b/bulrushattempt/budget.go
@@ -87,27 +87,25 @@
 // Budgets limits the retries and hedges of one service and records its recent
 // latency. It is not safe for concurrent use.
 type Budgets struct {
-	// retries pays for attempts after a failure, or after a refusal by the
-	// backend server itself.
-	retries tokenBucket
-	// refusals pays for attempts after other refusals and after attempts that were
-	// not sent.
-	refusals tokenBucket
-	// slowRefusals pays for attempts after a refusal because of a slowdown.
-	slowRefusals tokenBucket
-	hedges       tokenBucket
-	latency      latencyHistogram
+	// buckets pay for attempts after others, by bucketKind. They are divided between
+	// tenants.
+	buckets  [bucketKindCount]tokenBucket
+	accounts accounts
+	hedges   tokenBucket
+	latency  latencyHistogram
 }
 
 // NewBudgets returns budgets with full buckets, except for hedges: their bucket
 // starts empty, so that hedges never exceed their ratio to all requests.
 func NewBudgets(now bulrushchute.Millis) *Budgets {
 	return &Budgets{
-		retries:      newTokenBucket(retryPermille, retryBurst, retryBurst),
-		refusals:     newTokenBucket(refusalPermille, refusalBurst, refusalBurst),
-		slowRefusals: newTokenBucket(slowPermille, slowBurst, slowBurst),
-		hedges:       newTokenBucket(hedgePermille, hedgeBurst, 0),
-		latency:      latencyHistogram{halvedAt: now},
+		buckets: [bucketKindCount]tokenBucket{
+			bucketRetries:      newTokenBucket(retryPermille, retryBurst, retryBurst),
+			bucketRefusals:     newTokenBucket(refusalPermille, refusalBurst, refusalBurst),
+			bucketSlowRefusals: newTokenBucket(slowPermille, slowBurst, slowBurst),
+		},
+		hedges:  newTokenBucket(hedgePermille, hedgeBurst, 0),
+		latency: latencyHistogram{halvedAt: now},
 	}
 }
 
@@ -119,7 +117,7 @@
 
 // SetLimits changes the limits. Tokens in excess of a lowered burst are lost.
 func (b *Budgets) SetLimits(limits Limits) {
-	b.retries.setLimits(limits.RetryRatio, limits.RetryBurst)
+	b.buckets[bucketRetries].setLimits(limits.RetryRatio, limits.RetryBurst)
 	b.hedges.setLimits(limits.HedgeRatio, limits.HedgeBurst)
 }
 
@@ -129,9 +127,18 @@
 	tb.level = min(tb.level, tb.burstUnits)
 }
 
-func (b *Budgets) countRequest() {
-	b.retries.deposit()
-	b.refusals.deposit()
-	b.slowRefusals.deposit()
+// countRequest adds the deposits of a tenant's request, and returns the tenant's
+// account.
+func (b *Budgets) countRequest(tenant bulrushchute.Tenant) *account {
+	owner := b.accounts.get(tenant, &b.buckets)
+	for kind := range bucketKindCount {
+		b.share(owner, kind).deposit()
+	}
 	b.hedges.deposit()
+	return owner
+}
+
+// share returns the part of a bucket that the owner of an account may use.
+func (b *Budgets) share(owner *account, kind bucketKind) *share {
+	return &share{bucket: &b.buckets[kind], level: &owner.levels[kind]}
 }
--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -23,9 +23,9 @@
 type attempt struct {
 	phase  phase
 	sentAt bulrushchute.Millis
-	// bucket is the token bucket that paid for the attempt, nil for the first
+	// purse is what paid for the attempt, nil for the first
 	// attempt.
-	bucket *tokenBucket
+	purse purse
 	// mayHaveRun is set when the attempt ended without proof that it did not
 	// run.
 	mayHaveRun bool
@@ -34,8 +34,8 @@
 // discard ends an attempt that was never sent and refunds its token.
 func (a *attempt) discard() {
 	a.phase = phaseEnded
-	if a.bucket != nil {
-		a.bucket.refund()
+	if a.purse != nil {
+		a.purse.refund()
 	}
 }
 
@@ -44,6 +44,7 @@
 type Machine struct {
 	info     bulrushchute.RequestInfo
 	budgets  *Budgets
+	owner    *account
 	attempts []attempt
 	tried    []bulrushchute.InstanceID
 
@@ -65,9 +66,9 @@
 	lastReason bulrushchute.Reason
 	// retryAfter is the shortest delay that a refusal asked for, 0 for none.
 	retryAfter bulrushchute.Millis
-	// nextBucket is the token bucket that has paid for the next attempt, nil when
+	// nextPurse is what has paid for the next attempt, nil when
 	// none is due.
-	nextBucket *tokenBucket
+	nextPurse purse
 	// final is the result of the request, nil until it is decided.
 	final *FinalResult
 	// finished is set once Next has returned ActionFinish.
@@ -76,8 +77,7 @@
 
 // New returns the Machine of a request that arrives at now.
 func New(info bulrushchute.RequestInfo, budgets *Budgets, now bulrushchute.Millis) *Machine {
-	budgets.countRequest()
-	m := &Machine{info: info, budgets: budgets}
+	m := &Machine{info: info, budgets: budgets, owner: budgets.countRequest(info.Tenant)}
 	if now >= info.Deadline {
 		m.endRequest(bulrushchute.ReasonDeadline)
 	}
@@ -95,8 +95,8 @@
 	if m.final != nil {
 		return m.close(now)
 	}
-	if len(m.attempts) == 0 || m.nextBucket != nil {
-		return m.send(m.nextBucket, false)
+	if len(m.attempts) == 0 || m.nextPurse != nil {
+		return m.send(m.nextPurse, false)
 	}
 	return m.hedgeOrWait(now)
 }
@@ -229,15 +229,15 @@
 	}
 }
 
-func (m *Machine) send(bucket *tokenBucket, hedge bool) Action {
-	m.nextBucket = nil
+func (m *Machine) send(purse purse, hedge bool) Action {
+	m.nextPurse = nil
 	retry := m.info.Retry || m.mayHaveRun || m.outstanding() > 0
-	m.attempts = append(m.attempts, attempt{bucket: bucket})
+	m.attempts = append(m.attempts, attempt{purse: purse})
 	return Action{
 		Kind:    ActionSend,
 		Attempt: len(m.attempts),
 		Exclude: m.tried[:len(m.tried):len(m.tried)],
-		Last:    m.slowRefusals >= MaxSlowRefusals || !m.budgets.slowRefusals.available(),
+		Last:    m.slowRefusals >= MaxSlowRefusals || !m.budgets.share(m.owner, bucketSlowRefusals).available(),
 		Hedge:   hedge,
 		Retry:   retry,
 	}
@@ -296,7 +296,7 @@
 func (m *Machine) onFailure(end End) {
 	m.mayHaveRun = true
 	m.lastReason = end.Reason
-	m.retryOrEnd(m.info.Idempotent && !m.info.Retry, &m.budgets.retries)
+	m.retryOrEnd(m.info.Idempotent && !m.info.Retry, bucketRetries)
 }
 
 // onRefusal handles the end of an attempt that certainly did not run.
@@ -310,20 +310,20 @@
 	if end.RetryAfter > 0 && (m.retryAfter == 0 || end.RetryAfter < m.retryAfter) {
 		m.retryAfter = end.RetryAfter
 	}
-	bucket := &m.budgets.refusals
+	kind := bucketRefusals
 	switch {
 	case end.Reached:
-		bucket = &m.budgets.retries
+		kind = bucketRetries
 	case end.Reason == bulrushchute.ReasonSlow || end.Reason == bulrushchute.ReasonServerLimit:
 		m.slowRefusals++
-		bucket = &m.budgets.slowRefusals
+		kind = bucketSlowRefusals
 	}
-	m.retryOrEnd(!nonRetryableReasons[end.Reason], bucket)
+	m.retryOrEnd(!nonRetryableReasons[end.Reason], kind)
 }
 
 // retryOrEnd schedules another attempt or ends the request. It does neither
 // while another attempt is outstanding or about to be sent.
-func (m *Machine) retryOrEnd(retryable bool, bucket *tokenBucket) {
+func (m *Machine) retryOrEnd(retryable bool, kind bucketKind) {
 	if m.outstanding() > 0 || m.picking() {
 		return
 	}
@@ -331,11 +331,12 @@
 		m.endRequest(m.lastReason)
 		return
 	}
-	if !bucket.take() {
+	share := m.budgets.share(m.owner, kind)
+	if !share.take() {
 		m.endRequest(bulrushchute.ReasonRetryBudget)
 		return
 	}
-	m.nextBucket = bucket
+	m.nextPurse = share
 }
 
 // maySendAnother reports whether the limits permit another attempt: MaxAttempts
@@ -359,9 +360,9 @@
 }
 
 func (m *Machine) endRequest(reason bulrushchute.Reason) {
-	if m.nextBucket != nil {
-		m.nextBucket.refund()
-		m.nextBucket = nil
+	if m.nextPurse != nil {
+		m.nextPurse.refund()
+		m.nextPurse = nil
 	}
 	m.final = m.finalResult(reason)
 }
--- a/bulrushattempt/machine_test.go
+++ b/bulrushattempt/machine_test.go
@@ -175,7 +175,7 @@
 		budgets.latency.record(0, 20)
 	}
 	for range hedgeBurst * unitsPerToken / hedgePermille {
-		budgets.countRequest()
+		budgets.countRequest("")
 	}
 	return budgets
 }
