Spread the rate of a cold server over time between tenants

The rate limit of a cold server counts requests in a window of a second. The first requests of a window used all of it without waiting, in proportion to what each tenant sends, and the rest of the window was refused. Deficit round robin between the tenants had nothing to divide.

While requests of different tenants arrive, each fifth of a window now takes at most a fifth of the limit. With one tenant or none, the limit is used as before (TestColdRateIsSpreadBetweenTenants).

--- a/bulrushadmission/cold_rate.go
+++ b/bulrushadmission/cold_rate.go
@@ -1,6 +1,8 @@
 package bulrushadmission
 
 import (
+	"math"
+
 	"bulrushchute.example/bulrushchute"
 )
 
@@ -22,6 +24,12 @@
 	// unknownUntil is the end of the window in which dispatches of a former process
 	// of the node may count.
 	unknownUntil bulrushchute.Millis
+	// pacedUntil is the time until which the limit is spread over the window because
+	// several tenants send requests.
+	pacedUntil bulrushchute.Millis
+	// lastTenant is the tenant of the latest request, if any was seen.
+	lastTenant bulrushchute.Tenant
+	seen       bool
 }
 
 // coldRateWindow is the sliding window in which dispatches are counted. It is
@@ -34,6 +42,38 @@
 // the slack that operators allow for requests in transit.
 const unknownShare = 0.25
 
+const (
+	// coldRateParts is the number of parts of a window over which its limit is spread
+	// while several tenants send requests. Otherwise those who come first in a window
+	// use all of it, and no queue forms in which shares could be equal until the rest
+	// of the window is empty.
+	coldRateParts    = 5
+	coldRateInterval = coldRateWindow / coldRateParts
+)
+
+// observeTenant records the tenant of a new request.
+func (rl *coldRateLimiter) observeTenant(now bulrushchute.Millis, tenant bulrushchute.Tenant) {
+	if tenant != rl.lastTenant && rl.seen {
+		rl.pacedUntil = now + coldRateWindow
+	}
+	rl.lastTenant, rl.seen = tenant, true
+}
+
+// pacedFrom returns the time of the dispatch whose part of the window must be over
+// before the next one, or false if the next one need not wait for a part of the
+// window.
+func (rl *coldRateLimiter) pacedFrom(now bulrushchute.Millis) (bulrushchute.Millis, bool) {
+	if now >= rl.pacedUntil {
+		return 0, false
+	}
+	perInterval := int(math.Ceil(rl.perWindow(now) / coldRateParts))
+	i := len(rl.dispatches) - perInterval
+	if i < 0 || rl.dispatches[i] <= now-coldRateInterval {
+		return 0, false
+	}
+	return rl.dispatches[i], true
+}
+
 // assumeFormerDispatches records that a former process of the node may have used up
 // the limit until now.
 func (rl *coldRateLimiter) assumeFormerDispatches(now bulrushchute.Millis) {
@@ -65,7 +105,8 @@
 		return true
 	}
 	rl.dropExpired(now)
-	return float64(len(rl.dispatches)+1) <= rl.perWindow(now)
+	_, paced := rl.pacedFrom(now)
+	return !paced && float64(len(rl.dispatches)+1) <= rl.perWindow(now)
 }
 
 // recordDispatch counts a dispatch. Dispatches are counted while the server is
@@ -114,6 +155,9 @@
 		return Never
 	}
 	next := min(rl.until, rl.dispatches[0]+coldRateWindow+1)
+	if at, paced := rl.pacedFrom(now); paced && float64(len(rl.dispatches)+1) <= rl.perWindow(now) {
+		next = min(rl.until, at+coldRateInterval, rl.pacedUntil)
+	}
 	if now < rl.unknownUntil {
 		next = min(next, rl.unknownUntil)
 	}
--- a/bulrushadmission/cold_rate_test.go
+++ b/bulrushadmission/cold_rate_test.go
@@ -82,3 +82,38 @@
 		})
 	}
 }
+
+// Guards against tenants that use up the limit of a cold server before the requests
+// of others arrive, and against a limit that is spread over time where only one tenant
+// or none sends requests.
+func TestColdRateIsSpreadBetweenTenants(t *testing.T) {
+	cases := map[string]struct {
+		tenants  []bulrushchute.Tenant
+		first    int
+		inSecond int
+	}{
+		"no tenant":   {tenants: []bulrushchute.Tenant{""}, first: 9, inSecond: 9},
+		"one tenant":  {tenants: []bulrushchute.Tenant{"a"}, first: 9, inSecond: 9},
+		"two tenants": {tenants: []bulrushchute.Tenant{"a", "b"}, first: 2, inSecond: 9},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			limiter := coldRateLimiter{until: coldRateStart + 10_000, perS: 9, factor: 1}
+			for _, tenant := range append(tc.tenants, tc.tenants...) {
+				limiter.observeTenant(coldRateStart, tenant)
+			}
+			dispatched := func(until bulrushchute.Millis) (count int) {
+				for now := coldRateStart; now <= until; now++ {
+					for ; limiter.allows(now); count++ {
+						assert.Assert(t, now == coldRateStart || limiter.nextDispatch(now-1) <= now || limiter.allows(now-1))
+						limiter.recordDispatch(now)
+					}
+				}
+				return count
+			}
+			first := dispatched(coldRateStart)
+			assert.Equal(t, first, tc.first)
+			assert.Equal(t, first+dispatched(coldRateStart+coldRateWindow-1), tc.inSecond)
+		})
+	}
+}
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -21,6 +21,7 @@
 func (c *Controller) Offer(now bulrushchute.Millis, request Request) Decision {
 	releases := c.beginEvent(now)
 	c.rampAfterIdle()
+	c.coldRate.observeTenant(c.now, request.Tenant)
 	decision := c.decide(request)
 	decision.Releases = c.endEvent(append(releases, decision.Releases...))
 	return decision
