Give slots during a slowdown to the tenant with fewest

While the machine of a server is slowed down, requests that no other server can take are started once their hold is over. A slot that became free then went to the next request that arrived, and at the end of a hold to the requests in order of arrival of their tenants. Requests of small tenants waited until they timed out.

Where several tenants have unfinished requests, those whose hold is over now wait in the queue, and a free slot goes to the most important class and, within it, to the tenant with fewest slots.

--- a/bulrushadmission/controller.go
+++ b/bulrushadmission/controller.go
@@ -114,7 +114,7 @@
 // queued requests to free slots and, if a limit was cut, sheds those that can no
 // longer get a slot in time.
 func (c *Controller) endEvent(releases []Release) []Release {
-	releases = c.dispatchQueued(releases)
+	releases = c.dispatchDue(c.dispatchQueued(releases))
 	if c.limitCut {
 		releases = c.shedExcess(releases)
 	}
--- a/bulrushadmission/fair_share_test.go
+++ b/bulrushadmission/fair_share_test.go
@@ -390,7 +390,7 @@
 		"slowed at times, load 0.9":    {load: 0.9, disturb: slowedAtTimes},
 		"slowed at times, large, 1.3":  {load: 1.3, heavyShare: 0.6, disturb: slowedAtTimes, leastOther: 0.9},
 		"all slowed, load 0.5":         {load: 0.5, disturb: slowedTogether},
-		"all slowed, large, load 0.8":  {load: 0.8, heavyShare: 0.7, disturb: slowedTogether},
+		"all slowed, large, load 0.8":  {load: 0.8, heavyShare: 0.7, disturb: slowedTogether, leastOther: 0.6},
 	}
 }
 
--- a/bulrushadmission/hold.go
+++ b/bulrushadmission/hold.go
@@ -84,7 +84,7 @@
 	var refused []*requestState
 	c.queue.each(func(rs *requestState) {
 		plan := c.planHold(rs)
-		rs.heldUntil = plan.until
+		rs.heldUntil, rs.due = plan.until, false
 		c.nextExpiry = min(c.nextExpiry, rs.nextExpiry())
 		if plan.refuse {
 			refused = append(refused, rs)
@@ -103,6 +103,9 @@
 	switch {
 	case !rs.request.Insist:
 		return c.refuseQueued(rs, bulrushchute.ReasonSlow, releases)
+	case c.severalTenants():
+		c.markDue(rs)
+		return releases
 	case c.hasCapacity() && c.finishesSlowed(rs):
 		return c.admitQueued(rs, releases)
 	default:
@@ -111,3 +114,67 @@
 		return releases
 	}
 }
+
+// severalTenants reports whether unfinished requests are of different tenants.
+func (c *Controller) severalTenants() bool {
+	return len(c.usage) > 1
+}
+
+// markDue makes a request whose hold is over wait for dispatchDue.
+func (c *Controller) markDue(rs *requestState) {
+	rs.due = true
+	rs.heldUntil = c.now + minHold
+	c.nextExpiry = min(c.nextExpiry, rs.nextExpiry())
+}
+
+// dispatchDue dispatches the requests whose hold is over while there is capacity.
+// Without this order, a slot that becomes free during a slowdown would go to whoever
+// sends the next request, and so mostly to the tenant that sends most.
+func (c *Controller) dispatchDue(releases []Release) []Release {
+	for c.slowdown.elevated() && c.severalTenants() && c.queue.waiting > 0 && c.hasCapacity() {
+		rs := c.nextDue()
+		if rs == nil {
+			break
+		}
+		releases = c.admitQueued(rs, releases)
+	}
+	return releases
+}
+
+// nextDue returns the next request whose hold is over: one of the most important class
+// and, within it, of the tenant with fewest slots relative to its weight. It returns
+// nil if there is none.
+func (c *Controller) nextDue() *requestState {
+	for i := range c.queue.classes {
+		var best *requestState
+		for _, tq := range c.queue.classes[i].tenants {
+			if best != nil && !tq.usage.holdsLess(best.usage) {
+				continue
+			}
+			if rs := c.firstDue(tq); rs != nil {
+				best = rs
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+// firstDue returns the first request of a tenant queue whose hold is over and which
+// would still be answered before its deadline, or nil.
+func (c *Controller) firstDue(tq *tenantQueue) *requestState {
+	for _, rs := range tq.requests {
+		if rs.due && c.finishesSlowed(rs) {
+			return rs
+		}
+	}
+	return nil
+}
+
+// holdsLess reports whether the tenant holds fewer slots than another, relative to
+// their weights.
+func (tu *tenantUsage) holdsLess(other *tenantUsage) bool {
+	return tu.inFlight*other.weight < other.inFlight*tu.weight
+}
--- a/bulrushadmission/hold_test.go
+++ b/bulrushadmission/hold_test.go
@@ -229,3 +229,20 @@
 		now += 2 * fastMs
 	}
 }
+
+// Guards against slots that become free during a slowdown and go to the tenant that
+// sends most requests, while those of others wait until they time out.
+func TestSlotDuringSlowdownGoesToTenantWithFewest(t *testing.T) {
+	c := newReportingController(1000)
+	c.ObserveLoad(1000, bulrushchute.BackendLoad{Slots: 9, Slowdown: 4})
+	offer := func(n uint64, tenant bulrushchute.Tenant) {
+		c.Offer(1000, Request{ID: attemptID(n), Route: "r", Tenant: tenant, Deadline: bulrushchute.Hour, Insist: true})
+	}
+	for n := range uint64(20) {
+		offer(n, "heavy")
+	}
+	offer(20, "light")
+	c.Tick(1000 + defaultHold)
+	assert.Equal(t, c.usage["light"].inFlight, 1)
+	assert.Equal(t, len(c.running), c.limit())
+}
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -64,9 +64,14 @@
 	if refused {
 		return c.refuseNew(rs, reason)
 	}
-	if rs.heldUntil <= c.now && c.hasCapacity() {
-		c.dispatch(rs)
-		return Decision{Verdict: Admitted}
+	if rs.heldUntil <= c.now {
+		if c.hasCapacity() && !(c.severalTenants() && c.nextDue() != nil) {
+			c.dispatch(rs)
+			return Decision{Verdict: Admitted}
+		}
+		if c.severalTenants() {
+			c.markDue(rs)
+		}
 	}
 	victim, reason, room := c.pickVictim(rs)
 	if !room {
--- a/bulrushadmission/request_state.go
+++ b/bulrushadmission/request_state.go
@@ -22,6 +22,9 @@
 	expiryReason bulrushchute.Reason
 	// heldUntil is when the hold during a transient slowdown ends.
 	heldUntil bulrushchute.Millis
+	// due is set when the hold is over and the request waits for a slot during the
+	// slowdown.
+	due bool
 
 	running      bool
 	dispatchedAt bulrushchute.Millis
