--- a/bulrushadmission/doc.go
+++ b/bulrushadmission/doc.go
@@ -5,6 +5,7 @@
 // adaptive limit that follows its latency and failures, and by a ramp while it
 // is cold. A request that finds no free slot waits in the queue of its class and
 // tenant, unless it is not expected to get a slot in time or the queue is full.
+// Tenants get equal shares within a class, see docs/design/fair-shares.md.
 // If the server reports its load, requests are also held back during short
 // slowdowns of its machine, and the reports replace the adaptive limit and the
 // ramp.
--- a/bulrushadmission/hold.go
+++ b/bulrushadmission/hold.go
@@ -162,6 +162,11 @@
 	return nil
 }
 
+// othersDue reports whether a new request must wait for queued ones whose hold is over.
+func (c *Controller) othersDue() bool {
+	return c.severalTenants() && c.nextDue() != nil
+}
+
 // firstDue returns the first request of a tenant queue whose hold is over and which
 // would still be answered before its deadline, or nil.
 func (c *Controller) firstDue(tq *tenantQueue) *requestState {
--- a/bulrushadmission/offer.go
+++ b/bulrushadmission/offer.go
@@ -65,7 +65,7 @@
 		return c.refuseNew(rs, reason)
 	}
 	if rs.heldUntil <= c.now {
-		if c.hasCapacity() && !(c.severalTenants() && c.nextDue() != nil) {
+		if c.hasCapacity() && !c.othersDue() {
 			c.dispatch(rs)
 			return Decision{Verdict: Admitted}
 		}
--- a/bulrushadmission/one_tenant_test.go
+++ b/bulrushadmission/one_tenant_test.go
@@ -35,7 +35,7 @@
 		case 0:
 			apply(c.ObserveLoad(now, bulrushchute.BackendLoad{Slots: 6, Slowdown: 1 + 3*float64(now/700%2)}))
 		case 1:
-			apply(c.ObserveCold(now, bulrushchute.Millis(now/3000%2)*100))
+			apply(c.ObserveCold(now, now/3000%2*100))
 		case 2:
 			perS := 50.0
 			if now/5000%2 == 0 {
