--- a/usage.go
+++ b/usage.go
@@ -67,12 +67,14 @@
 	Level  UsageLevel  `cbor:"2,keyasint"`
 	// Bits and Group identify the group to which the contribution belongs, among the
 	// 2^Bits groups of the data centre. They are 0 for UsageDataCentre.
-	Bits       int        `cbor:"3,keyasint,omitempty"`
-	Group      uint32     `cbor:"4,keyasint,omitempty"`
-	DataCentre DataCentre `cbor:"5,keyasint"`
+	Bits  int    `cbor:"3,keyasint,omitempty"`
+	Group uint32 `cbor:"4,keyasint,omitempty"`
+	// DataCentre is empty in messages, which stay in the data centre, unless Level
+	// is UsageDataCentre.
+	DataCentre DataCentre `cbor:"5,keyasint,omitempty"`
 	// Sender made the contribution. Another node sends it if it hands over the
-	// collection.
-	Sender InstanceID `cbor:"6,keyasint"`
+	// collection. It is empty in a message of the sender itself, and in its receipt.
+	Sender InstanceID `cbor:"6,keyasint,omitempty"`
 	// Sequence orders the contributions of a sender to a window.
 	Sequence uint64 `cbor:"7,keyasint"`
 }
@@ -87,10 +89,11 @@
 	Expected int `cbor:"3,keyasint"`
 	// Final is set if the counts will not change, as far as the sender knows.
 	Final bool `cbor:"4,keyasint,omitempty"`
-	// Indexed holds pairs of an index into the list of tenants and a count. ListHash
+	// Indexed holds the counts of the tenants of a list, in its order, as uvarints. A
+	// zero is followed by the number of further tenants that have no count. ListHash
 	// identifies the list, 0 if all counts are in Named.
 	ListHash uint64      `cbor:"5,keyasint,omitempty"`
-	Indexed  []uint64    `cbor:"6,keyasint,omitempty"`
+	Indexed  []byte      `cbor:"6,keyasint,omitempty"`
 	Named    UsageCounts `cbor:"7,keyasint,omitempty"`
 }
 
