Test the usage collection under faults and let single nodes report directly

The property test found that a node which is alone in its data centre and stops loses its counts when another node starts there in the same window, because their sums compete. Such a node now sends its counts to the holder itself, at a level of their own, and the holder adds them. A stopping node takes no contributions that it would have to hand over, and a new holder accepts those of data centres that have just lost their last member.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED := 1
 # Packages whose tests use pgregory.net/rapid. Tests of other packages reject
 # its flags.
-PROPERTY_PACKAGES := /bulrush(admission|attempt|catalogue|key|membership|move|routing|spread|store)$$
+PROPERTY_PACKAGES := /bulrush(admission|attempt|catalogue|key|membership|move|routing|spread|store|usage)$$
 # Tests named in KNOWN-RED.txt (first word of each entry) are skipped and
 # printed.
 KNOWN_RED := $(shell awk '/^Test/ {printf "%s%s", sep, $$1; sep="|"}' KNOWN-RED.txt 2>/dev/null)
--- a/bulrushusage/collector.go
+++ b/bulrushusage/collector.go
@@ -82,6 +82,8 @@
 
 // Receive processes contributions that another node has sent, and returns the
 // receipts for it. A contribution that cannot be read or is not plausible gets none.
+// A stopping node takes none that it would have to hand over, because it may end
+// before it has.
 func (c *Collector) Receive(now bulrushchute.Millis, from bulrushchute.InstanceID, parts []Part) []Receipt {
 	c.advance(now)
 	var receipts []Receipt
@@ -101,7 +103,10 @@
 	if part.Key.Window <= c.settled {
 		return true
 	}
-	return part.Key.Window >= oldestKept(c.present()) && c.store(received)
+	if part.Key.Window < oldestKept(c.present()) || c.stopping && c.target(parentOf(received.key)).id != c.self {
+		return false
+	}
+	return c.store(received)
 }
 
 // store adds a contribution to the place in the tree to which it belongs. It
@@ -165,32 +170,6 @@
 	return false
 }
 
-// Total returns the sum over all data centres. It is meaningful only at the holder.
-func (c *Collector) Total(number Window) Total {
-	total := Total{Counts: Counts{}, Complete: true}
-	chosen := make(map[bulrushchute.DataCentre]contribution)
-	if w, exists := c.windows[number]; exists {
-		for key, child := range w.aggregate(place{level: levelHolder}).chosen(c.collectorOf) {
-			chosen[key.DataCentre] = child
-		}
-	}
-	var sum counting
-	for dataCentre, child := range chosen {
-		sum.add(child.content)
-		total.Sources += child.sources
-		total.Expected += max(child.expected, c.tree.sizes[dataCentre])
-		total.Complete = total.Complete && child.final
-	}
-	for dataCentre, size := range c.tree.sizes {
-		if _, exists := chosen[dataCentre]; !exists {
-			total.Expected += size
-			total.Complete = false
-		}
-	}
-	total.Counts = sum.counts()
-	return total
-}
-
 // advance takes the time, new members and the last settled window into account.
 func (c *Collector) advance(now bulrushchute.Millis) {
 	c.now = max(c.now, now)
--- a/bulrushusage/collector_test.go
+++ b/bulrushusage/collector_test.go
@@ -58,6 +58,13 @@
 				f.stop(n)
 			}
 		}},
+		"only node of a data centre is replaced": {nodes: 3, dataCentres: 3, during: func(f *fleet) {
+			f.stop(f.order[1])
+			f.after(100, func() {
+				f.add("dc1")
+				f.spread(false)
+			})
+		}},
 		"tenants change and differ": {nodes: 67, dataCentres: 3, during: func(f *fleet) {
 			for i, n := range f.order {
 				switch i % 3 {
@@ -96,13 +103,6 @@
 	}
 }
 
-func (f *fleet) cut(n *fleetNode, duration bulrushchute.Millis) {
-	n.cut = true
-	f.after(1500, func() { f.setState(n, bulrushchute.StateSuspect) })
-	f.after(duration, func() { n.cut = false })
-	f.after(duration+500, func() { f.setState(n, bulrushchute.StateReady) })
-}
-
 // The holder must not wait until the deadline if all nodes work.
 func TestTotalIsCompleteSoonAfterTheWindow(t *testing.T) {
 	f := newFleet(1, 67, 3, 40)
--- a/bulrushusage/contribution.go
+++ b/bulrushusage/contribution.go
@@ -12,8 +12,8 @@
 // Receipt acknowledges a Part.
 type Receipt = bulrushchute.UsageReceipt
 
-// levelHolder is the level above the data centres. It is not used in messages.
-const levelHolder = bulrushchute.UsageDataCentre + 1
+// levelHolder is the level of the holder. It is not used in messages.
+const levelHolder = bulrushchute.UsageDirect + 1
 
 // Limits on what a node holds for a window. The first allows all nodes of a large
 // data centre to be in one group, which happens while they start and know few
@@ -45,12 +45,18 @@
 // childOf returns the part of the key that all candidates for the same counts share.
 func childOf(key bulrushchute.UsageKey) bulrushchute.UsageKey {
 	key.Sequence = 0
-	if key.Level != bulrushchute.UsageSource {
+	if summed(key.Level) {
 		key.Sender = ""
 	}
 	return key
 }
 
+// summed reports whether contributions of a level are sums of a collector. Others
+// are of a single node, and have no competing candidates.
+func summed(level bulrushchute.UsageLevel) bool {
+	return level == bulrushchute.UsageGroup || level == bulrushchute.UsageDataCentre
+}
+
 func (c contribution) sameAs(other contribution) bool {
 	return c.sources == other.sources && c.expected == other.expected && c.final == other.final && c.content.equal(other.content)
 }
@@ -133,7 +139,7 @@
 	}
 	a.children[key] = added
 	a.dirty = true
-	if !exists && added.key.Level != bulrushchute.UsageSource {
+	if !exists && summed(added.key.Level) {
 		a.limitCandidates(childOf(added.key))
 	}
 }
@@ -188,9 +194,10 @@
 	aggregates map[place]*aggregate
 	deliveries map[bulrushchute.UsageKey]*delivery
 
-	// group is the node's own group for this window, once it is fixed.
-	group      group
-	groupFixed bool
+	// direct is set if the node passes its own counts to the holder itself. Otherwise,
+	// group is the node's own group once its counts are passed on.
+	direct bool
+	group  group
 	// source describes the counts of the node itself that were last passed on.
 	source sourceState
 }
@@ -203,20 +210,11 @@
 }
 
 func newWindow(number Window) *window {
-	w := &window{number: number}
-	w.clear()
-	return w
-}
-
-// clear removes everything except what other data centres have sent to the holder.
-func (w *window) clear() {
-	holder, exists := w.aggregates[place{level: levelHolder}]
-	w.aggregates = make(map[place]*aggregate)
-	if exists {
-		w.aggregates[place{level: levelHolder}] = holder
+	return &window{
+		number:     number,
+		aggregates: make(map[place]*aggregate),
+		deliveries: make(map[bulrushchute.UsageKey]*delivery),
 	}
-	w.deliveries = make(map[bulrushchute.UsageKey]*delivery)
-	w.source = sourceState{}
 }
 
 func (w *window) aggregate(at place) *aggregate {
--- a/bulrushusage/fleet_test.go
+++ b/bulrushusage/fleet_test.go
@@ -33,9 +33,12 @@
 	viewDelay bulrushchute.Millis
 	holder    *fleetNode
 	tenants   []bulrushchute.Tenant
-	truth     map[Window]Counts
-	next      int
-	sent      func(from, to bulrushchute.InstanceID, usage bulrushchute.Usage)
+	// truth holds what is counted and not withdrawn, and began all that was counted.
+	truth map[Window]Counts
+	began map[Window]Counts
+	views int
+	next  int
+	sent  func(from, to bulrushchute.InstanceID, usage bulrushchute.Usage)
 }
 
 type fleetNode struct {
@@ -45,7 +48,9 @@
 	skew      bulrushchute.Millis
 	dead      bool
 	cut       bool
-	stopping  bool
+	// view is the number of the members that the node knows.
+	view     int
+	stopping bool
 }
 
 func newFleet(seed uint64, nodes, dataCentres, tenants int) *fleet {
@@ -55,6 +60,7 @@
 		nodes:  make(map[bulrushchute.InstanceID]*fleetNode),
 		events: make(map[bulrushchute.Millis][]func()),
 		truth:  make(map[Window]Counts),
+		began:  make(map[Window]Counts),
 	}
 	for i := range tenants {
 		f.tenants = append(f.tenants, bulrushchute.Tenant(fmt.Sprintf("tenant%04d", i)))
@@ -93,6 +99,8 @@
 
 // spread tells the nodes of the members, at different times unless at once.
 func (f *fleet) spread(atOnce bool) {
+	f.views++
+	view := f.views
 	var members []bulrushchute.Instance
 	for _, n := range f.order {
 		members = append(members, n.instance)
@@ -102,7 +110,12 @@
 			n.collector.SetMembers(members)
 			continue
 		}
-		f.after(bulrushchute.Millis(f.random.Int64N(int64(f.viewDelay))), func() { n.collector.SetMembers(members) })
+		f.after(bulrushchute.Millis(f.random.Int64N(int64(f.viewDelay))), func() {
+			if view > n.view {
+				n.view = view
+				n.collector.SetMembers(members)
+			}
+		})
 	}
 }
 
@@ -116,14 +129,15 @@
 	f.events[at] = append(f.events[at], event)
 }
 
-// count counts requests at a node. Only what is not withdrawn is part of the truth.
+// count counts requests at a node.
 func (f *fleet) count(n *fleetNode, tenant bulrushchute.Tenant, requests int) {
 	for range requests {
 		window := n.counter.Began(f.now+n.skew, tenant)
 		if f.truth[window] == nil {
-			f.truth[window] = Counts{}
+			f.truth[window], f.began[window] = Counts{}, Counts{}
 		}
 		f.truth[window][tenant]++
+		f.began[window][tenant]++
 	}
 }
 
@@ -196,6 +210,21 @@
 	f.after(2000, func() { f.setState(n, bulrushchute.StateDead) })
 }
 
+// cut separates a node from all others for some time.
+func (f *fleet) cut(n *fleetNode, duration bulrushchute.Millis) {
+	setState := func(state bulrushchute.InstanceState) func() {
+		return func() {
+			if !n.dead && !n.stopping {
+				f.setState(n, state)
+			}
+		}
+	}
+	n.cut = true
+	f.after(1500, setState(bulrushchute.StateSuspect))
+	f.after(duration, func() { n.cut = false })
+	f.after(duration+500, setState(bulrushchute.StateReady))
+}
+
 // stop ends a node after a planned stop.
 func (f *fleet) stop(n *fleetNode) {
 	n.stopping = true
--- a/bulrushusage/message.go
+++ b/bulrushusage/message.go
@@ -1,7 +1,6 @@
 package bulrushusage
 
 import (
-	"maps"
 	"slices"
 
 	"bulrushchute.example/bulrushchute"
@@ -16,12 +15,16 @@
 	if key.Sender == "" {
 		key.Sender = from
 	}
-	if key.Level != bulrushchute.UsageDataCentre && key.DataCentre == "" {
+	if staysInDataCentre(key.Level) && key.DataCentre == "" {
 		key.DataCentre = c.dataCentre
 	}
 	return key
 }
 
+func staysInDataCentre(level bulrushchute.UsageLevel) bool {
+	return level == bulrushchute.UsageSource || level == bulrushchute.UsageGroup
+}
+
 // read returns the contribution in a message. It returns false if it is not
 // plausible or if it refers to a list of tenants that is not known.
 func (c *Collector) read(from bulrushchute.InstanceID, part Part) (contribution, bool) {
@@ -53,8 +56,9 @@
 	if received.sources < 1 || received.expected < 1 || key.Bits < 0 || key.Bits > maxBits || uint64(key.Group) >= 1<<key.Bits {
 		return false
 	}
-	if key.Level == bulrushchute.UsageDataCentre {
-		return c.tree.sizes[key.DataCentre] > 0 && key.Bits == 0
+	if !staysInDataCentre(key.Level) {
+		direct := key.Level == bulrushchute.UsageDirect && received.sources == 1
+		return c.tree.knowsDataCentre(key.DataCentre) && key.Bits == 0 && (direct || key.Level == bulrushchute.UsageDataCentre)
 	}
 	if key.DataCentre != c.dataCentre || !c.tree.knows(from) {
 		return false
@@ -75,7 +79,7 @@
 	if key.Sender == c.self {
 		key.Sender = ""
 	}
-	if key.Level != bulrushchute.UsageDataCentre {
+	if staysInDataCentre(key.Level) {
 		key.DataCentre = ""
 	}
 	counts := sent.content
@@ -124,8 +128,7 @@
 // address brings the targets of deliveries of a level up to date, and stores those
 // whose target is this node.
 func (c *Collector) address(w *window, level bulrushchute.UsageLevel) {
-	for _, key := range slices.SortedFunc(maps.Keys(w.deliveries), compareKeys) {
-		d := w.deliveries[key]
+	for key, d := range w.deliveries {
 		if key.Level != level {
 			continue
 		}
--- a/bulrushusage/tree.go
+++ b/bulrushusage/tree.go
@@ -64,8 +64,10 @@
 	version uint64
 	local   []member
 	living  map[bulrushchute.InstanceID]bool
-	// lastSeen holds when each member of the data centre was last in the list.
-	lastSeen map[bulrushchute.InstanceID]bulrushchute.Millis
+	// lastSeen and lastSeenIn hold when each member of the node's own data centre, and
+	// each data centre, was last in the list, also as dead.
+	lastSeen   map[bulrushchute.InstanceID]bulrushchute.Millis
+	lastSeenIn map[bulrushchute.DataCentre]bulrushchute.Millis
 	// sizes is the number of members of each data centre that are not dead.
 	sizes map[bulrushchute.DataCentre]int
 	bits  int
@@ -76,7 +78,12 @@
 }
 
 func newTree(self bulrushchute.InstanceID, dataCentre bulrushchute.DataCentre) *tree {
-	t := &tree{self: self, dataCentre: dataCentre, lastSeen: make(map[bulrushchute.InstanceID]bulrushchute.Millis)}
+	t := &tree{
+		self:       self,
+		dataCentre: dataCentre,
+		lastSeen:   make(map[bulrushchute.InstanceID]bulrushchute.Millis),
+		lastSeenIn: make(map[bulrushchute.DataCentre]bulrushchute.Millis),
+	}
 	t.rebuild(0)
 	return t
 }
@@ -85,9 +92,10 @@
 	t.pending, t.changed = members, true
 }
 
-// refresh takes a new list of members into account.
+// refresh takes a new list of members into account. A stopping node must know its
+// successor before it ends.
 func (t *tree) refresh(now bulrushchute.Millis) {
-	if t.changed && (t.version == 1 || now >= t.rebuiltAt+rebuildInterval || now < t.rebuiltAt) {
+	if t.changed && (t.version == 1 || t.stopping || now >= t.rebuiltAt+rebuildInterval) {
 		t.rebuild(now)
 	}
 }
@@ -100,16 +108,22 @@
 	t.sizes = make(map[bulrushchute.DataCentre]int)
 	t.collectors = make(map[place]member)
 	t.groups = make(map[int]map[uint32][]bulrushchute.InstanceID)
-	t.add(now, member{id: t.self, rank: t.selfRank()})
+	t.lastSeen[t.self], t.lastSeenIn[t.dataCentre] = now, now
+	t.add(member{id: t.self, rank: t.selfRank()})
 	for i := range t.pending {
 		t.addInstance(now, &t.pending[i])
 	}
-	for id, seen := range t.lastSeen {
-		if seen+rememberMs < now {
-			delete(t.lastSeen, id)
+	forgetBefore(t.lastSeen, now-rememberMs)
+	forgetBefore(t.lastSeenIn, now-rememberMs)
+	t.bits = bitsFor(len(t.local))
+}
+
+func forgetBefore[K comparable](lastSeen map[K]bulrushchute.Millis, limit bulrushchute.Millis) {
+	for key, seen := range lastSeen {
+		if seen < limit {
+			delete(lastSeen, key)
 		}
 	}
-	t.bits = bitsFor(len(t.local))
 }
 
 func (t *tree) selfRank() int {
@@ -120,14 +134,22 @@
 }
 
 func (t *tree) addInstance(now bulrushchute.Millis, instance *bulrushchute.Instance) {
-	if instance.ID == t.self || instance.State == bulrushchute.StateDead {
+	if instance.ID == t.self {
 		return
 	}
-	if instance.DataCentre != t.dataCentre {
+	local := instance.DataCentre == t.dataCentre
+	if local {
+		t.lastSeen[instance.ID] = now
+	} else if t.sizes[instance.DataCentre] == 0 {
+		t.lastSeenIn[instance.DataCentre] = now
+	}
+	switch {
+	case instance.State == bulrushchute.StateDead:
+	case local:
+		t.add(memberOf(instance))
+	default:
 		t.sizes[instance.DataCentre]++
-		return
 	}
-	t.add(now, memberOf(instance))
 }
 
 func memberOf(instance *bulrushchute.Instance) member {
@@ -141,11 +163,10 @@
 	return member{id: instance.ID, address: instance.Address, rank: rank}
 }
 
-func (t *tree) add(now bulrushchute.Millis, m member) {
+func (t *tree) add(m member) {
 	t.local = append(t.local, m)
 	t.sizes[t.dataCentre]++
 	t.living[m.id] = true
-	t.lastSeen[m.id] = now
 }
 
 // bitsFor returns the smallest b for which members / 2^b is at most
@@ -219,6 +240,12 @@
 	return known
 }
 
+// knowsDataCentre reports whether a data centre has, or recently had, members.
+func (t *tree) knowsDataCentre(dataCentre bulrushchute.DataCentre) bool {
+	_, known := t.lastSeenIn[dataCentre]
+	return known
+}
+
 // alone reports whether the node knows no other member of its data centre.
 func (t *tree) alone() bool {
 	return len(t.local) == 1
--- a/bulrushusage/update.go
+++ b/bulrushusage/update.go
@@ -33,7 +33,7 @@
 // comes after the one below, whose contributions may be for this node.
 func (c *Collector) update(w *window) {
 	c.updateSource(w)
-	for level := bulrushchute.UsageSource; level <= bulrushchute.UsageDataCentre; level++ {
+	for level := bulrushchute.UsageSource; level <= bulrushchute.UsageDirect; level++ {
 		c.address(w, level)
 		for at, a := range w.aggregates {
 			if at.level == level+1 {
@@ -42,16 +42,14 @@
 		}
 	}
 	// An aggregate that has ended may hand over contributions of lower levels.
-	for level := bulrushchute.UsageSource; level <= bulrushchute.UsageDataCentre; level++ {
+	for level := bulrushchute.UsageSource; level <= bulrushchute.UsageDirect; level++ {
 		c.address(w, level)
 	}
 }
 
 func (c *Collector) updateSource(w *window) {
-	if w.source.sent && !w.groupFixed && !c.tree.alone() {
-		// All that the window holds are the node's own counts, in a group that the other
-		// nodes do not have.
-		w.clear()
+	if w.direct && !c.tree.alone() {
+		c.leaveDirect(w)
 	}
 	changes := c.counter.changes(w.number)
 	over := c.stopping || c.now >= w.number.End(c.settings.WindowMs)+finalDelay
@@ -82,18 +80,37 @@
 
 // passSource passes on the node's own counts.
 func (c *Collector) passSource(w *window, final bool) {
-	if !w.groupFixed {
-		w.group, w.groupFixed = groupOf(c.self, c.tree.bits), !c.tree.alone()
+	if !w.source.sent {
+		w.direct, w.group = c.tree.alone(), groupOf(c.self, c.tree.bits)
 	}
 	counts, changes := c.counter.snapshot(w.number)
 	w.source = sourceState{sent: true, final: final, changes: changes, sentAt: c.now}
-	key := bulrushchute.UsageKey{Level: bulrushchute.UsageSource, Bits: w.group.bits, Group: w.group.number}
-	passed := c.contribution(w, key, encode(c.lists.current(), counts))
+	passed := c.contribution(w, w.sourceKey(), encode(c.lists.current(), counts))
 	passed.sources, passed.expected, passed.final = 1, 1, final
 	c.sourceBytes = passed.content.size()
 	w.deliver(passed)
 }
 
+// sourceKey returns the level and group of the node's own counts. They are fixed for
+// a window, so that no two places have its counts.
+func (w *window) sourceKey() bulrushchute.UsageKey {
+	if w.direct {
+		return bulrushchute.UsageKey{Level: bulrushchute.UsageDirect}
+	}
+	return bulrushchute.UsageKey{Level: bulrushchute.UsageSource, Bits: w.group.bits, Group: w.group.number}
+}
+
+// leaveDirect puts the node into a group when it learns of other members, unless it
+// has already sent its counts to a holder.
+func (c *Collector) leaveDirect(w *window) {
+	key := w.sourceKey()
+	key.Window, key.DataCentre, key.Sender = w.number, c.dataCentre, c.self
+	if d := w.deliveries[key]; d.target == "" {
+		delete(w.deliveries, key)
+		w.direct, w.source = false, sourceState{}
+	}
+}
+
 // contribution returns one that this node makes.
 func (c *Collector) contribution(w *window, key bulrushchute.UsageKey, counts content) contribution {
 	c.sequence++
--- a/usage.go
+++ b/usage.go
@@ -53,6 +53,9 @@
 	UsageGroup
 	// UsageDataCentre is all nodes of a data centre.
 	UsageDataCentre
+	// UsageDirect is one node that knows no other member of its data centre. The holder
+	// of the duty adds its counts to those of the data centre.
+	UsageDirect
 )
 
 // Usage carries usage counts up the tree, and receipts down.
@@ -66,11 +69,12 @@
 	Window UsageWindow `cbor:"1,keyasint"`
 	Level  UsageLevel  `cbor:"2,keyasint"`
 	// Bits and Group identify the group to which the contribution belongs, among the
-	// 2^Bits groups of the data centre. They are 0 for UsageDataCentre.
+	// 2^Bits groups of the data centre. They are 0 for UsageDataCentre
+	// and UsageDirect.
 	Bits  int    `cbor:"3,keyasint,omitempty"`
 	Group uint32 `cbor:"4,keyasint,omitempty"`
 	// DataCentre is empty in messages, which stay in the data centre, unless Level
-	// is UsageDataCentre.
+	// is UsageDataCentre or UsageDirect.
 	DataCentre DataCentre `cbor:"5,keyasint,omitempty"`
 	// Sender made the contribution. Another node sends it if it hands over the
 	// collection. It is empty in a message of the sender itself, and in its receipt.
