Test that a stopping collector leaves the collection to its successor

Without these two rules, no test failed: a stopping node gives no receipt for what it would have to hand over, and it withdraws its own sums.

--- a/bulrushusage/collector_test.go
+++ b/bulrushusage/collector_test.go
@@ -213,3 +213,33 @@
 		})
 	}
 }
+
+// A stopping node may end before it has handed over what it takes, and its own sum
+// must not compete with that of its successor.
+func TestStoppingCollectorLeavesCollectionToSuccessor(t *testing.T) {
+	f := newFleet(1, 20, 1, 3)
+	f.run(6500, 5)
+	source := f.bystander()
+	collector := f.groupCollector(source)
+	assert.Assert(t, collector != f.dataCentreCollector("dc0"))
+	sums := func() int {
+		count := 0
+		for _, d := range collector.collector.windows[testWindow].deliveries {
+			if d.contribution.key.Level == bulrushchute.UsageGroup {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, sums(), 1)
+	messages := collector.collector.Stop(f.now)
+	assert.Assert(t, len(messages) > 0)
+	assert.Equal(t, sums(), 0)
+
+	g := groupOf(source.instance.ID, 1)
+	part := Part{
+		Key:     bulrushchute.UsageKey{Window: testWindow, Level: bulrushchute.UsageSource, Bits: g.bits, Group: g.number, Sequence: 1000},
+		Sources: 1, Expected: 1,
+	}
+	assert.Equal(t, len(collector.collector.Receive(f.now, source.instance.ID, []Part{part})), 0)
+}
