Give a lease's term a fencing token that outlives a restore

The epoch of a lease falls back when the store is restored from a copy, so it does not order holders across eras. Lease.Token combines it with the era of the version that the term's last write created.

--- a/bulrushstore/lease.go
+++ b/bulrushstore/lease.go
@@ -59,11 +59,13 @@
 	settings LeaseSettings
 
 	// callMu serialises calls to the store and guards renewals, observed, object,
-	// observedAt and exists; mu guards epoch, expiresAt and voidSince.
+	// observedAt and exists; mu guards epoch, era, expiresAt and voidSince.
 	callMu sync.Mutex
 	mu     sync.Mutex
 	// epoch is the epoch of the current term, 0 if there is none.
-	epoch     uint64
+	epoch uint64
+	// era is that of the last version of the object that a write of this term created.
+	era       uint64
 	expiresAt bulrushchute.Millis
 	// voidSince is when this node learned that the store was restored from a copy,
 	// 0 if it never was.
@@ -108,6 +110,18 @@
 	return l.epoch, true
 }
 
+// Token returns the fencing token of the current term, and reports whether this node
+// holds the lease now. It consists of the era of the store and the epoch of the term, so
+// that it also increases when the store is restored from a copy with an earlier epoch.
+func (l *Lease) Token() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.heldLocked() {
+		return 0, false
+	}
+	return bulrushchute.StoreVersion(l.era, l.epoch), true
+}
+
 // ExpiresAt returns the time at which the lease expires unless it is renewed,
 // and reports whether this node holds it now.
 func (l *Lease) ExpiresAt() (bulrushchute.Millis, bool) {
@@ -236,6 +250,7 @@
 		return nil
 	}
 	l.epoch = epoch
+	l.era = bulrushchute.EraOf(l.object.Version)
 	l.expiresAt = sentAt + l.settings.Duration
 	return nil
 }
--- a/bulrushstore/restore_test.go
+++ b/bulrushstore/restore_test.go
@@ -72,3 +72,35 @@
 	_, currentHeld := current.Held()
 	assert.Assert(t, formerHeld != currentHeld)
 }
+
+// Guards against a fencing token that falls or repeats when the store is restored from
+// a copy with an earlier epoch.
+func TestLeaseTokenIncreasesAfterARestore(t *testing.T) {
+	m := NewMemory()
+	clock := bulrushchute.NewManualClock(1_000_000)
+	lease := NewLease(m, clock, LeaseSettings{Name: "shard", Holder: "a", Duration: 3000, RenewInterval: 1000, ClockMargin: 500})
+	m.OnEra(func(uint64) { lease.Void() })
+	_, held := lease.Token()
+	assert.Assert(t, !held)
+	var tokens []uint64
+	acquire := func() {
+		_, err := lease.AcquireOrRenew(t.Context())
+		assert.NilError(t, err)
+		token, held := lease.Token()
+		assert.Assert(t, held)
+		tokens = append(tokens, token)
+	}
+	acquire()
+	acquire()
+	copied := m.Copy()
+	clock.Advance(3000)
+	_, held = lease.Token()
+	assert.Assert(t, !held, "an expired term has no token")
+	acquire()
+	m.Restore(copied)
+	_, held = lease.Token()
+	assert.Assert(t, !held, "the restore ends the term")
+	clock.Advance(3500)
+	acquire()
+	assert.DeepEqual(t, tokens, []uint64{1, 1, 2, 1<<40 | 2})
+}
