Report the usage of tenants from one node at a time

Where the platform asks for it, nodes count the requests that their backend servers begin, by tenant and window, add them up over groups and data centres, and the holder of a lease sends each window once, after it has written it to the ledger in the store. Records of the new topic were rejected as unknown by bulrushspread, so its bound includes it.

A holder that takes over waits 2.5 s for counts before it settles an incomplete window; without that it settled one without the counts of any node (TestUsageOfSeveralNodes, TestReporterAwaitsCountsAfterATakeover).

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -38,7 +38,7 @@
 	// context is cancelled at the end of the drain.
 	context context.Context
 
-	// mutex guards the fields below, except pollWake and trial.
+	// mutex guards the fields below, except pollWake, trial and usage.
 	mutex      sync.Mutex
 	controller *bulrushadmission.Controller
 	// waiters receive the releases of queued requests.
@@ -79,6 +79,8 @@
 	healthPath string
 	// trial is told of each dispatch.
 	trial versionTrial
+	// usage counts each dispatch. It is nil if usage reports are off.
+	usage *usage
 	// serverEnd is what is known of the latest end of the backend server.
 	serverEnd  serverEnd
 	quarantine *quarantine
@@ -524,6 +526,7 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining.Duration())
 	defer cancel()
 	a.trial.dispatchStarted(attempt, backend.Version)
+	window := a.usage.began(attempt.Tenant)
 	begin := time.Now()
 	result := client.dispatch(ctx, bulrushchute.Dispatch{
 		Attempt:   attempt,
@@ -532,6 +535,7 @@
 		Remaining: remaining,
 	})
 	elapsed := time.Since(begin)
+	a.usage.ended(window, attempt.Tenant, result.mayHaveRun)
 	a.quarantine.ended(attempt, permit, result)
 	if result.lostConnection() && a.checkServerEnd(backend) && result.mayHaveRun {
 		result.reason = bulrushchute.ReasonServerEnded
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -47,6 +47,7 @@
 	membership *bulrushmembership.Membership
 	keys       *keys
 	moves      *moves
+	usage      *usage
 	quarantine *quarantine
 	// quarantineVersion is the version of the report of crashes that was published
 	// last, and reportsForgottenAt when expired ones of other nodes were removed.
@@ -172,6 +173,10 @@
 		c.moves.onEvidence(r.message.From, *r.message.Evidence)
 		return
 	}
+	if r.message.Usage != nil {
+		c.usage.receive(r.from, r.message)
+		return
+	}
 	if r.message.Confirmation != nil {
 		c.onSentConfirmation(now, *r.message.Confirmation)
 		return
@@ -197,6 +202,7 @@
 	c.publishMembers()
 	c.publishWeights()
 	c.tickFreshness(now)
+	c.usage.tick()
 	if !c.joinTimedOut && c.joinTimeoutElapsed(now) {
 		c.joinTimedOut = true
 		c.updateState(c.membership.Status())
@@ -211,6 +217,7 @@
 		c.changedServices[old] = true
 	}
 	c.changedServices[member.Service] = true
+	c.usage.onMember()
 	if member.State == bulrushchute.StateDead {
 		delete(c.members[member.Service], member.ID)
 		delete(c.serviceOf, member.ID)
@@ -351,6 +358,8 @@
 		c.onQuarantine(now, record)
 	case bulrushchute.TopicMove:
 		c.moves.onRecord(record)
+	case bulrushchute.TopicUsage:
+		c.usage.onHolder(record)
 	}
 }
 
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -59,6 +59,7 @@
 	handover, cancelHandover := context.WithTimeout(ctx, keyHandoverTimeout)
 	waitUntil(handover, func() bool { return !n.keys.isHome() })
 	cancelHandover()
+	n.usage.handOver(ctx)
 	// Uses n.context, because the last record must be spread even if the drain timed
 	// out.
 	n.control.do(n.context, n.control.membership.Leave)
--- a/bulrushnode/era.go
+++ b/bulrushnode/era.go
@@ -19,6 +19,7 @@
 	reporter.OnEra(func(era uint64) {
 		klog.InfoS("store restored from a copy", "era", era)
 		n.moves.voidLeases()
+		n.usage.storeRestored()
 	})
 }
 
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -60,6 +60,7 @@
 	keys         *keys
 	moves        *moves
 	control      *control
+	usage        *usage
 	entryHandler *entryHandler
 	recorder     *bulrushmetric.Recorder
 	tasks        *bulrushtask.Group
@@ -80,6 +81,8 @@
 	Kinds   []bulrushchute.Kind
 	Callers bulrushchute.CallerProtocol
 	Backend bulrushchute.BackendProtocol
+	// Usage turns on usage reports.
+	Usage *UsageOptions
 }
 
 func (o Options) protocols() protocols {
@@ -153,6 +156,12 @@
 	n.control = newControl(n, n.self)
 	n.keys.control = n.control
 	n.moves.control = n.control
+	n.usage = newUsage(n, options.Usage)
+	if n.usage != nil {
+		n.usageStatus = n.usage.status
+	}
+	n.control.usage = n.usage
+	n.admission.usage = n.usage
 	n.followEras()
 	n.entryHandler = &entryHandler{
 		clock:             clock,
@@ -270,6 +279,9 @@
 		writer := &quarantineWriter{store: n.store, instance: n.id}
 		return writer.run(ctx, n.quarantine.durable)
 	})
+	if n.usage != nil {
+		n.tasks.Start(readerCtx, "usage lease", n.usage.duty.runLease)
+	}
 	<-ctx.Done()
 	stopReaders()
 	err = n.drain(&callerEndpoint{listener: callerListener, server: callerServer, entryHandler: n.entryHandler, cancel: cancelRequests}, peerServer)
--- a/bulrushnode/usage_status.go
+++ b/bulrushnode/usage_status.go
@@ -39,9 +39,8 @@
 	ReportsSent uint64 `json:"reports_sent"`
 	RepeatsSent uint64 `json:"repeats_sent"`
 	// MessagesSent counts the messages with counts that this node has sent to other
-	// nodes, and MessageRepeats those among them that were sent before.
-	MessagesSent   uint64 `json:"messages_sent"`
-	MessageRepeats uint64 `json:"message_repeats"`
+	// nodes, repeats included.
+	MessagesSent uint64 `json:"messages_sent"`
 	// OpenWindow is the current window, and OpenCounts what this node has counted in
 	// it. If there are more than 64 tenants, OpenCounts has those with the highest
 	// counts, and OtherCount is the sum of the others.
@@ -50,6 +49,38 @@
 	OtherCount uint64                   `json:"other_count"`
 }
 
+// status returns the status of usage reports with all tenants.
+func (u *usage) status() UsageStatus {
+	var status UsageStatus
+	u.control.do(u.duty.context, func(bulrushchute.Millis) {
+		length := u.options.Settings.WindowMs
+		open := bulrushchute.UsageWindowOf(u.options.Clock.Now(), length)
+		status = UsageStatus{
+			Holder: u.holder.ID, HolderAddress: u.holder.Address, Token: u.holder.Token,
+			SettledWindow: u.holder.Settled,
+			MessagesSent:  u.messagesSent,
+			OpenWindow:    open,
+			OpenCounts:    u.counter.Counts(open),
+		}
+		if u.holder.Settled > 0 {
+			status.SettledEndMs = u.holder.Settled.End(length)
+		}
+		if u.duty.token != 0 {
+			status = u.duty.stats.addTo(status)
+		}
+	})
+	return status
+}
+
+// addTo adds what only the holder knows.
+func (s usageDutyStats) addTo(status UsageStatus) UsageStatus {
+	status.HoldsDuty = true
+	status.AcknowledgedWindow = s.acknowledged
+	status.MissingWindows = slices.Sorted(maps.Keys(s.missing))
+	status.IncompleteWindows, status.ReportsSent, status.RepeatsSent = s.incomplete, s.sent, s.repeated
+	return status
+}
+
 // withLimitedTenants returns a copy with at most maxUsageTenants tenants.
 func (us UsageStatus) withLimitedTenants() UsageStatus {
 	if len(us.OpenCounts) <= maxUsageTenants {
--- a/bulrushspread/validate.go
+++ b/bulrushspread/validate.go
@@ -14,7 +14,7 @@
 	// times the largest fleet, and bounds the memory that a faulty peer can
 	// fill.
 	maxRecords = 200_000
-	topicCount = int(bulrushchute.TopicQuarantine) + 1
+	topicCount = int(bulrushchute.TopicUsage) + 1
 	// maxClockSkew limits versions that are timestamps, so that one wrong clock
 	// cannot block a record permanently.
 	maxClockSkew = bulrushchute.Minute
--- a/bulrushusage/reporter.go
+++ b/bulrushusage/reporter.go
@@ -15,6 +15,8 @@
 	// settleDelay is the time from the end of a window in which late counts are awaited
 	// even if the total is complete.
 	settleDelay = 1500 * bulrushchute.Millisecond
+	// countsDelay is the time in which the counts of other nodes arrive at a new holder.
+	countsDelay = 2500 * bulrushchute.Millisecond
 	// settleReserve is the time before a report is due at which it is settled although
 	// its total is incomplete.
 	settleReserve = 4 * bulrushchute.Second
--- a/bulrushusage/reporter_plan.go
+++ b/bulrushusage/reporter_plan.go
@@ -115,7 +115,7 @@
 	for planned.Next.End(r.settings.WindowMs) <= now {
 		window := planned.Next
 		total := totals(window)
-		if !r.due(now-window.End(r.settings.WindowMs), total.Complete) {
+		if !r.due(now, window.End(r.settings.WindowMs), total.Complete) {
 			break
 		}
 		r.term.totals[window] = total
@@ -127,13 +127,17 @@
 // nextDue reports whether the next window of the ledger is due to be settled.
 func (r *Reporter) nextDue(now bulrushchute.Millis, totals func(Window) Total) bool {
 	next := r.term.ledger.Next
-	age := now - next.End(r.settings.WindowMs)
-	return age >= 0 && r.due(age, totals(next).Complete)
+	end := next.End(r.settings.WindowMs)
+	return now >= end && r.due(now, end, totals(next).Complete)
 }
 
-// due reports whether a window is settled at a time after its end.
-func (r *Reporter) due(age bulrushchute.Millis, complete bool) bool {
-	return complete && age >= settleDelay || age >= max(r.settings.LateMs-settleReserve, 0)
+// due reports whether a window is settled at a time after its end. A new holder waits
+// for the counts that other nodes send it, unless they are complete.
+func (r *Reporter) due(now, end bulrushchute.Millis, complete bool) bool {
+	if complete {
+		return now >= end+settleDelay
+	}
+	return now >= end+max(r.settings.LateMs-settleReserve, 0) && now >= r.term.begun+countsDelay
 }
 
 // normalized returns a copy without counts of 0 and without names that are not kept
--- a/bulrushusage/reporter_test.go
+++ b/bulrushusage/reporter_test.go
@@ -391,3 +391,25 @@
 	a.runUntil(send.Until+testSettings.LeaseMs+1, send.Until+testSettings.LeaseMs+1, store, sink)
 	assert.Equal(t, sink.calls[0], reportedCall{3, firstWindow, "map[t:201]"})
 }
+
+// Guards against a holder that takes over and settles windows with the counts that it
+// has by chance, before the other nodes have sent it theirs.
+func TestReporterAwaitsCountsAfterATakeover(t *testing.T) {
+	store, sink := &ledgerStore{}, &reportSink{outcome: OutcomeDone}
+	first := newHolder(usageOf(firstWindow, firstWindow, 7))
+	first.reporter.Begin(firstEnd, 1)
+	first.runUntil(firstEnd, firstEnd+2000, store, sink)
+	assert.Equal(t, len(sink.calls), 1)
+
+	// The next window is late already, and no counts are known.
+	begun := firstEnd + 12_000
+	second := newHolder(nil)
+	second.incomplete = true
+	second.reporter.Begin(begun, 2)
+	second.runUntil(begun, begun+countsDelay-100, store, sink)
+	assert.Equal(t, len(sink.calls), 2, "only the repeat of the first window")
+	second.counts = usageOf(firstWindow+1, firstWindow+1, 8)
+	second.runUntil(begun+countsDelay, begun+countsDelay+1000, store, sink)
+	assert.Equal(t, len(sink.calls), 3)
+	assert.Equal(t, sink.calls[2].counts, fmt.Sprint(normalized(second.counts[firstWindow+1])))
+}
--- a/cmd/bulrushctl/bulrushcommand/usage.go
+++ b/cmd/bulrushctl/bulrushcommand/usage.go
@@ -59,7 +59,7 @@
 	if usage.HoldsDuty {
 		writeLine(w, fmt.Sprintf("HOLDER: reports sent %d, repeats %d, incomplete windows %d", usage.ReportsSent, usage.RepeatsSent, usage.IncompleteWindows))
 	}
-	writeLine(w, fmt.Sprintf("NODE %s: messages sent %d, repeats %d, window %d is open", uv.Address, usage.MessagesSent, usage.MessageRepeats, usage.OpenWindow))
+	writeLine(w, fmt.Sprintf("NODE %s: messages sent %d, window %d is open", uv.Address, usage.MessagesSent, usage.OpenWindow))
 	writeLine(w, "")
 	printCounts(w, usage)
 }
