Let a cold server that was unused take its whole rate at once

Spreading the rate over fifths of a window while several tenants send requests held requests back in the first second after an outage, when all callers are back at once and the queue gives them 200 ms.

The first part of a window after an unused one is not spread any more; the parts that follow are.

--- a/bulrushadmission/cold_rate.go
+++ b/bulrushadmission/cold_rate.go
@@ -30,6 +30,10 @@
 	// lastTenant is the tenant of the latest request, if any was seen.
 	lastTenant bulrushchute.Tenant
 	seen       bool
+	// lastDispatchAt is the time of the latest dispatch, and burstUntil the end of the
+	// part of a window that began with a dispatch after none for longer than a window.
+	lastDispatchAt bulrushchute.Millis
+	burstUntil     bulrushchute.Millis
 }
 
 // coldRateWindow is the sliding window in which dispatches are counted. It is
@@ -61,9 +65,10 @@
 
 // pacedFrom returns the time of the dispatch whose part of the window must be over
 // before the next one, or false if the next one need not wait for a part of the
-// window.
+// window. A server without recent dispatches takes its whole limit at once: after an
+// outage, all callers are back at the same time, and those who wait longest time out.
 func (rl *coldRateLimiter) pacedFrom(now bulrushchute.Millis) (bulrushchute.Millis, bool) {
-	if now >= rl.pacedUntil {
+	if now >= rl.pacedUntil || now < rl.burstUntil || rl.unused(now) {
 		return 0, false
 	}
 	perInterval := int(math.Ceil(rl.perWindow(now) / coldRateParts))
@@ -74,6 +79,11 @@
 	return rl.dispatches[i], true
 }
 
+// unused reports whether nothing was dispatched for longer than a window.
+func (rl *coldRateLimiter) unused(now bulrushchute.Millis) bool {
+	return now > rl.lastDispatchAt+coldRateWindow+coldRateInterval
+}
+
 // assumeFormerDispatches records that a former process of the node may have used up
 // the limit until now.
 func (rl *coldRateLimiter) assumeFormerDispatches(now bulrushchute.Millis) {
@@ -117,6 +127,10 @@
 	}
 	rl.dropExpired(now)
 	rl.dispatches = append(rl.dispatches, now)
+	if rl.unused(now) {
+		rl.burstUntil = now + coldRateInterval
+	}
+	rl.lastDispatchAt = now
 }
 
 func (rl *coldRateLimiter) dropExpired(now bulrushchute.Millis) {
