--- a/bulrushnode/identity_test.go
+++ b/bulrushnode/identity_test.go
@@ -165,7 +165,7 @@
 // Guards against headers that disappear where the table requires no keys.
 func TestHeadersWithoutAPIKeys(t *testing.T) {
 	eh := &entryHandler{protocol: passingProtocol{}}
-	header := http.Header{"X-Key": {"k"}, "X-Tenant": {"crew"}, "X-Other": {"1"}}
+	header := http.Header{"Test-Key": {"k"}, "Test-Tenant": {"crew"}, "Test-Other": {"1"}}
 	assert.Equal(t, len(forwardedFields(header, eh.notForwarded(callerIdentity{}))), 3)
 	assert.Equal(t, len(forwardedFields(header, eh.notForwarded(callerIdentity{keysRequired: true}))), 1)
 }
@@ -176,5 +176,5 @@
 }
 
 func (passingProtocol) IdentifiesTenant(name string) bool {
-	return name == "X-Key" || name == "X-Tenant"
+	return name == "Test-Key" || name == "Test-Tenant"
 }
