Tell where messages between nodes are held up

When an attempt reaches its backend server late, the logs show only its end at both nodes. Now a line names the stage that held a message up for 100 ms or longer: the wait for the connection's write lock, the write, the path, or the loop that reads the connection. The status counts them by stage.

Attempts state when they were sent. The receiver compares that with the fastest one of the connection, so that the nodes' clocks need not agree. Nodes of earlier versions ignore the field.

--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -54,6 +54,7 @@
 	board        *bulrushboard.Board
 	client       *bulrushwire.Client
 	server       *bulrushwire.Server
+	heldUp       heldUpCounts
 	admission    *admission
 	quarantine   *quarantine
 	runner       *runner
@@ -134,7 +135,9 @@
 	n.client.OnReplaced = func(to bulrushchute.Address, silent bool, attempts int) {
 		klog.InfoS("connection replaced", "to", to, "silent", silent, "attempts", attempts)
 	}
+	n.client.OnHeldUp = n.heldUp.observe
 	n.server = bulrushwire.NewServer(ctx, n)
+	n.server.OnHeldUp = n.heldUp.observe
 	n.server.OnRejected = newConnRefusalLog(clock, "peers").log
 	n.admission = newAdmission(ctx, clock, settings.ClockSkewMs, protocols)
 	n.admission.coldRateFactor = settings.ColdRateFactor
--- a/bulrushnode/request_log.go
+++ b/bulrushnode/request_log.go
@@ -20,6 +20,7 @@
 	attemptFailed       = bulrushlog.NewEventLogger("attempt failed")
 	attemptEnded        = bulrushlog.NewEventLogger("attempt ended")
 	contentOnTrial      = bulrushlog.NewEventLogger("content on trial")
+	messageHeldUp       = bulrushlog.NewEventLogger("message held up")
 	serverErrorAnswered = bulrushlog.NewEventLogger("backend server failed a request")
 )
 
--- a/bulrushnode/status.go
+++ b/bulrushnode/status.go
@@ -28,7 +28,9 @@
 	// Resumptions counts what became of attempts whose connection went silent or was
 	// lost.
 	Resumptions bulrushwire.Resumptions `json:"resumptions"`
-	DataCentres []DataCentreStatus      `json:"data_centres"`
+	// HeldUp counts the messages between nodes that were held up, by stage.
+	HeldUp      map[bulrushwire.Stage]int64 `json:"held_up"`
+	DataCentres []DataCentreStatus          `json:"data_centres"`
 	// KeyHome is set while the node is the home of any idempotency keys.
 	KeyHome bool `json:"key_home"`
 	// Usage is nil if the node does not take part in usage reports.
@@ -56,6 +58,7 @@
 		Probes:      n.admission.probeCounts(),
 		LateReplies: n.client.LateReplies(),
 		Resumptions: n.client.Resumptions(),
+		HeldUp:      n.heldUp.counts(),
 		KeyHome:     n.keys.isHome(),
 		Usage:       n.readUsage(),
 	}
--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -46,14 +46,19 @@
 	lateReplies    atomic.Int64
 	droppedControl atomic.Int64
 	clock          bulrushchute.Clock
-	resumptions    resumptionCounters
-	tasks          *bulrushtask.Group
+	// bootClock measures the delay of attempts, also while the machine was suspended.
+	bootClock   bulrushchute.Clock
+	resumptions resumptionCounters
+	tasks       *bulrushtask.Group
 	// OnRejected is called for each dial that failed the TLS handshake or that
 	// the peer rejected. It must be set before the first dial and may be nil.
 	OnRejected func(to, reason string)
 	// OnReplaced is called when a connection on which attempts were outstanding was
 	// replaced by another one. It must be set before the first dial and may be nil.
 	OnReplaced func(to bulrushchute.Address, silent bool, attempts int)
+	// OnHeldUp is called for messages to and from peers that were held up. It must be
+	// set before the first dial and may be nil.
+	OnHeldUp func(HeldUp)
 }
 
 // NewClient returns a client for the node with the given peer address. The
@@ -78,6 +83,7 @@
 		controlQueues: make(map[bulrushchute.Address]chan Message),
 		tasks:         bulrushtask.NewGroup(nil),
 		clock:         bulrushchute.NewMonotonicClock(),
+		bootClock:     bulrushchute.NewBootClock(),
 	}
 }
 
@@ -134,7 +140,7 @@
 		}
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	connection := newConnection(socket, id)
+	connection := newConnection(socket, id, address, c.OnHeldUp)
 	connection.process = response.Header.Get(headerProcess)
 	return connection, nil
 }
--- a/bulrushwire/connection.go
+++ b/bulrushwire/connection.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
 
+	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushresume"
 )
 
@@ -18,15 +21,24 @@
 	// cannot resume attempts.
 	id      bulrushresume.ConnectionID
 	process string
+	// peer is the address of the other end. onHeldUp is told of messages that were held
+	// up, and may be nil.
+	peer     bulrushchute.Address
+	onHeldUp func(HeldUp)
+	// writing has an element while a message is written.
+	writing chan struct{}
 	// closed is closed when the read loop ends or a write fails. A message that
 	// has not been written by then was certainly not sent.
 	closed    chan struct{}
 	closeOnce sync.Once
 }
 
-func newConnection(socket *websocket.Conn, id bulrushresume.ConnectionID) *connection {
+func newConnection(socket *websocket.Conn, id bulrushresume.ConnectionID, peer bulrushchute.Address, onHeldUp func(HeldUp)) *connection {
 	socket.SetReadLimit(MaxMessageBytes)
-	return &connection{socket: socket, id: id, closed: make(chan struct{})}
+	return &connection{
+		socket: socket, id: id, peer: peer, onHeldUp: onHeldUp,
+		writing: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
 }
 
 func (c *connection) isClosed() bool {
@@ -48,9 +60,29 @@
 	if err != nil {
 		return err
 	}
+	begin := time.Now()
+	if err := c.lockWriting(ctx); err != nil {
+		return err
+	}
+	defer func() { <-c.writing }()
+	c.reportSince(message, StageQueue, begin)
+	begin = time.Now()
+	defer func() { c.reportSince(message, StageWrite, begin) }()
 	return errors.Wrap(c.socket.Write(ctx, websocket.MessageBinary, data), "write to peer")
 }
 
+// lockWriting waits until the messages that are being written have been.
+func (c *connection) lockWriting(ctx context.Context) error {
+	select {
+	case c.writing <- struct{}{}:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // read calls handle for each received message until the connection is closed. A
 // malformed message from the peer closes it too.
 func (c *connection) read(ctx context.Context, handle func(Message)) error {
@@ -67,6 +99,8 @@
 		if err != nil {
 			return err
 		}
+		begin := time.Now()
 		handle(message)
+		c.reportSince(message, StageRead, begin)
 	}
 }
--- a/bulrushwire/message.go
+++ b/bulrushwire/message.go
@@ -26,7 +26,7 @@
 )
 
 // Message is a message between nodes, sent as one binary WebSocket message.
-// Exactly one field is set.
+// Exactly one field besides SentAt is set.
 type Message struct {
 	Attempt *bulrushchute.Attempt   `cbor:"1,keyasint,omitempty"`
 	Reply   *bulrushchute.Reply     `cbor:"2,keyasint,omitempty"`
@@ -39,6 +39,9 @@
 	// its answer.
 	Resume  *Resume  `cbor:"7,keyasint,omitempty"`
 	Resumed *Resumed `cbor:"8,keyasint,omitempty"`
+	// SentAt is set on attempts besides: the time on the sender's clock at which
+	// Attempt.Remaining was determined. It is 0 if the sender does not state it.
+	SentAt bulrushchute.Millis `cbor:"9,keyasint,omitempty"`
 }
 
 // Ping has no content.
@@ -138,6 +141,28 @@
 	return message, nil
 }
 
+// name returns the kind of message.
+func (m Message) name() string {
+	switch {
+	case m.Attempt != nil:
+		return "attempt"
+	case m.Reply != nil:
+		return "reply"
+	case m.Cancel != nil:
+		return "cancel"
+	case m.Control != nil:
+		return "control"
+	case m.Ping != nil:
+		return "ping"
+	case m.Pong != nil:
+		return "pong"
+	case m.Resume != nil:
+		return "resume"
+	default:
+		return "resumed"
+	}
+}
+
 func (m Message) check() error {
 	set := countTrue(m.Attempt != nil, m.Reply != nil, m.Cancel != nil, m.Control != nil,
 		m.Ping != nil, m.Pong != nil, m.Resume != nil, m.Resumed != nil)
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -190,11 +190,12 @@
 }
 
 func (p *dataPeer) exchange(ctx context.Context, attempt bulrushchute.Attempt) (bulrushchute.Reply, error) {
+	sentAt := p.client.bootClock.Now()
 	connection, end, err := p.add(ctx, attempt.ID)
 	if err != nil {
 		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: p.address, Cause: err}
 	}
-	if err := p.send(connection, Message{Attempt: &attempt}); err != nil {
+	if err := p.send(connection, Message{Attempt: &attempt, SentAt: sentAt}); err != nil {
 		p.removePending(attempt.ID)
 		return bulrushchute.Reply{}, err
 	}
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -42,29 +42,35 @@
 	// context ends when the node stops, which closes all connections.
 	context context.Context
 	clock   bulrushchute.Clock
-	process string
-	tasks   *bulrushtask.Group
-	mutex   sync.Mutex
-	ledger  *bulrushresume.Ledger
+	// bootClock measures the delay of attempts, also while the machine was suspended.
+	bootClock bulrushchute.Clock
+	process   string
+	tasks     *bulrushtask.Group
+	mutex     sync.Mutex
+	ledger    *bulrushresume.Ledger
 	// sessions are the open connections, and cancels end the running attempts.
 	sessions map[bulrushresume.ConnectionID]*session
 	cancels  map[bulrushchute.AttemptID]context.CancelFunc
 	// OnRejected is called for each connection rejected because of its stated
 	// address. It must be set before the first connection and may be nil.
 	OnRejected func(remote, reason string)
+	// OnHeldUp is called for messages of peers, and to them, that were held up. It must
+	// be set before the first connection and may be nil.
+	OnHeldUp func(HeldUp)
 }
 
 // NewServer returns a server that closes its connections when the context ends.
 func NewServer(ctx context.Context, handler Handler) *Server {
 	return &Server{
-		handler:  handler,
-		context:  ctx,
-		clock:    bulrushchute.NewMonotonicClock(),
-		process:  newConnectionID().String(),
-		tasks:    bulrushtask.NewGroup(nil),
-		ledger:   bulrushresume.NewLedger(bulrushresume.DefaultLimits),
-		sessions: make(map[bulrushresume.ConnectionID]*session),
-		cancels:  make(map[bulrushchute.AttemptID]context.CancelFunc),
+		handler:   handler,
+		context:   ctx,
+		clock:     bulrushchute.NewMonotonicClock(),
+		bootClock: bulrushchute.NewBootClock(),
+		process:   newConnectionID().String(),
+		tasks:     bulrushtask.NewGroup(nil),
+		ledger:    bulrushresume.NewLedger(bulrushresume.DefaultLimits),
+		sessions:  make(map[bulrushresume.ConnectionID]*session),
+		cancels:   make(map[bulrushchute.AttemptID]context.CancelFunc),
 	}
 }
 
@@ -93,7 +99,8 @@
 	}
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
-	session := &session{server: s, peer: bulrushchute.Address(peer), connection: newConnection(socket, id)}
+	session := &session{server: s, peer: bulrushchute.Address(peer)}
+	session.connection = newConnection(socket, id, session.peer, s.OnHeldUp)
 	if !s.addSession(session) {
 		session.connection.close()
 		return
@@ -153,11 +160,14 @@
 	server     *Server
 	peer       bulrushchute.Address
 	connection *connection
+	// delays belongs to the goroutine that reads the connection.
+	delays bulrushresume.DelayMeter
 }
 
 func (s *session) handle(ctx context.Context, message Message) {
 	switch {
 	case message.Attempt != nil:
+		s.connection.report(message, StagePath, s.delayOf(message))
 		s.startAttempt(*message.Attempt)
 	case message.Cancel != nil:
 		s.server.mutex.Lock()
@@ -173,6 +183,14 @@
 	}
 }
 
+// delayOf returns by how much an attempt arrived later than the fastest one.
+func (s *session) delayOf(message Message) bulrushchute.Millis {
+	if message.SentAt == 0 {
+		return 0
+	}
+	return s.delays.Observe(message.SentAt, s.server.bootClock.Now())
+}
+
 // startAttempt runs an attempt in a goroutine. An attempt whose ID has arrived
 // before violates the protocol and is dropped, since both replies would carry the
 // same ID.
