Read attempts and cancels while pongs wait to be written

The loop that reads a peer's connection wrote the pongs itself. While replies held the connection's write lock on a full link, attempts and cancels of that peer were not read, and then came all at once.

A goroutine of the session writes the pongs. One waiting pong answers all pings that arrive meanwhile.

--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -99,14 +99,18 @@
 	}
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
-	session := &session{server: s, peer: bulrushchute.Address(peer)}
+	session := &session{server: s, peer: bulrushchute.Address(peer), pongDue: make(chan struct{}, 1)}
 	session.connection = newConnection(socket, id, session.peer, s.OnHeldUp)
 	if !s.addSession(session) {
 		session.connection.close()
 		return
 	}
 	defer s.removeSession(session)
-	_ = session.connection.read(ctx, func(message Message) { session.handle(ctx, message) })
+	writers := bulrushtask.NewGroup(nil)
+	writers.Start(ctx, "pongs", session.sendPongs)
+	_ = session.connection.read(ctx, session.handle)
+	cancel()
+	writers.Wait()
 }
 
 // Wait blocks until all running attempts have ended.
@@ -160,11 +164,14 @@
 	server     *Server
 	peer       bulrushchute.Address
 	connection *connection
+	// pongDue has an element while a pong has to be written.
+	pongDue chan struct{}
 	// delays belongs to the goroutine that reads the connection.
 	delays bulrushresume.DelayMeter
 }
 
-func (s *session) handle(ctx context.Context, message Message) {
+// handle must not block: attempts and cancels of the peer are read only after it.
+func (s *session) handle(message Message) {
 	switch {
 	case message.Attempt != nil:
 		s.connection.report(message, StagePath, s.delayOf(message))
@@ -176,13 +183,31 @@
 	case message.Control != nil:
 		s.server.handler.HandleControl(s.peer, *message.Control)
 	case message.Ping != nil:
-		// If the pong is not written, the peer will notice it.
-		_ = s.connection.write(ctx, Message{Pong: message.Ping})
+		select {
+		case s.pongDue <- struct{}{}:
+		default:
+			// The pong that waits to be written answers this ping as well.
+		}
 	case message.Resume != nil:
 		s.resume(*message.Resume)
 	}
 }
 
+// sendPongs writes pongs until the connection ends. A pong waits while replies fill
+// the connection.
+func (s *session) sendPongs(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.pongDue:
+		}
+		if err := s.connection.write(ctx, Message{Pong: &Ping{}}); err != nil {
+			return err
+		}
+	}
+}
+
 // delayOf returns by how much an attempt arrived later than the fastest one.
 func (s *session) delayOf(message Message) bulrushchute.Millis {
 	if message.SentAt == 0 {
