Do not send an attempt whose caller left while it waited to be written

An attempt that waited for an earlier one to be written to its connection was sent although its caller had left meanwhile, and its cancel after it, each with 2 s to wait.

The wait for the connection ends with the attempt's context; nothing has been sent then. The time-out of a write counts from its beginning, so that a message that only waits does not close the connection. The router does not count such an attempt against its instance.

--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -224,6 +224,10 @@
 	if err == nil {
 		observation.Load = &reply.Load
 	}
+	if result.end.Reason == bulrushchute.ReasonCancelled {
+		// It is no fault of the instance, even if nothing was sent.
+		observation.Result = bulrushchute.ResultCancelled
+	}
 	if result.end.Reason == bulrushchute.ReasonSlow || result.end.Reason == bulrushchute.ReasonServerLimit {
 		observation.SlowFor = result.end.RetryAfter
 	}
@@ -252,6 +256,9 @@
 	switch {
 	case errors.As(err, &notSent):
 		result.end = bulrushattempt.End{Result: bulrushchute.ResultNotSent, Reason: bulrushchute.ReasonUnreachable}
+		if errors.Is(err, context.Canceled) {
+			result.end.Reason = bulrushchute.ReasonCancelled
+		}
 	case errors.Is(err, context.Canceled):
 		result.end = bulrushattempt.End{Result: bulrushchute.ResultCancelled, Reason: bulrushchute.ReasonCancelled}
 	case errors.Is(err, context.DeadlineExceeded):
--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -140,7 +140,8 @@
 		}
 		return nil, errors.Wrap(err, "connect to peer")
 	}
-	connection := newConnection(socket, id, address, c.OnHeldUp)
+	connection := newConnection(c.context, socket, id, address, c.OnHeldUp)
+	connection.writeTimeout = writeTimeout
 	connection.process = response.Header.Get(headerProcess)
 	return connection, nil
 }
@@ -212,8 +213,6 @@
 			return dialed.read(ctx, func(Message) {})
 		})
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
 	if err := current.write(ctx, message); err != nil {
 		current.close()
 		return nil
--- a/bulrushwire/connection.go
+++ b/bulrushwire/connection.go
@@ -13,9 +13,28 @@
 	"bulrushchute.example/bulrushchute/bulrushresume"
 )
 
+// notWrittenError reports a message of which no byte was written.
+type notWrittenError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *notWrittenError) Error() string {
+	return "not written: " + e.cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *notWrittenError) Unwrap() error {
+	return e.cause
+}
+
 // connection is a WebSocket connection to a peer.
 type connection struct {
 	socket *websocket.Conn
+	// context ends when the node stops. writeTimeout bounds the write of a message, 0
+	// for no limit.
+	context      context.Context
+	writeTimeout time.Duration
 	// id identifies the connection at both ends, process the process at the other end.
 	// process is empty at the end that accepted the connection, and if the other end
 	// cannot resume attempts.
@@ -33,10 +52,10 @@
 	closeOnce sync.Once
 }
 
-func newConnection(socket *websocket.Conn, id bulrushresume.ConnectionID, peer bulrushchute.Address, onHeldUp func(HeldUp)) *connection {
+func newConnection(ctx context.Context, socket *websocket.Conn, id bulrushresume.ConnectionID, peer bulrushchute.Address, onHeldUp func(HeldUp)) *connection {
 	socket.SetReadLimit(MaxMessageBytes)
 	return &connection{
-		socket: socket, id: id, peer: peer, onHeldUp: onHeldUp,
+		socket: socket, context: ctx, id: id, peer: peer, onHeldUp: onHeldUp,
 		writing: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 }
@@ -55,6 +74,9 @@
 	_ = c.socket.CloseNow()
 }
 
+// write writes a message. The context bounds only the wait for other messages; when it
+// ends, the error is a *notWrittenError. A write that has begun goes on, since ending it
+// would close the connection for all attempts that share it.
 func (c *connection) write(ctx context.Context, message Message) error {
 	data, err := Encode(message)
 	if err != nil {
@@ -62,19 +84,32 @@
 	}
 	begin := time.Now()
 	if err := c.lockWriting(ctx); err != nil {
-		return err
+		return &notWrittenError{cause: err}
 	}
 	defer func() { <-c.writing }()
 	c.reportSince(message, StageQueue, begin)
 	begin = time.Now()
 	defer func() { c.reportSince(message, StageWrite, begin) }()
-	return errors.Wrap(c.socket.Write(ctx, websocket.MessageBinary, data), "write to peer")
+	writeCtx, cancel := c.writeContext()
+	defer cancel()
+	return errors.Wrap(c.socket.Write(writeCtx, websocket.MessageBinary, data), "write to peer")
+}
+
+func (c *connection) writeContext() (context.Context, context.CancelFunc) {
+	if c.writeTimeout > 0 {
+		return context.WithTimeout(c.context, c.writeTimeout)
+	}
+	return context.WithCancel(c.context)
 }
 
 // lockWriting waits until the messages that are being written have been.
 func (c *connection) lockWriting(ctx context.Context) error {
 	select {
 	case c.writing <- struct{}{}:
+		if err := ctx.Err(); err != nil {
+			<-c.writing
+			return err
+		}
 		return nil
 	case <-c.closed:
 		return net.ErrClosed
--- a/bulrushwire/full_link_test.go
+++ b/bulrushwire/full_link_test.go
@@ -109,7 +109,7 @@
 			_ = inbound.Close()
 			continue
 		}
-		_ = inbound.(*net.TCPConn).SetReadBuffer(proxyBufferBytes)
+		_ = inbound.(*net.TCPConn).SetReadBuffer(16 * proxyBufferBytes)
 		_ = outbound.(*net.TCPConn).SetReadBuffer(proxyBufferBytes)
 		go copyOverLink(outbound, inbound, lp.fromClient)
 		go copyOverLink(inbound, outbound, lp.fromServer)
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -198,7 +198,7 @@
 	// The connection may just have been dialled.
 	sentAt := p.client.bootClock.Now()
 	attempt = attempt.WithDelay(sentAt - begin)
-	if err := p.send(connection, Message{Attempt: &attempt, SentAt: sentAt}); err != nil {
+	if err := p.send(ctx, connection, Message{Attempt: &attempt, SentAt: sentAt}); err != nil {
 		p.removePending(attempt.ID)
 		return bulrushchute.Reply{}, err
 	}
@@ -207,7 +207,7 @@
 		return p.verify(ended)
 	case <-ctx.Done():
 		if connection := p.removePending(attempt.ID); connection != nil {
-			_ = p.send(connection, Message{Cancel: &attempt.ID})
+			_ = p.send(p.client.context, connection, Message{Cancel: &attempt.ID})
 		}
 		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: ctx.Err()}
 	}
@@ -233,21 +233,20 @@
 	return nil, nil, errors.New("connection closed before sending")
 }
 
-// send writes a message. It uses its own timeout instead of the attempt's context,
-// because cancelling a write closes the connection for all attempts that share it. A
-// write that fails closes the connection, whose attempts are then resumed on another
-// one. It returns only a *NotSentError.
-func (p *dataPeer) send(connection *dataConnection, message Message) error {
-	ctx, cancel := context.WithTimeout(p.client.context, writeTimeout)
-	defer cancel()
+// send writes a message, unless the context ends while it waits for others to be
+// written. A write that fails closes the connection, whose attempts are then resumed on
+// another one. It returns only a *NotSentError.
+func (p *dataPeer) send(ctx context.Context, connection *dataConnection, message Message) error {
 	err := connection.write(ctx, message)
 	var malformed *MessageError
-	if errors.As(err, &malformed) {
+	var notWritten *notWrittenError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &malformed), ctx.Err() != nil && errors.As(err, &notWritten):
 		return &bulrushchute.NotSentError{Address: p.address, Cause: err}
 	}
-	if err != nil {
-		connection.close()
-	}
+	connection.close()
 	return nil
 }
 
--- a/bulrushwire/replace.go
+++ b/bulrushwire/replace.go
@@ -36,8 +36,8 @@
 		switch action {
 		case bulrushresume.SilencePing:
 			// The write may block on a silent connection.
-			p.client.tasks.Start(ctx, "ping", func(context.Context) error {
-				return p.send(connection, Message{Ping: &Ping{}})
+			p.client.tasks.Start(ctx, "ping", func(ctx context.Context) error {
+				return p.send(ctx, connection, Message{Ping: &Ping{}})
 			})
 		case bulrushresume.SilenceReplace:
 			p.replace(ctx, connection)
@@ -109,8 +109,8 @@
 	next.former = append(next.former, old.id)
 	resume := Resume{Connections: next.former, Attempts: ids}
 	p.watch(next)
-	p.client.tasks.Start(p.client.context, "resume", func(context.Context) error {
-		err := p.send(next, Message{Resume: &resume})
+	p.client.tasks.Start(p.client.context, "resume", func(ctx context.Context) error {
+		err := p.send(ctx, next, Message{Resume: &resume})
 		// What the peer has sent on the old connection it keeps, and sends again.
 		old.close()
 		return err
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -100,7 +100,7 @@
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
 	session := &session{server: s, peer: bulrushchute.Address(peer), pongDue: make(chan struct{}, 1)}
-	session.connection = newConnection(socket, id, session.peer, s.OnHeldUp)
+	session.connection = newConnection(s.context, socket, id, session.peer, s.OnHeldUp)
 	if !s.addSession(session) {
 		session.connection.close()
 		return
@@ -255,8 +255,6 @@
 	if session == nil {
 		return nil
 	}
-	// The attempt's context could end during the write, which would close the
-	// connection for all attempts that share it.
 	return session.connection.write(s.context, Message{Reply: &reply})
 }
 
