Repeat a cancel whose connection is lost or silent

The cancel of an attempt was written to the connection that the attempt had, and the attempt forgotten. On a connection that was silent or being replaced the cancel was lost, and without other attempts nothing watched the connection, so that the server worked on to the end for a caller that had left.

A cancelled attempt stays pending until the peer has ended it or its deadline has passed. It is watched and resumed like the others, and its cancel is sent again on the new connection.

--- a/bulrushwire/full_link_test.go
+++ b/bulrushwire/full_link_test.go
@@ -30,6 +30,8 @@
 	bytesPerSecond int
 	// passable is closed while bytes pass.
 	passable chan struct{}
+	// arrived counts the bytes that have arrived at the link.
+	arrived atomic.Int64
 }
 
 func newLinkDirection(bytesPerSecond int) *linkDirection {
@@ -53,6 +55,7 @@
 
 // pass blocks until the link has carried n bytes.
 func (ld *linkDirection) pass(n int) {
+	ld.arrived.Add(int64(n))
 	ld.mutex.Lock()
 	passable := ld.passable
 	ld.mutex.Unlock()
@@ -271,8 +274,11 @@
 	fixture.proxy.refusing.Store(true)
 	fixture.proxy.fromClient.close()
 	time.AfterFunc(800*time.Millisecond, fixture.proxy.fromClient.open)
+	before := fixture.proxy.fromClient.arrived.Load()
 	large := fixture.startExchange(context.Background(), echoAttempt+100, make([]byte, bulrushwire.MaxBodyBytes))
-	time.Sleep(100 * time.Millisecond)
+	for fixture.proxy.fromClient.arrived.Load() < before+proxyBufferBytes/2 {
+		time.Sleep(time.Millisecond)
+	}
 	ctx, leave := context.WithCancel(context.Background())
 	second := fixture.startExchange(ctx, slowAttempt, nil)
 	time.Sleep(100 * time.Millisecond)
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -58,10 +58,14 @@
 }
 
 // pendingAttempt is an attempt that awaits its end, and the connection to which it
-// belongs.
+// belongs. A cancelled one stays pending until the peer has ended it, so that the cancel
+// is repeated if its connection is lost or silent.
 type pendingAttempt struct {
 	connection *dataConnection
 	end        chan attemptEnd
+	cancelled  bool
+	// deadline is that of the attempt.
+	deadline bulrushchute.Millis
 }
 
 // dataConnection is a connection that carries attempts.
@@ -186,12 +190,12 @@
 		delete(p.pending, id)
 		pending.end <- end
 	}
-	return exists
+	return exists && !pending.cancelled
 }
 
 func (p *dataPeer) exchange(ctx context.Context, attempt bulrushchute.Attempt) (bulrushchute.Reply, error) {
 	begin := p.client.bootClock.Now()
-	connection, end, err := p.add(ctx, attempt.ID)
+	connection, end, err := p.add(ctx, attempt)
 	if err != nil {
 		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: p.address, Cause: err}
 	}
@@ -206,15 +210,13 @@
 	case ended := <-end:
 		return p.verify(ended)
 	case <-ctx.Done():
-		if connection := p.removePending(attempt.ID); connection != nil {
-			_ = p.send(p.client.context, connection, Message{Cancel: &attempt.ID})
-		}
+		p.cancel(attempt.ID)
 		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: ctx.Err()}
 	}
 }
 
 // add makes an attempt pending on an open connection.
-func (p *dataPeer) add(ctx context.Context, id bulrushchute.AttemptID) (*dataConnection, chan attemptEnd, error) {
+func (p *dataPeer) add(ctx context.Context, attempt bulrushchute.Attempt) (*dataConnection, chan attemptEnd, error) {
 	for range maxConnects {
 		connection, err := p.connect(ctx)
 		if err != nil {
@@ -223,7 +225,9 @@
 		p.mutex.Lock()
 		if connection == p.current && !connection.isClosed() {
 			end := make(chan attemptEnd, 1)
-			p.pending[id] = pendingAttempt{connection: connection, end: end}
+			p.pending[attempt.ID] = pendingAttempt{
+				connection: connection, end: end, deadline: p.client.clock.Now() + attempt.Remaining,
+			}
 			p.watch(connection)
 			p.mutex.Unlock()
 			return connection, end, nil
@@ -260,11 +264,28 @@
 	return ended.reply, nil
 }
 
-// removePending returns the connection of the attempt, nil if it has ended.
-func (p *dataPeer) removePending(id bulrushchute.AttemptID) *dataConnection {
+func (p *dataPeer) removePending(id bulrushchute.AttemptID) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	pending := p.pending[id]
 	delete(p.pending, id)
-	return pending.connection
+}
+
+// cancel asks the peer to end an attempt, if it has not ended.
+func (p *dataPeer) cancel(id bulrushchute.AttemptID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	pending, exists := p.pending[id]
+	if !exists {
+		return
+	}
+	pending.cancelled = true
+	p.pending[id] = pending
+	p.sendCancel(pending.connection, id)
+}
+
+// sendCancel starts the writing of a cancel, which may block.
+func (p *dataPeer) sendCancel(connection *dataConnection, id bulrushchute.AttemptID) {
+	p.client.tasks.Start(p.client.context, "cancel", func(ctx context.Context) error {
+		return p.send(ctx, connection, Message{Cancel: &id})
+	})
 }
--- a/bulrushwire/replace.go
+++ b/bulrushwire/replace.go
@@ -25,6 +25,7 @@
 func (p *dataPeer) runWatch(ctx context.Context, connection *dataConnection) {
 	for ctx.Err() == nil {
 		p.mutex.Lock()
+		p.forgetCancelled(p.client.clock.Now())
 		if connection.isClosed() || len(p.pendingOn(connection)) == 0 {
 			connection.watched = false
 			p.mutex.Unlock()
@@ -47,6 +48,16 @@
 	}
 }
 
+// forgetCancelled removes the cancelled attempts whose deadline has passed. The mutex is
+// held.
+func (p *dataPeer) forgetCancelled(now bulrushchute.Millis) {
+	for id, pending := range p.pending {
+		if pending.cancelled && now >= pending.deadline {
+			delete(p.pending, id)
+		}
+	}
+}
+
 // pendingOn returns the attempts that are pending on a connection. The mutex is held.
 func (p *dataPeer) pendingOn(connection *dataConnection) []bulrushchute.AttemptID {
 	var ids []bulrushchute.AttemptID
@@ -102,8 +113,14 @@
 		old.close()
 		return
 	}
+	var cancelled []bulrushchute.AttemptID
 	for _, id := range ids {
-		p.pending[id] = pendingAttempt{connection: next, end: p.pending[id].end}
+		pending := p.pending[id]
+		pending.connection = next
+		p.pending[id] = pending
+		if pending.cancelled {
+			cancelled = append(cancelled, id)
+		}
 	}
 	next.former = append(next.former, old.former...)
 	next.former = append(next.former, old.id)
@@ -113,6 +130,9 @@
 		err := p.send(ctx, next, Message{Resume: &resume})
 		// What the peer has sent on the old connection it keeps, and sends again.
 		old.close()
+		for _, id := range cancelled {
+			p.sendCancel(next, id)
+		}
 		return err
 	})
 }
