Count the bytes of an arriving message as a sign of life

A large answer on a narrow link never arrived, although the link worked: only whole messages counted as a sign of life, so that its connection was taken for silent after 110 ms and replaced, and the answer sent again from its beginning, once. The attempt then ended with an unknown outcome and a download was run again by another server.

The reader reports every 10 ms that a message is still arriving.

--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -210,7 +210,7 @@
 		// Peers send nothing on a control connection. It is read only to detect
 		// when it is lost.
 		c.tasks.Start(c.context, "control reader", func(ctx context.Context) error {
-			return dialed.read(ctx, func(Message) {})
+			return dialed.read(ctx, func() {}, func(Message) {})
 		})
 	}
 	if err := current.write(ctx, message); err != nil {
--- a/bulrushwire/connection.go
+++ b/bulrushwire/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -118,12 +119,37 @@
 	}
 }
 
-// read calls handle for each received message until the connection is closed. A
-// malformed message from the peer closes it too.
-func (c *connection) read(ctx context.Context, handle func(Message)) error {
+// progressInterval is the shortest time between two reports of a message that is still
+// arriving.
+const progressInterval = 10 * time.Millisecond
+
+// progressReader reads a message and reports that it is still arriving.
+type progressReader struct {
+	source     io.Reader
+	onProgress func()
+	reportedAt time.Time
+}
+
+// Read implements io.Reader.
+func (pr *progressReader) Read(buffer []byte) (int, error) {
+	n, err := pr.source.Read(buffer)
+	if now := time.Now(); n > 0 && now.Sub(pr.reportedAt) >= progressInterval {
+		pr.reportedAt = now
+		pr.onProgress()
+	}
+	return n, err
+}
+
+// read calls handle for each received message, and onProgress while a large one arrives,
+// until the connection is closed. A malformed message from the peer closes it too.
+func (c *connection) read(ctx context.Context, onProgress func(), handle func(Message)) error {
 	defer c.close()
 	for {
-		kind, data, err := c.socket.Read(ctx)
+		kind, reader, err := c.socket.Reader(ctx)
+		if err != nil {
+			return errors.Wrap(err, "read from peer")
+		}
+		data, err := io.ReadAll(&progressReader{source: reader, onProgress: onProgress, reportedAt: time.Now()})
 		if err != nil {
 			return errors.Wrap(err, "read from peer")
 		}
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -144,17 +144,22 @@
 }
 
 func (p *dataPeer) readReplies(ctx context.Context, connection *dataConnection) error {
-	err := connection.read(ctx, func(message Message) { p.deliver(connection, message) })
+	err := connection.read(ctx, func() { p.heard(connection) }, func(message Message) { p.deliver(connection, message) })
 	p.replace(ctx, connection)
 	return err
 }
 
+// heard records that a message or a part of one has arrived.
+func (p *dataPeer) heard(connection *dataConnection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	connection.silence.Heard(p.client.clock.Now())
+}
+
 // deliver handles a message from the peer. Replies to attempts that have ended are
 // counted and dropped.
 func (p *dataPeer) deliver(connection *dataConnection, message Message) {
-	p.mutex.Lock()
-	connection.silence.Heard(p.client.clock.Now())
-	p.mutex.Unlock()
+	p.heard(connection)
 	switch {
 	case message.Reply != nil:
 		if !p.end(message.Reply.ID, attemptEnd{reply: *message.Reply}) {
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -108,7 +108,7 @@
 	defer s.removeSession(session)
 	writers := bulrushtask.NewGroup(nil)
 	writers.Start(ctx, "pongs", session.sendPongs)
-	_ = session.connection.read(ctx, session.handle)
+	_ = session.connection.read(ctx, func() {}, session.handle)
 	cancel()
 	writers.Wait()
 }
