Refuse a cancelled attempt instead of passing it to the server

The node beside a backend server looked at the deadline last before it passed a request on, but not at the cancel.

The node refuses it with the reason cancelled; it was not run.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -410,6 +410,12 @@
 		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
 		return refusalReply(bulrushchute.ReasonDeadline, 0)
 	}
+	if ctx.Err() != nil {
+		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultCancelled})
+		reply := refusalReply(bulrushchute.ReasonCancelled, 0)
+		a.logRefusal(attempt, *reply.Refusal)
+		return reply
+	}
 	if a.awaitsServer() {
 		a.done(attempt.ID, bulrushadmission.Result{Kind: bulrushchute.ResultNotSent})
 		return refusalReply(bulrushchute.ReasonNotReady, retryAfterDefault)
