Withdraw non-idempotent requests that still wait when their caller leaves

A non-idempotent attempt was not cancelled when its caller left, since that could leave work half done. One that still waited for a slot beside its server had not begun, and reached the server later for nobody.

The entry node cancels it like any other. The node beside the server ends it only before its dispatch, and the sender still awaits the reply, so that the counts of the router and the evidence on versions stay as they were. Requests with an idempotency key run on, since their caller may ask for the result.

TestWaitingRequestReachesTheServerAfterItsCallerLeft and TestCancelledAttemptReplyIsLost failed before. The case of TestMachine that wanted no cancel was the fault; it wants the cancel now, which is as strict.

--- a/bulrushattempt/machine.go
+++ b/bulrushattempt/machine.go
@@ -15,8 +15,7 @@
 	phasePicking phase = iota
 	phaseOutstanding
 	phaseEnded
-	// phaseAbandoned attempts were cancelled, or left to run after their caller
-	// was gone. Their ends are ignored.
+	// phaseAbandoned attempts were cancelled. Their ends are ignored.
 	phaseAbandoned
 )
 
@@ -180,19 +179,15 @@
 	return true
 }
 
-// CallerGone records that the caller no longer waits for the answer. Attempts
-// of an idempotent request are cancelled. Those of a non-idempotent one run to
-// completion, since cancelling a filing or payout may leave it half done; the
-// node still waits for their replies to keep the counts of the picker exact.
+// CallerGone records that the caller no longer waits for the answer. The outstanding
+// attempts are cancelled. The node beside the backend server ends a non-idempotent one
+// only if it has not begun, since a filing or payout may otherwise be left half done.
 func (m *Machine) CallerGone(_ bulrushchute.Millis) {
 	if m.final != nil {
 		return
 	}
 	m.endRequest(bulrushchute.ReasonCancelled)
 	m.errorAttempt = 0
-	if !m.info.Idempotent {
-		m.abandonOutstanding()
-	}
 }
 
 func (m *Machine) attemptInPhase(number int, expected phase) *attempt {
@@ -221,14 +216,6 @@
 	return count > 0 && m.attempts[count-1].phase == phasePicking
 }
 
-func (m *Machine) abandonOutstanding() {
-	for i := range m.attempts {
-		if m.attempts[i].phase == phaseOutstanding {
-			m.attempts[i].phase = phaseAbandoned
-		}
-	}
-}
-
 func (m *Machine) send(purse purse, hedge bool) Action {
 	m.nextPurse = nil
 	retry := m.info.Retry || m.mayHaveRun || m.outstanding() > 0
--- a/bulrushattempt/machine_test.go
+++ b/bulrushattempt/machine_test.go
@@ -136,7 +136,7 @@
 		"slow refusals do not use up the attempts":    {nonIdempotent, "slow slow slow busy busy ok", "send, send, send, send, send, send, answered", 0},
 		"slow refusals are bounded":                   {nonIdempotent, "slow slow slow slow busy busy", "send, send, send, send, send, send, not_run busy", 30},
 		"non-idempotent: deadline":                    {nonIdempotent, "+1000", "send, cancel1, unknown deadline", 0},
-		"non-idempotent: caller gone, left to run":    {nonIdempotent, "gone", "send, unknown cancelled", 0},
+		"non-idempotent: caller gone, cancelled":      {nonIdempotent, "gone", "send, cancel1, unknown cancelled", 0},
 		"non-idempotent: no hedge":                    {nonIdempotent, "+50 ok", "send, answered", 0},
 		"refused for the deadline":                    {idempotent, "late", "send, not_run deadline", bulrushchute.Second},
 		"no other instance":                           {idempotent, "busy none", "send, not_run busy", 40},
--- a/bulrushnode/withdrawal_test.go
+++ b/bulrushnode/withdrawal_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -49,3 +51,39 @@
 		})
 	}
 }
+
+// Guards against a non-idempotent request that waits for a slot, is not cancelled when
+// its caller leaves, and reaches its backend server later.
+func TestWaitingRequestReachesTheServerAfterItsCallerLeft(t *testing.T) {
+	n := newKeyedNode(answered)
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	n.runner.exchange = func(ctx context.Context, _ bulrushchute.Instance, _ bulrushchute.Attempt) (bulrushchute.Reply, error) {
+		close(started)
+		<-ctx.Done()
+		close(cancelled)
+		return refusalReply(bulrushchute.ReasonCancelled, 0), nil
+	}
+	table := keyedTable("k-1")
+	for i := range table.Routes {
+		table.Routes[i].Idempotent = false
+		table.Routes[i].TimeoutMs = bulrushchute.Minute
+	}
+	n.apply(table)
+	ctx, leave := context.WithCancel(t.Context())
+	request := httptest.NewRequest(http.MethodPost, "/view/1", nil).WithContext(ctx)
+	request.Host = "a.example"
+	request.Header.Set(headerAPIKey, "k-1")
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		n.entryHandler.ServeHTTP(httptest.NewRecorder(), request)
+	}()
+	<-started
+	leave()
+	select {
+	case <-cancelled:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("not cancelled within 500 ms")
+	}
+	<-served
+}
--- a/bulrushwire/full_link_test.go
+++ b/bulrushwire/full_link_test.go
@@ -358,3 +358,41 @@
 		})
 	}
 }
+
+// Guards against the loss of the reply to a non-idempotent attempt whose caller has left:
+// it may have begun, so that the peer alone knows whether it runs to its end.
+func TestCancelledAttemptReplyIsLost(t *testing.T) {
+	cases := map[string]struct {
+		idempotent bool
+		wantReply  bool
+	}{
+		"idempotent":     {true, false},
+		"not idempotent": {false, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			started := make(chan struct{})
+			address, _ := startNode(t, &fakeNode{attempt: func(ctx context.Context, _ bulrushchute.Attempt) bulrushchute.Reply {
+				close(started)
+				<-ctx.Done()
+				return bulrushchute.Reply{Refusal: &bulrushchute.Refusal{Reason: bulrushchute.ReasonCancelled}}
+			}})
+			attempt := numberedAttempt(1)
+			attempt.Idempotent = tc.idempotent
+			attempt.Remaining = 5000
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			go func() {
+				<-started
+				cancel()
+			}()
+			reply, err := newClient(t).Exchange(ctx, address, attempt)
+			if tc.wantReply {
+				assert.NilError(t, err)
+				assert.Equal(t, reply.Refusal.Reason, bulrushchute.ReasonCancelled)
+				return
+			}
+			assert.ErrorIs(t, err, context.Canceled)
+		})
+	}
+}
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -215,11 +216,27 @@
 	case ended := <-end:
 		return p.verify(ended)
 	case <-ctx.Done():
-		p.cancel(attempt.ID)
+	}
+	p.cancel(attempt.ID)
+	if attempt.Idempotent || attempt.Key != "" {
+		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: ctx.Err()}
+	}
+	// The peer lets a non-idempotent attempt that has begun run to its end.
+	select {
+	case ended := <-end:
+		return p.verify(ended)
+	case <-untilDeadline(ctx):
 		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: ctx.Err()}
 	}
 }
 
+// untilDeadline returns a channel that receives at the deadline of a context that may
+// have ended before. Without a deadline, it receives at once.
+func untilDeadline(ctx context.Context) <-chan time.Time {
+	deadline, _ := ctx.Deadline()
+	return time.After(time.Until(deadline))
+}
+
 // add makes an attempt pending on an open connection.
 func (p *dataPeer) add(ctx context.Context, attempt bulrushchute.Attempt) (*dataConnection, chan attemptEnd, error) {
 	for range maxConnects {
--- a/message.go
+++ b/message.go
@@ -279,7 +279,9 @@
 type Transport interface {
 	// Exchange sends an attempt and waits for its reply. The error is a
 	// *NotSentError when the attempt certainly never left this node and a
-	// *NoReplyError otherwise. When the context ends, the attempt is cancelled.
+	// *NoReplyError otherwise. When the context ends, the attempt is cancelled. The
+	// reply to a non-idempotent one without a key is still awaited until the context's
+	// deadline, since it may have begun.
 	Exchange(ctx context.Context, to Address, attempt Attempt) (Reply, error)
 	// Send sends a control message on a best-effort basis. Loss is not reported;
 	// senders rely on acknowledgements or on later messages.
