Read lists of the store that hold an unreadable entry

Another writer can leave an entry that json.Unmarshal rejects, since it is nested more than 10,000 levels deep. The whole list then failed, and a watch failed again and again from the same revision: nodes that started found no seeds, and changes were not followed any more. An entry whose value could not be translated was left out of the list, so that readers published it as deleted: a faulty version of the configuration removed the table in force. A page with nothing but such entries passed for the end of the list.

A response that cannot be decoded as a whole is split into its parts, with the tokens of encoding/json, which have no limit on depth. Lists name unreadable entries, and readers keep the last valid version of them.

A number or port out of range in a value did no harm before either.

--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -259,6 +259,10 @@
 		for _, object := range objects {
 			version, exists := known[object.Name]
 			delete(known, object.Name)
+			if object.Unreadable {
+				// The last valid version stays in force.
+				continue
+			}
 			if exists && version == object.Version {
 				continue
 			}
--- a/bulrushstore/client.go
+++ b/bulrushstore/client.go
@@ -110,7 +110,7 @@
 
 // List implements bulrushchute.Store.
 func (c *Client) List(ctx context.Context, kind bulrushchute.Kind) ([]bulrushchute.Object, uint64, error) {
-	var list wireList
+	var list receivedList
 	err := c.do(ctx, apiRequest{
 		verb:   VerbList,
 		method: http.MethodGet,
@@ -126,10 +126,11 @@
 	}
 	objects := make([]bulrushchute.Object, 0, len(list.Items))
 	for _, item := range list.Items {
-		object, err := item.object()
+		object, err := decodeObject(item)
 		if err != nil {
 			return nil, 0, &bulrushchute.UnavailableError{Operation: string(VerbList), Cause: err}
 		}
+		object.Kind = kind
 		objects = append(objects, object)
 	}
 	return objects, revision, nil
@@ -202,6 +203,9 @@
 	data, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxResponseBytes))
 	if err == nil {
 		err = json.Unmarshal(data, result)
+		if list, ok := result.(*receivedList); ok && err != nil {
+			err = list.split(data)
+		}
 	}
 	if err != nil {
 		return request.operation().UnknownOutcomeError(err)
--- a/bulrushstore/watch.go
+++ b/bulrushstore/watch.go
@@ -78,7 +78,11 @@
 
 func (wd *watchDecoder) readLine(line []byte) error {
 	var event wireEvent
-	if err := json.Unmarshal(line, &event); err != nil {
+	err := json.Unmarshal(line, &event)
+	if err != nil {
+		err = event.split(line)
+	}
+	if err != nil {
 		return &bulrushchute.UnavailableError{Operation: string(VerbWatch), Cause: err}
 	}
 	switch event.Type {
@@ -93,20 +97,19 @@
 }
 
 func (wd *watchDecoder) handleObjectEvent(event wireEvent) error {
-	var wire wireObject
-	if err := json.Unmarshal(event.Object, &wire); err != nil {
-		return &bulrushchute.UnavailableError{Operation: string(VerbWatch), Cause: err}
-	}
-	object, err := wire.object()
+	object, err := decodeObject(event.Object)
 	if err != nil {
 		return &bulrushchute.UnavailableError{Operation: string(VerbWatch), Cause: err}
 	}
 	object.Kind = wd.kind
 	deleted := event.Type == eventDeleted
 	if deleted {
-		object.Value = nil
+		object.Value, object.Unreadable = nil, false
 	}
 	wd.revision = object.Version
+	if object.Unreadable {
+		return nil
+	}
 	wd.handle(bulrushchute.StoreEvent{Object: object, Deleted: deleted})
 	return nil
 }
--- a/bulrushstore/wire.go
+++ b/bulrushstore/wire.go
@@ -81,6 +81,59 @@
 	Object json.RawMessage `json:"object"`
 }
 
+// receivedList is a wireList whose items are not decoded yet.
+type receivedList struct {
+	Metadata wireMetadata      `json:"metadata"`
+	Items    []json.RawMessage `json:"items"`
+}
+
+// split decodes a list that json.Unmarshal rejects because of one of its values.
+func (l *receivedList) split(data []byte) error {
+	members, err := SplitObject(data)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(members["metadata"], &l.Metadata); err != nil {
+		return err
+	}
+	l.Items, err = SplitArray(members["items"])
+	return err
+}
+
+// split is that of a receivedList.
+func (e *wireEvent) split(data []byte) error {
+	members, err := SplitObject(data)
+	if err != nil {
+		return err
+	}
+	e.Object = members["object"]
+	return json.Unmarshal(members["type"], &e.Type)
+}
+
+// decodeObject decodes an object. If only its value cannot be decoded, it returns the
+// object as unreadable.
+func decodeObject(data []byte) (bulrushchute.Object, error) {
+	var wire wireObject
+	decodeErr := json.Unmarshal(data, &wire)
+	if decodeErr == nil {
+		return wire.object()
+	}
+	members, err := SplitObject(data)
+	if err != nil {
+		return bulrushchute.Object{}, err
+	}
+	wire = wireObject{}
+	if err := json.Unmarshal(members["metadata"], &wire.Metadata); err != nil {
+		return bulrushchute.Object{}, err
+	}
+	object, err := wire.object()
+	if err != nil || object.Name == "" || object.Version == 0 {
+		return bulrushchute.Object{}, decodeErr
+	}
+	object.Unreadable = true
+	return object, nil
+}
+
 type wireDeleteOptions struct {
 	Preconditions wireMetadata `json:"preconditions"`
 }
--- a/store.go
+++ b/store.go
@@ -54,6 +54,9 @@
 	OperatorVersion uint64
 	// Value is a JSON document.
 	Value []byte
+	// Unreadable is set if the stored value cannot be read, and Value is empty then. A
+	// list has such an object as well, so that it does not pass for deleted.
+	Unreadable bool
 }
 
 // WithValue returns a copy with the given value and the same version, as
