--- a/bulrushnode/announcement.go
+++ b/bulrushnode/announcement.go
@@ -56,10 +56,11 @@
 	if announcement.State == "" {
 		announcement.State = BackendServing
 	}
-	return announcement, announcement.check()
+	return announcement, announcement.Check()
 }
 
-func (a Announcement) check() error {
+// Check returns a *bulrushchute.FieldError if a field is not allowed.
+func (a Announcement) Check() error {
 	if a.Service == "" {
 		return &bulrushchute.FieldError{Field: "service", Allowed: "the name of a service"}
 	}
