Do not take a repeated refusal for the answer to another request

A faulty server may write an earlier refusal once more on a kept connection. With the request's ID in it the repetition was skipped. Without one, which the platform permits for refusals, it passed for the answer to the next request: its caller was told not run while it ran, and it could be sent to a second server. The same happened to a request that is sent again with its ID.

A connection is closed after a refusal without an ID, and does not carry a request again that was refused on it.

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -123,7 +123,7 @@
 // When the context ends, the connection is closed, which tells the server to
 // stop working on the request.
 func (c *Client) Do(ctx context.Context, request Request) (Answer, error) {
-	conn, err := c.getConn(ctx, request.Idempotent)
+	conn, err := c.getConn(ctx, request)
 	if err != nil {
 		return Answer{}, &Error{Reason: errorReason(ctx, err), Cause: err}
 	}
@@ -162,8 +162,8 @@
 var errTooManyConnections = errors.New("all connections are in use")
 
 // getConn returns a usable idle connection, or dials a new one.
-func (c *Client) getConn(ctx context.Context, idempotent bool) (*connection, error) {
-	if conn := c.getIdleConn(idempotent); conn != nil {
+func (c *Client) getConn(ctx context.Context, request Request) (*connection, error) {
+	if conn := c.getIdleConn(request); conn != nil {
 		return conn, nil
 	}
 	if err := c.reserveConn(); err != nil {
@@ -179,18 +179,18 @@
 
 // getIdleConn returns the most recently used idle connection, so that surplus
 // connections reach their idle timeout. It returns nil if none is usable.
-func (c *Client) getIdleConn(idempotent bool) *connection {
+func (c *Client) getIdleConn(request Request) *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := time.Now()
 	for len(c.idle) > 0 {
 		last := len(c.idle) - 1
 		conn := c.idle[last]
-		if conn.usable(now, idempotent) {
+		if conn.usable(now, request.Idempotent) && !conn.hasRefused(request.Attempt) {
 			c.idle = c.idle[:last]
 			return conn
 		}
-		if !idempotent && conn.usable(now, true) {
+		if !request.Idempotent && conn.usable(now, true) && !conn.hasRefused(request.Attempt) {
 			// Still usable for idempotent requests. The remaining connections
 			// have been idle for longer.
 			return nil
@@ -289,7 +289,11 @@
 		}
 		if !answer.Report.Mismatched {
 			conn.applyKeepAlive(answer.Header)
-			return answer, !last && conn.reader.Buffered() == 0, nil
+			reusable := !last && conn.reader.Buffered() == 0
+			if request.Attempt != nil && (answer.Report.NotRun || answer.Report.Misdirected) {
+				reusable = conn.observeRefusal(request.Attempt.RequestID, answer.Report) && reusable
+			}
+			return answer, reusable, nil
 		}
 		if last {
 			break
--- a/bulrushbackend/connection.go
+++ b/bulrushbackend/connection.go
@@ -5,10 +5,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"bulrushchute.example/bulrushchute"
 )
 
 const (
@@ -17,6 +20,8 @@
 	// defaultIdleTimeout applies when the server sends no Keep-Alive timeout.
 	// Common servers close idle connections after 5 s or more.
 	defaultIdleTimeout = 4 * time.Second
+	// maxRefusedIDs is the number of refusals after which a connection is closed.
+	maxRefusedIDs = 32
 	// keepAliveFraction is the fraction of the server's Keep-Alive timeout during
 	// which a connection is reused, so that a request does not race with the
 	// server closing the connection.
@@ -37,6 +42,22 @@
 	// for idleTimeout from then on.
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// refused are the IDs of requests that the server refused on this connection. A
+	// faulty server may repeat such a refusal at any time.
+	refused []string
+}
+
+// observeRefusal records a refusal of the request with an ID, and reports whether the
+// connection may carry other requests: a repetition of the refusal must not pass for the
+// answer to one of them.
+func (c *connection) observeRefusal(id string, report bulrushchute.BackendReport) bool {
+	c.refused = append(c.refused, id)
+	return !report.Unidentified && len(c.refused) < maxRefusedIDs
+}
+
+// hasRefused reports whether the server refused a request with this ID here.
+func (c *connection) hasRefused(attempt *bulrushchute.Attempt) bool {
+	return attempt != nil && slices.Contains(c.refused, attempt.RequestID)
 }
 
 func newConnection(socket net.Conn) *connection {
--- a/protocol.go
+++ b/protocol.go
@@ -74,6 +74,8 @@
 	// Misdirected is set when the request reached another server than the
 	// intended one.
 	Misdirected bool
+	// Unidentified is set if the answer does not say to which request it belongs.
+	Unidentified bool
 	// Load is nil when the answer carries none.
 	Load *BackendLoad
 	// NamedLimit is the number of requests a second that the server takes from all
