Notice the close of a caller that has sent more than is read ahead

A connection's reader stops at 64 KB that nobody has parsed, and did not notice then that the caller closed the connection: the first of its requests ran on for a caller that had left.

While it waits, the reader asks the socket every 50 ms whether the peer has closed it. A close that is still behind unsent bytes at the caller has not reached the node.

--- a/bulrushcaller/input.go
+++ b/bulrushcaller/input.go
@@ -5,6 +5,9 @@
 	"math"
 	"net"
 	"sync"
+	"time"
+
+	"bulrushchute.example/bulrushchute/bulrushsocket"
 )
 
 const (
@@ -13,6 +16,9 @@
 	// maxUnparsedBytes limits the bytes that are read from the socket before they
 	// are parsed.
 	maxUnparsedBytes = 64 << 10
+	// closeCheckInterval is how often the connection is checked while nothing is read
+	// from it.
+	closeCheckInterval = 50 * time.Millisecond
 )
 
 // input reads from a socket ahead of the parser, so that the end of the connection
@@ -43,13 +49,34 @@
 	for {
 		n, err := socket.Read(buffer)
 		in.add(buffer[:n], err)
+		if err == nil {
+			err = in.awaitRoom(socket)
+		}
 		if err != nil {
 			return err
 		}
 	}
 }
 
-// add appends bytes read from the socket. It blocks while too many are unparsed.
+// awaitRoom blocks while too many bytes are unparsed. It returns io.EOF if the caller
+// closes the connection meanwhile, which nothing would read.
+func (in *input) awaitRoom(socket net.Conn) error {
+	in.mutex.Lock()
+	defer in.mutex.Unlock()
+	for len(in.unparsed) >= maxUnparsedBytes && !in.discarding && in.err == nil {
+		if bulrushsocket.ClosedByPeer(socket) {
+			in.err = io.EOF
+			in.changed.Broadcast()
+			return io.EOF
+		}
+		timer := time.AfterFunc(closeCheckInterval, in.changed.Broadcast)
+		in.changed.Wait()
+		timer.Stop()
+	}
+	return nil
+}
+
+// add appends bytes read from the socket.
 func (in *input) add(data []byte, err error) {
 	in.mutex.Lock()
 	defer in.mutex.Unlock()
@@ -60,9 +87,6 @@
 		in.err = err
 	}
 	in.changed.Broadcast()
-	for len(in.unparsed) >= maxUnparsedBytes && !in.discarding && in.err == nil {
-		in.changed.Wait()
-	}
 }
 
 // Read implements io.Reader for the parser.
