Use the valid seeds beside an invalid one

An address with a port out of range in the list of seeds hid all addresses of its data centre for up to 10 s, until a reader replaced the list. A node that started meanwhile could find no peers.

TestOddSeedHidesTheOthers failed before in 2 of 6 cases.

--- a/bulrushnode/seeds.go
+++ b/bulrushnode/seeds.go
@@ -52,7 +52,7 @@
 	for _, object := range objects {
 		addresses, err := parseSeeds(object)
 		if err != nil {
-			// The object is kept without addresses, so that it can be replaced.
+			// The object is kept without the invalid addresses, so that it can be replaced.
 			klog.ErrorS(err, "seeds not taken", "data_centre", object.Name)
 		}
 		listed[bulrushchute.DataCentre(object.Name)] = seedObject{object: object, addresses: addresses}
@@ -82,17 +82,22 @@
 	return count
 }
 
+// parseSeeds returns the valid addresses of an object, with an error if it has others.
 func parseSeeds(object bulrushchute.Object) ([]bulrushchute.Address, error) {
 	var value seeds
 	if err := json.Unmarshal(object.Value, &value); err != nil {
 		return nil, errors.Wrap(err, "parse seeds")
 	}
+	var addresses []bulrushchute.Address
+	var invalid error
 	for _, address := range value.Addresses {
 		if err := checkAddress("addresses", address); err != nil {
-			return nil, err
+			invalid = err
+			continue
 		}
+		addresses = append(addresses, address)
 	}
-	return value.Addresses, nil
+	return addresses, invalid
 }
 
 // maintainSeeds keeps the stored addresses through which new nodes join up to
