Take no evidence from cancelled attempts that were not run

The evidence follows the attempt's result; only the router's observation treats it as cancelled. TestUnsentAttemptIsEvidence failed before in 2 of 3 cases.

--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -235,7 +235,7 @@
 		ac.serviceState.observeSpentGrant(ac.runner.clock.Now(), instance.ID, epoch)
 	}
 	ac.serviceState.observe(ac.runner.clock.Now(), observation)
-	sample, ok := bulrushmove.SampleOf(instance.Version, attempt.Route, observation.Result, observation.ElapsedMs)
+	sample, ok := bulrushmove.SampleOf(instance.Version, attempt.Route, result.end.Result, observation.ElapsedMs)
 	if ok {
 		sample.Warming = ac.warming(instance)
 		ac.runner.observeSample(attempt.Service, sample)
--- a/bulrushnode/withdrawal_test.go
+++ b/bulrushnode/withdrawal_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmove"
 )
 
 // Guards against a request that reaches the backend server although it was cancelled
@@ -87,3 +88,33 @@
 	}
 	<-served
 }
+
+// Guards against a cancelled attempt that was not run, or not even sent, and counts as
+// evidence for the version of its instance.
+func TestUnsentAttemptIsEvidence(t *testing.T) {
+	cancelled := &bulrushchute.NotSentError{Address: "127.0.0.1:8000", Cause: context.Canceled}
+	lost := &bulrushchute.NoReplyError{Address: "127.0.0.1:8000", Cause: context.Canceled}
+	refusal := refusalReply(bulrushchute.ReasonCancelled, 0)
+	cases := map[string]struct {
+		reply bulrushchute.Reply
+		err   error
+		want  int
+	}{
+		"not sent":             {bulrushchute.Reply{}, cancelled, 0},
+		"refused by its node":  {refusal, nil, 0},
+		"cancelled on its way": {bulrushchute.Reply{}, lost, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := newKeyedNode(answered)
+			samples := 0
+			n.runner.observeSample = func(bulrushchute.Service, bulrushmove.Sample) { samples++ }
+			n.runner.exchange = func(context.Context, bulrushchute.Instance, bulrushchute.Attempt) (bulrushchute.Reply, error) {
+				return tc.reply, tc.err
+			}
+			ac := &activeCall{runner: n.runner, serviceState: n.runner.serviceStates.get("board", 0)}
+			ac.exchange(t.Context(), 1, bulrushchute.Instance{ID: "127.0.0.1:8000/1", Service: "board", Version: "v1"}, bulrushchute.Attempt{Service: "board"})
+			assert.Equal(t, samples, tc.want)
+		})
+	}
+}
