Tell where a new version of the catalogue waits

The logs said when a version is in force, not when it was requested, how large it is, how long it takes to apply, whether a control message had to wait for the goroutine that handles it, or how a node repairs its copy. No logic is changed.

The line 'catalogue entry in force' has the sizes, the time since the first request and the time to apply; 'catalogue repaired' is new; 'message held up' has the stage 'control'.

--- a/bulrushfreshness/tracker.go
+++ b/bulrushfreshness/tracker.go
@@ -146,6 +146,15 @@
 	return max(0, now-t.confirmedAt)
 }
 
+// Behind reports whether a confirmation has shown that the copy is out of date, and
+// for how long that has been known.
+func (t *Tracker) Behind(now bulrushchute.Millis) (bulrushchute.Millis, bool) {
+	if !t.isBehind {
+		return 0, false
+	}
+	return max(0, now-t.behindSince), true
+}
+
 // ObserveCopy records that the node's copy has changed.
 func (t *Tracker) ObserveCopy(copied Summary) {
 	t.copied = copied
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -29,8 +29,9 @@
 
 // inboundControl is a received control message with the address of its sender.
 type inboundControl struct {
-	from    bulrushchute.Address
-	message bulrushchute.Control
+	from       bulrushchute.Address
+	message    bulrushchute.Control
+	receivedAt time.Time
 }
 
 // control owns the membership and the records of the node. Only the goroutine
@@ -79,6 +80,8 @@
 	seedAddresses int
 	// expire makes Node.Run return an *ExpiredError.
 	expire func()
+	// heldUp counts the messages that waited for control's goroutine.
+	heldUp *heldUpCounts
 }
 
 func newControl(n *Node, self bulrushchute.Instance) *control {
@@ -103,6 +106,7 @@
 		changedServices: make(map[bulrushchute.Service]bool),
 		weights:         make(bulrushrouting.Weights),
 		expire:          func() {},
+		heldUp:          &n.heldUp,
 		freshness:       newFreshness(n, self.ID),
 	}
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
@@ -140,7 +144,7 @@
 // receive queues a control message from the transport.
 func (c *control) receive(from bulrushchute.Address, message bulrushchute.Control) {
 	select {
-	case c.inbox <- inboundControl{from: from, message: message}:
+	case c.inbox <- inboundControl{from: from, message: message, receivedAt: time.Now()}:
 	default:
 		klog.V(1).InfoS("control message dropped", "from", from)
 	}
@@ -155,6 +159,7 @@
 		case <-ctx.Done():
 			return nil
 		case r := <-c.inbox:
+			c.heldUp.observeControl(r.from, time.Since(r.receivedAt))
 			c.handle(r)
 		case command := <-c.commands:
 			command(c.clock.Now())
@@ -389,6 +394,7 @@
 func (c *control) onCatalogue(now bulrushchute.Millis, record bulrushchute.Record) {
 	kind, name, _ := strings.Cut(record.Key.Name, "/")
 	before := c.board.Read().Catalogue
+	begin, packedBytes := time.Now(), len(record.Value)
 	value, err := decompressValue(record.Value)
 	after := before
 	if err == nil {
@@ -402,7 +408,9 @@
 	c.board.Update(func(view bulrushboard.View) bulrushboard.View {
 		return view.WithCatalogue(after)
 	})
-	klog.InfoS("catalogue entry in force", "kind", kind, "name", name, "version", record.Version.Counter, "deleted", record.Deleted)
+	requested := c.membership.Table().Requested(record.Key)
+	klog.InfoS("catalogue entry in force", "kind", kind, "name", name, "version", record.Version.Counter, "deleted", record.Deleted,
+		"bytes", len(value), "packed_bytes", packedBytes, "requested_ms", requested.For, "requests", requested.Count, "apply_ms", int(milliseconds(time.Since(begin))))
 	c.updateState(c.membership.Status())
 	if bulrushchute.Kind(kind) == bulrushchute.KindDataCentres {
 		c.applyDataCentre(now, before, after, bulrushchute.DataCentre(name))
--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -65,14 +65,27 @@
 	}
 	switch f.tracker.Next(now, f.role) {
 	case bulrushfreshness.ActionCompare:
+		c.logRepair(now, "compare")
 		c.membership.CompareWithNeighbour()
 	case bulrushfreshness.ActionRead:
+		c.logRepair(now, "read")
 		f.reads <- struct{}{}
 	}
 	c.publishFreshness(now)
 	c.confirmToWaiting(now)
 }
 
+// logRepair logs what the node does to bring its copy up to date, except for the
+// regular reads of a first reader.
+func (c *control) logRepair(now bulrushchute.Millis, action string) {
+	f := c.freshness
+	behind, isBehind := f.tracker.Behind(now)
+	if f.role.FirstReader && !isBehind {
+		return
+	}
+	klog.InfoS("catalogue repaired", "by", action, "behind", isBehind, "behind_ms", behind, "age_ms", f.tracker.Age(now))
+}
+
 func (c *control) publishFreshness(now bulrushchute.Millis) {
 	current := c.freshness.tracker.Current(now)
 	if c.board.Read().CatalogueCurrent == current {
--- a/bulrushnode/held_up.go
+++ b/bulrushnode/held_up.go
@@ -3,7 +3,9 @@
 import (
 	"maps"
 	"sync"
+	"time"
 
+	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushwire"
 )
 
@@ -24,6 +26,13 @@
 	messageHeldUp.Log("peer", heldUp.Peer, "message", heldUp.Message, "stage", heldUp.Stage, "held_ms", heldUp.For)
 }
 
+// observeControl counts a control message that waited for control's goroutine.
+func (hc *heldUpCounts) observeControl(peer bulrushchute.Address, waited time.Duration) {
+	if held := bulrushchute.MillisOf(waited); held >= bulrushwire.HeldUpThreshold {
+		hc.observe(bulrushwire.HeldUp{Peer: peer, Message: "control", Stage: bulrushwire.StageControl, For: held})
+	}
+}
+
 func (hc *heldUpCounts) counts() map[bulrushwire.Stage]int64 {
 	hc.mutex.Lock()
 	defer hc.mutex.Unlock()
--- a/bulrushspread/api.go
+++ b/bulrushspread/api.go
@@ -55,6 +55,15 @@
 	DifferingBuckets int
 }
 
+// Requested describes the request for a version of a record. It is zero for a version
+// that was not requested.
+type Requested struct {
+	// For is the time from the first request for a version that had not arrived.
+	For bulrushchute.Millis
+	// Count is the number of requests in that time.
+	Count int
+}
+
 // Stats holds the number of records in a Table and counts what it has sent and
 // rejected since it was created.
 type Stats struct {
--- a/bulrushspread/receive.go
+++ b/bulrushspread/receive.go
@@ -26,6 +26,10 @@
 	announcers []bulrushchute.Address
 	sends      int
 	retryAt    bulrushchute.Millis
+	// since is when the first version that has not arrived was requested, and requests
+	// the number of requests since then.
+	since    bulrushchute.Millis
+	requests int
 }
 
 // Receive processes have, want, records and digest messages and ignores others.
@@ -108,13 +112,14 @@
 			t.stats.DroppedQueued++
 			return
 		}
-		w = &want{key: have.Key}
+		w = &want{key: have.Key, since: now}
 		t.pendingWants[have.Key] = w
 		t.wantOrder = append(t.wantOrder, w)
 	}
 	w.version = have.Version
 	w.announcers = append(w.announcers[:0], p.neighbour.Address)
 	w.sends = 1
+	w.requests++
 	w.retryAt = now + initialRetryDelay
 	p.queueWant(have.Key)
 }
@@ -163,6 +168,15 @@
 	t.store(now, *record, p)
 }
 
+// requestedFor describes the request that a record satisfies.
+func (t *Table) requestedFor(now bulrushchute.Millis, record bulrushchute.Record) Requested {
+	w, ok := t.pendingWants[record.Key]
+	if !ok {
+		return Requested{}
+	}
+	return Requested{For: max(0, now-w.since), Count: w.requests}
+}
+
 // resolveWant removes the want that a record satisfies.
 func (t *Table) resolveWant(record bulrushchute.Record) {
 	w, ok := t.pendingWants[record.Key]
@@ -208,6 +222,7 @@
 	}
 	address := w.announcers[w.sends%len(w.announcers)]
 	w.sends++
+	w.requests++
 	w.retryAt = now + initialRetryDelay<<w.sends
 	p := t.getOrAddPeer(now, address)
 	if p == nil {
--- a/bulrushspread/table.go
+++ b/bulrushspread/table.go
@@ -31,6 +31,8 @@
 	lastRemoteInterval uint64
 	// forgotten is set by Forget. Queues skip the entry from then on.
 	forgotten bool
+	// requested describes the request for the version that is held.
+	requested Requested
 }
 
 // Table is one node's replica of all records. It is not safe for concurrent
@@ -93,6 +95,15 @@
 	return e.record, true
 }
 
+// Requested returns how long this node had requested the version of a record that it
+// holds, and how often.
+func (t *Table) Requested(key bulrushchute.RecordKey) Requested {
+	if e, ok := t.entries[key]; ok {
+		return e.requested
+	}
+	return Requested{}
+}
+
 // Range calls visit for each record of a topic, deleted ones included, until
 // visit returns false. The order depends only on the history of calls. The
 // table must not be changed during the iteration.
@@ -174,6 +185,7 @@
 	t.updateHashes(e, e.hash^hash)
 	e.hash = hash
 	t.recent.add(now)
+	e.requested = t.requestedFor(now, record)
 	t.resolveWant(record)
 	t.announce(e, source)
 	if t.config.OnChange != nil {
--- a/bulrushwire/held_up.go
+++ b/bulrushwire/held_up.go
@@ -6,8 +6,8 @@
 	"bulrushchute.example/bulrushchute"
 )
 
-// heldUpThreshold is the shortest time for which a message counts as held up.
-const heldUpThreshold = 100 * bulrushchute.Millisecond
+// HeldUpThreshold is the shortest time for which a message counts as held up.
+const HeldUpThreshold = 100 * bulrushchute.Millisecond
 
 // Stage is where a message was held up.
 type Stage string
@@ -24,6 +24,9 @@
 	// StageRead is the handling by the loop that reads the connection, which reads
 	// nothing meanwhile.
 	StageRead Stage = "read"
+	// StageControl is the wait of a received control message for the goroutine that
+	// handles it.
+	StageControl Stage = "control"
 )
 
 // HeldUp reports a message that was held up.
@@ -36,7 +39,7 @@
 
 // report calls the observer if the message was held up.
 func (c *connection) report(message Message, stage Stage, held bulrushchute.Millis) {
-	if held >= heldUpThreshold && c.onHeldUp != nil {
+	if held >= HeldUpThreshold && c.onHeldUp != nil {
 		c.onHeldUp(HeldUp{Peer: c.peer, Message: message.name(), Stage: stage, For: held})
 	}
 }
