--- /dev/null
+++ b/bulrushnode/late_catalogue_test.go
@@ -0,0 +1,116 @@
+package bulrushnode
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+)
+
+// largeRouting returns a version of a routing table with many routes.
+func largeRouting(t *testing.T, version, routes int) bulrushchute.Object {
+	table := bulrushcatalogue.RoutingTable{
+		Label:    strconv.Itoa(version),
+		Services: []bulrushcatalogue.ServiceEntry{bulrushcatalogue.ServiceEntry{Service: "board", Owner: "test"}.WithDefaults()},
+	}
+	for i := range routes {
+		table.Routes = append(table.Routes, bulrushcatalogue.HostRoute{
+			Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i%50), Prefix: fmt.Sprintf("/prefix-%d/", i), TimeoutMs: 1000,
+			Targets: []bulrushcatalogue.Target{{Service: "board", Weight: float64(1 + version)}},
+		})
+	}
+	value, err := table.Encode()
+	assert.NilError(t, err)
+	return bulrushchute.Object{Kind: bulrushchute.KindRouting, Name: "main", Value: value, OperatorVersion: uint64(version)}
+}
+
+// timeToParse returns the time that a node takes to decompress and parse a table.
+func timeToParse(t *testing.T, object bulrushchute.Object) time.Duration {
+	packed := compressValue(object.Value)
+	begin := time.Now()
+	value, err := decompressValue(packed)
+	assert.NilError(t, err)
+	_, err = bulrushcatalogue.ParseRouting(value)
+	assert.NilError(t, err)
+	return time.Since(begin)
+}
+
+// routesToParseIn returns how many routes of a table a node parses in the given time,
+// so that a test has the same load with and without the race detector.
+func routesToParseIn(t *testing.T, span time.Duration) int {
+	const sample = 1000
+	best := time.Hour
+	for range 3 {
+		best = min(best, timeToParse(t, largeRouting(t, 1, sample)))
+	}
+	return min(2500, int(sample*span/best))
+}
+
+// write stores a version of the routing table.
+func (f *routingFleet) write(t *testing.T, object bulrushchute.Object) {
+	current, err := f.memory.Get(t.Context(), object.Kind, object.Name)
+	assert.NilError(t, err)
+	object.Version = current.Version
+	_, err = f.memory.Update(t.Context(), object)
+	assert.NilError(t, err)
+}
+
+// Guards against control messages, such as heartbeats, confirmations and the records
+// that are passed on, that wait while a large table is applied.
+func TestControlWaitsForALargeTable(t *testing.T) {
+	f := newRoutingFleet(t, 2)
+	defer f.close(t)
+	f.awaitReaders(t)
+	routes := routesToParseIn(t, 250*time.Millisecond)
+	last := f.nodes[1]
+	toParse, shortest := time.Hour, time.Hour
+	// The machine may delay a goroutine now and then. Control that applies the tables
+	// itself is busy with each of them.
+	for version := 2; version < 7; version++ {
+		table := largeRouting(t, version, routes)
+		toParse = min(toParse, timeToParse(t, table))
+		f.write(t, table)
+		var longest time.Duration
+		for last.label() != strconv.Itoa(version) {
+			begin := time.Now()
+			last.control.do(t.Context(), func(bulrushchute.Millis) {})
+			longest = max(longest, time.Since(begin))
+			time.Sleep(time.Millisecond)
+		}
+		shortest = min(shortest, longest)
+	}
+	assert.Assert(t, shortest < toParse/2, "control was busy for %s, the table takes %s to parse", shortest, toParse)
+}
+
+// Guards against a node that says that its catalogue is current, and refuses a route
+// for good, while the newest version cannot be read and an older one is in force.
+func TestTableThatIsNotInForceCountsAsCurrent(t *testing.T) {
+	f := newRoutingFleet(t, 2)
+	defer f.close(t)
+	f.awaitReaders(t)
+	for _, node := range f.nodes {
+		assert.Equal(t, node.statusOf(t, "unknown.example"), http.StatusNotFound)
+	}
+	object := routingOf(t, 2)
+	object.Value = []byte(`{"label":"2","routes":[],"services":[],"unknown_field":true}`)
+	f.write(t, object)
+	time.Sleep(inForceWithin)
+	for _, node := range f.nodes {
+		assert.Equal(t, node.label(), "1")
+		assert.Equal(t, node.statusOf(t, "unknown.example"), http.StatusServiceUnavailable)
+	}
+	f.write(t, routingOf(t, 3))
+	for _, node := range f.nodes {
+		node.assertInForce(t, "3")
+	}
+	time.Sleep(inForceWithin)
+	for _, node := range f.nodes {
+		assert.Equal(t, node.statusOf(t, "unknown.example"), http.StatusNotFound)
+	}
+}
--- a/bulrushspread/table_test.go
+++ b/bulrushspread/table_test.go
@@ -295,6 +295,29 @@
 }
 
 // Guards against a node that exceeds its bandwidth budget, and against a
+// Guards against a change that is in force late because the first peer that announced it
+// is gone, or busy, and the record is not requested from the next one before long. Half
+// of the 2 s in which a change has to be in force remain to transfer and apply it.
+func TestChangeIsNotRequestedFromAnotherAnnouncerInTime(t *testing.T) {
+	const requestedWithin = bulrushchute.Second
+	table := New(testStart, Config{Self: "a", DataCentre: "kgl-1"})
+	table.SetNeighbours([]Neighbour{{ID: "b", Address: testAddress(1)}, {ID: "c", Address: testAddress(2)}})
+	record := catalogueRecord("routes", 7, 900)
+	have := bulrushchute.Control{From: "b", Have: &bulrushchute.Have{Versions: []bulrushchute.VersionedKey{{Key: record.Key, Version: record.Version}}}}
+	first := table.Receive(testStart, testAddress(1), have)
+	assert.Assert(t, len(first) == 1 && first[0].To == testAddress(1) && first[0].Message.Want != nil)
+	have.From = "c"
+	assert.Equal(t, len(table.Receive(testStart+1, testAddress(2), have)), 0)
+	for now := testStart + TickInterval; now < testStart+requestedWithin; now += TickInterval {
+		for _, action := range table.Tick(now) {
+			if action.To == testAddress(2) && action.Message.Want != nil {
+				return
+			}
+		}
+	}
+	t.Fatal("the record was not requested from the second announcer")
+}
+
 // catalogue change that waits behind a burst of member records.
 func TestBudgetAndPriority(t *testing.T) {
 	table := New(testStart, Config{Self: "n0", DataCentre: "kgl-1"})
