Count a copy of the catalogue as current only once it is in force

Callers could be refused for good: a node whose newest routing table could not be read, or was not in force yet, counted as current, because records counted as held when they were stored. It then answered unknown routes with 404 by an older table.

A copy is now confirmed only when the newest versions of all its objects are in force. A node that holds all records and still applies them neither compares nor reads, since others cannot help it; one that cannot read a record reads the store at the bounded rate of failed reads. A routing table that the store's client cannot translate makes a read incomplete, for the same reason.

--- a/bulrushfreshness/tracker.go
+++ b/bulrushfreshness/tracker.go
@@ -51,6 +51,15 @@
 	Hash uint64
 	// Newest is the newest store version in the copy, including deletions.
 	Newest uint64
+	// Incomplete is set while an object of the copy is not in force in its newest
+	// version, which waits to be applied or cannot be read.
+	Incomplete bool
+}
+
+// matches reports whether the copy has what a confirmation covers, and all of it is in
+// force.
+func (s Summary) matches(confirmation Confirmation) bool {
+	return s.Hash == confirmation.Hash && !s.Incomplete
 }
 
 // Confirmation states that a consistent read of the store at a revision found the
@@ -158,7 +167,7 @@
 // ObserveCopy records that the node's copy has changed.
 func (t *Tracker) ObserveCopy(copied Summary) {
 	t.copied = copied
-	if t.isBehind && t.behind.Hash == copied.Hash {
+	if t.isBehind && copied.matches(t.behind) {
 		t.confirm(t.receivedAt)
 	}
 }
@@ -168,19 +177,29 @@
 	if confirmation.Age > MaxAge {
 		return
 	}
-	if confirmation.Hash == t.copied.Hash {
+	if t.copied.matches(confirmation) {
 		t.confirm(now - confirmation.Age)
 		return
 	}
-	if t.copied.Newest > confirmation.Revision {
+	if t.copied.Hash != confirmation.Hash && t.copied.Newest > confirmation.Revision {
 		// The copy holds a change that was made after the read. The next
 		// confirmation covers both.
 		return
 	}
+	t.setBehind(now, confirmation, now-confirmation.Age)
+}
+
+func (t *Tracker) setBehind(now bulrushchute.Millis, confirmation Confirmation, receivedAt bulrushchute.Millis) {
 	if !t.isBehind {
 		t.isBehind, t.behindSince, t.compared = true, now, false
 	}
-	t.behind, t.receivedAt = confirmation, now-confirmation.Age
+	t.behind, t.receivedAt = confirmation, receivedAt
+}
+
+// lacksRecords reports whether the copy is behind because a record has not arrived.
+// Others cannot help a copy that holds all records and is not in force yet.
+func (t *Tracker) lacksRecords() bool {
+	return t.isBehind && t.behind.Hash != t.copied.Hash
 }
 
 func (t *Tracker) confirm(at bulrushchute.Millis) {
@@ -202,7 +221,7 @@
 		t.reading = true
 		return ActionRead
 	}
-	if t.isBehind && !t.compared && now >= t.behindSince+compareDelay {
+	if t.lacksRecords() && !t.compared && now >= t.behindSince+compareDelay {
 		t.compared = true
 		return ActionCompare
 	}
@@ -218,7 +237,7 @@
 	}
 	delay := t.readDelay(role.Nodes)
 	next := t.confirmedAt + unconfirmedAfter + delay
-	if t.isBehind {
+	if t.lacksRecords() {
 		next = min(next, t.behindSince+behindReadDelay+delay)
 	}
 	return next
@@ -233,13 +252,16 @@
 }
 
 // ReadEnded reports the end of a read that began at the given time. A read that
-// succeeded confirms the copy, which holds all that it found.
+// succeeded confirms the copy, which holds all that it found, once that is in force.
 func (t *Tracker) ReadEnded(now, began bulrushchute.Millis, succeeded bool, role Role) {
 	t.reading = false
-	if succeeded {
+	if succeeded && !t.copied.Incomplete {
 		t.confirm(began)
 		return
 	}
+	if succeeded {
+		t.setBehind(now, Confirmation{Revision: t.copied.Newest, Hash: t.copied.Hash}, began)
+	}
 	delay := minRetryDelay << min(t.failures, 16)
 	t.failures++
 	limit := max(maxRetryDelay, bulrushchute.Millis(role.Nodes)*retryDelayPerNode)
--- a/bulrushfreshness/tracker_test.go
+++ b/bulrushfreshness/tracker_test.go
@@ -28,6 +28,7 @@
 		"copy lacks change": {Summary{Hash: 7, Newest: 4}, Confirmation{Revision: 9, Hash: 8}, false, true},
 		"copy is ahead":     {Summary{Hash: 7, Newest: 10}, Confirmation{Revision: 9, Hash: 8}, false, false},
 		"empty copy":        {Summary{}, Confirmation{Revision: 9, Hash: 8}, false, true},
+		"not in force":      {Summary{Hash: 7, Newest: 4, Incomplete: true}, Confirmation{Revision: 9, Hash: 7}, false, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -59,6 +60,60 @@
 	assert.Equal(t, tracker.Next(testStart+1000, role), ActionNone)
 }
 
+// Guards against a copy that counts as confirmed before it is in force, against reads
+// that cannot help a node that is still applying it, and against a confirmation that is
+// not counted from the read that it states.
+func TestCopyIsConfirmedOnceInForce(t *testing.T) {
+	cases := map[string]struct {
+		observe func(tracker *Tracker)
+		readAt  bulrushchute.Millis
+	}{
+		"confirmation of another node": {func(tracker *Tracker) {
+			tracker.ObserveConfirmation(testStart+100, Confirmation{Revision: 9, Hash: 2, Age: 40})
+		}, testStart + 60},
+		"own read": {func(tracker *Tracker) {
+			tracker.ReadEnded(testStart+100, testStart+60, true, Role{Nodes: 14})
+		}, testStart + 60},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			tracker := newTestTracker(1)
+			tracker.ObserveCopy(Summary{Hash: 1, Newest: 4})
+			tracker.ObserveConfirmation(testStart, Confirmation{Revision: 4, Hash: 1})
+			tracker.ObserveCopy(Summary{Hash: 2, Newest: 9, Incomplete: true})
+			tc.observe(tracker)
+			assert.Equal(t, tracker.Age(testStart+100), bulrushchute.Millis(100))
+			for now := testStart + 100; now < testStart+300; now += 50 {
+				assert.Equal(t, tracker.Next(now, Role{Nodes: 14}), ActionNone)
+			}
+			tracker.ObserveCopy(Summary{Hash: 2, Newest: 9})
+			assert.Equal(t, tracker.Age(testStart+300), testStart+300-tc.readAt)
+		})
+	}
+}
+
+// Guards against a node that reads the store without pause because the newest version
+// of an object cannot be read.
+func TestUnreadableCopyIsReadAtABoundedRate(t *testing.T) {
+	for seed := range uint64(20) {
+		tracker := newTestTracker(seed)
+		role := Role{Nodes: 85}
+		tracker.ObserveCopy(Summary{Hash: 2, Newest: 9, Incomplete: true})
+		reads := 0
+		for now := testStart; now < testStart+bulrushchute.Minute; now += 50 {
+			if now%1000 == 0 {
+				tracker.ObserveConfirmation(now, Confirmation{Revision: 9, Hash: 2})
+			}
+			if tracker.Next(now, role) == ActionRead {
+				reads++
+				tracker.ReadEnded(now+20, now, true, role)
+			}
+		}
+		assert.Assert(t, reads >= 25 && reads <= 65, "seed %d: %d reads in a minute", seed, reads)
+		assert.Assert(t, !tracker.Confirmed())
+	}
+}
+
 // Guards against a node that relies on a copy for longer than MaxAge without having
 // read the store, whatever it hears or does not hear from others.
 func TestUnconfirmedNodeReadsWithinMaxAge(t *testing.T) {
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -73,6 +73,8 @@
 	joinTimedOut bool
 	// freshness tracks when the copy of the catalogue was last known to be current.
 	freshness *freshness
+	// notInForce holds the catalogue records whose newest version is not in force.
+	notInForce map[bulrushchute.RecordKey]bool
 	// restored holds what is known about restores of the store.
 	restored restoredCopy
 	// seedAddresses is the number of addresses in the settings through which the
@@ -108,6 +110,7 @@
 		expire:          func() {},
 		heldUp:          &n.heldUp,
 		freshness:       newFreshness(n, self.ID),
+		notInForce:      make(map[bulrushchute.RecordKey]bool),
 	}
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
 		Self:         self,
@@ -402,9 +405,11 @@
 		after, err = applyRecord(before, bulrushchute.Kind(kind), name, record)
 	}
 	if err != nil {
+		c.notInForce[record.Key] = true
 		klog.ErrorS(err, "catalogue entry not taken", "kind", kind, "name", name, "version", record.Version.Counter)
 		return
 	}
+	delete(c.notInForce, record.Key)
 	c.board.Update(func(view bulrushboard.View) bulrushboard.View {
 		return view.WithCatalogue(after)
 	})
--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -123,7 +123,7 @@
 
 func (c *control) summarizeCatalogue() bulrushfreshness.Summary {
 	summary := c.membership.Table().Summarize(bulrushchute.TopicCatalogue, bulrushchute.TopicKeyMap)
-	return bulrushfreshness.Summary{Hash: summary.Hash, Newest: summary.NewestCounter}
+	return bulrushfreshness.Summary{Hash: summary.Hash, Newest: summary.NewestCounter, Incomplete: len(c.notInForce) > 0}
 }
 
 // publishConfirmation spreads the confirmation of a read of the store.
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -249,7 +249,8 @@
 // publishList publishes all listed objects of a kind. Objects that are known but
 // not listed were deleted while no watch was running. They are published as
 // deleted at the list's revision, which is later than their last version. It returns
-// false if something was held back because the store was restored from a copy.
+// false if something was held back because the store was restored from a copy, or if the
+// newest routing table cannot be read.
 func (r *reader) publishList(ctx context.Context, kind bulrushchute.Kind, objects []bulrushchute.Object, revision uint64) bool {
 	complete := true
 	r.node.control.do(ctx, func(now bulrushchute.Millis) {
@@ -259,11 +260,13 @@
 		for _, object := range objects {
 			version, exists := known[object.Name]
 			delete(known, object.Name)
-			if object.Unreadable {
-				// The last valid version stays in force.
+			if exists && version == object.Version {
 				continue
 			}
-			if exists && version == object.Version {
+			if object.Unreadable {
+				// The last valid version stays in force. Without the newest table, nobody
+				// can tell whether a route exists.
+				complete = complete && kind != bulrushchute.KindRouting
 				continue
 			}
 			if exists && c.restored.holds(now, version) && replacesOrder(c.board.Read().Catalogue, object) {
