Parse large catalogue records outside of control

Each node decompressed and parsed the whole routing table on the goroutine that also passes records on and handles heartbeats, confirmations and ticks.

Records of 4 KB and more, packed, are now parsed by a goroutine of their own, which takes only the newest version of each; control passes them on at once and puts the result in force. Readers pack what they publish before they ask control.

--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -74,7 +74,8 @@
 	// freshness tracks when the copy of the catalogue was last known to be current.
 	freshness *freshness
 	// notInForce holds the catalogue records whose newest version is not in force.
-	notInForce map[bulrushchute.RecordKey]bool
+	notInForce   map[bulrushchute.RecordKey]bool
+	largeRecords *largeRecords
 	// restored holds what is known about restores of the store.
 	restored restoredCopy
 	// seedAddresses is the number of addresses in the settings through which the
@@ -112,6 +113,7 @@
 		freshness:       newFreshness(n, self.ID),
 		notInForce:      make(map[bulrushchute.RecordKey]bool),
 	}
+	c.largeRecords = newLargeRecords(c)
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
 		Self:         self,
 		Seeds:        n.settings.SeedAddresses,
@@ -392,110 +394,6 @@
 	c.keys.setMap(now, keyMap)
 }
 
-// onCatalogue applies a changed catalogue entry. If it cannot be parsed, the last
-// valid version remains in force.
-func (c *control) onCatalogue(now bulrushchute.Millis, record bulrushchute.Record) {
-	kind, name, _ := strings.Cut(record.Key.Name, "/")
-	before := c.board.Read().Catalogue
-	begin, packedBytes := time.Now(), len(record.Value)
-	value, err := decompressValue(record.Value)
-	after := before
-	if err == nil {
-		record.Value = value
-		after, err = applyRecord(before, bulrushchute.Kind(kind), name, record)
-	}
-	if err != nil {
-		c.notInForce[record.Key] = true
-		klog.ErrorS(err, "catalogue entry not taken", "kind", kind, "name", name, "version", record.Version.Counter)
-		return
-	}
-	delete(c.notInForce, record.Key)
-	c.board.Update(func(view bulrushboard.View) bulrushboard.View {
-		return view.WithCatalogue(after)
-	})
-	requested := c.membership.Table().Requested(record.Key)
-	klog.InfoS("catalogue entry in force", "kind", kind, "name", name, "version", record.Version.Counter, "deleted", record.Deleted,
-		"bytes", len(value), "packed_bytes", packedBytes, "requested_ms", requested.For, "requests", requested.Count, "apply_ms", int(milliseconds(time.Since(begin))))
-	c.updateState(c.membership.Status())
-	if bulrushchute.Kind(kind) == bulrushchute.KindDataCentres {
-		c.applyDataCentre(now, before, after, bulrushchute.DataCentre(name))
-		return
-	}
-	if bulrushchute.Kind(kind) == bulrushchute.KindMoveOrders {
-		c.moves.onMoveOrder(now, bulrushchute.Service(name))
-	}
-	if bulrushchute.Kind(kind) == bulrushchute.KindRouting {
-		// A routing table contains the entries of many services, of which only that
-		// of the own backend server matters here.
-		name = string(c.admission.latestAnnouncement().Service)
-	}
-	c.configureAdmission(after, bulrushchute.Service(name))
-}
-
-func applyRecord(set bulrushcatalogue.Set, kind bulrushchute.Kind, name string, record bulrushchute.Record) (bulrushcatalogue.Set, error) {
-	version := record.Version.Counter
-	switch {
-	case kind == bulrushchute.KindServices && record.Deleted:
-		return set.WithoutService(bulrushchute.Service(name), version), nil
-	case kind == bulrushchute.KindServices:
-		entry, err := bulrushcatalogue.ParseService(record.Value)
-		return set.WithService(entry, version), err
-	case kind == bulrushchute.KindRouting && record.Deleted:
-		return set, nil
-	case kind == bulrushchute.KindRouting:
-		routing, err := bulrushcatalogue.ParseRouting(record.Value)
-		return set.WithRouting(routing, record.Version), err
-	case kind == bulrushchute.KindMoveOrders && record.Deleted:
-		return set.WithoutMoveOrder(bulrushchute.Service(name), version), nil
-	case kind == bulrushchute.KindMoveOrders:
-		order, err := bulrushcatalogue.ParseMoveOrder(record.Value)
-		return set.WithMoveOrder(order, version), err
-	case kind == bulrushchute.KindDataCentres && record.Deleted:
-		return set.WithoutDataCentre(bulrushchute.DataCentre(name), version), nil
-	case kind == bulrushchute.KindDataCentres:
-		entry, err := bulrushcatalogue.ParseDataCentre(record.Value)
-		return set.WithDataCentre(entry, version), err
-	}
-	return set, &bulrushchute.FieldError{Field: "kind", Value: string(kind), Allowed: "services, datacentres, routing or moveorders"}
-}
-
-// applyDataCentre updates the weight of a data centre after operators withdraw it
-// or return it to service.
-func (c *control) applyDataCentre(now bulrushchute.Millis, before, after bulrushcatalogue.Set, name bulrushchute.DataCentre) {
-	wasWithdrawn := dataCentreWithdrawn(before, name)
-	nowWithdrawn := dataCentreWithdrawn(after, name)
-	if name == c.dataCentre {
-		c.admission.setWithdrawn(nowWithdrawn)
-	}
-	if wasWithdrawn == nowWithdrawn {
-		return
-	}
-	weight := c.weights[name]
-	weight.Withdrawn = nowWithdrawn
-	if !nowWithdrawn {
-		weight = c.withReturnRamp(now, name, weight)
-	}
-	c.setWeight(name, weight)
-	c.publishWeights()
-	klog.InfoS("data centre state changed", "data_centre", name, "withdrawn", nowWithdrawn)
-}
-
-func dataCentreWithdrawn(set bulrushcatalogue.Set, name bulrushchute.DataCentre) bool {
-	entry, exists := set.DataCentre(name)
-	return exists && entry.WithDefaults().State != bulrushcatalogue.DataCentreServing
-}
-
-// configureAdmission passes the entry of a service to the admission, if it is the
-// service of this node's backend server.
-func (c *control) configureAdmission(set bulrushcatalogue.Set, name bulrushchute.Service) {
-	if c.admission.latestAnnouncement().Service != name {
-		return
-	}
-	if entry, exists := set.Service(name); exists {
-		c.admission.configure(entry)
-	}
-}
-
 // isCandidate reports whether this node is among the first count members of a
 // data centre in hash order, or of all data centres if dataCentre is empty. Nodes
 // that know the same members compute the same order. The check is cheap in a
@@ -529,31 +427,3 @@
 func rankHash(purpose string, id bulrushchute.InstanceID) uint64 {
 	return xxhash.Sum64String(purpose + "/" + string(id))
 }
-
-// publishObject publishes an object of the store as a record, so that it spreads
-// to all nodes.
-func (c *control) publishObject(now bulrushchute.Millis, object bulrushchute.Object, deleted bool) {
-	key, replicated := recordKeyOf(object)
-	if !replicated {
-		return
-	}
-	c.membership.Table().Publish(now, bulrushchute.Record{
-		Key:     key,
-		Version: recordVersionOf(object),
-		Value:   compressValue(object.Value),
-		Deleted: deleted,
-	})
-}
-
-// recordKeyOf returns the key of an object's record, or false if objects of its
-// kind do not spread as records.
-func recordKeyOf(object bulrushchute.Object) (bulrushchute.RecordKey, bool) {
-	switch object.Kind {
-	case bulrushchute.KindServices, bulrushchute.KindDataCentres, bulrushchute.KindRouting, bulrushchute.KindMoveOrders:
-		return bulrushchute.RecordKey{Topic: bulrushchute.TopicCatalogue, Name: string(object.Kind) + "/" + object.Name}, true
-	case bulrushchute.KindKeyMaps:
-		return bulrushchute.RecordKey{Topic: bulrushchute.TopicKeyMap, Name: object.Name}, true
-	default:
-		return bulrushchute.RecordKey{}, false
-	}
-}
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -269,6 +269,7 @@
 	n.start("callers", func(context.Context) error { return callerServer.Serve(requestCtx, callerListener) })
 	n.start("peers", func(context.Context) error { return ignoreClosed(peerServer.Serve(peerListener)) })
 	n.start("control", n.control.run)
+	n.start("large records", n.control.largeRecords.run)
 	n.start("announcer", n.runSelfUpdates)
 	n.start("prober", newProber(n.admission, n.probeSettings).run)
 	n.start("pacer", n.admission.runLoadPoller)
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -198,9 +198,7 @@
 	}
 	err := r.node.store.Watch(ctx, kind, at.revision, func(event bulrushchute.StoreEvent) {
 		at.revision = max(at.revision, event.Object.Version)
-		r.node.control.do(ctx, func(now bulrushchute.Millis) {
-			r.node.control.publishObject(now, event.Object, event.Deleted)
-		})
+		r.publish(ctx, []bulrushchute.StoreEvent{event})
 	})
 	var gone *bulrushstore.GoneError
 	var ended *bulrushstore.WatchEndedError
@@ -252,36 +250,65 @@
 // false if something was held back because the store was restored from a copy, or if the
 // newest routing table cannot be read.
 func (r *reader) publishList(ctx context.Context, kind bulrushchute.Kind, objects []bulrushchute.Object, revision uint64) bool {
+	var changes []bulrushchute.StoreEvent
 	complete := true
 	r.node.control.do(ctx, func(now bulrushchute.Millis) {
-		c := r.node.control
-		c.restored.observe(now, bulrushchute.EraOf(revision))
-		known := c.knownObjects(kind)
-		for _, object := range objects {
-			version, exists := known[object.Name]
-			delete(known, object.Name)
-			if exists && version == object.Version {
-				continue
-			}
-			if object.Unreadable {
-				// The last valid version stays in force. Without the newest table, nobody
-				// can tell whether a route exists.
-				complete = complete && kind != bulrushchute.KindRouting
-				continue
-			}
-			if exists && c.restored.holds(now, version) && replacesOrder(c.board.Read().Catalogue, object) {
-				complete = false
-				continue
-			}
-			c.publishObject(now, object, false)
+		changes, complete = r.node.control.changesOfList(now, kind, objects, revision)
+	})
+	r.publish(ctx, changes)
+	return complete
+}
+
+// changesOfList returns what publishList has to publish, and false if something was held
+// back.
+func (c *control) changesOfList(now bulrushchute.Millis, kind bulrushchute.Kind, objects []bulrushchute.Object, revision uint64) ([]bulrushchute.StoreEvent, bool) {
+	var changes []bulrushchute.StoreEvent
+	complete := true
+	c.restored.observe(now, bulrushchute.EraOf(revision))
+	known := c.knownObjects(kind)
+	for _, object := range objects {
+		version, exists := known[object.Name]
+		delete(known, object.Name)
+		if exists && version == object.Version {
+			continue
 		}
-		for name, version := range known {
-			if c.restored.holds(now, version) {
-				complete = false
-				continue
-			}
-			c.publishObject(now, bulrushchute.Object{Kind: kind, Name: name, Version: revision}, true)
+		if object.Unreadable {
+			// The last valid version stays in force. Without the newest table, nobody
+			// can tell whether a route exists.
+			complete = complete && kind != bulrushchute.KindRouting
+			continue
+		}
+		if exists && c.restored.holds(now, version) && replacesOrder(c.board.Read().Catalogue, object) {
+			complete = false
+			continue
+		}
+		changes = append(changes, bulrushchute.StoreEvent{Object: object})
+	}
+	for name, version := range known {
+		if c.restored.holds(now, version) {
+			complete = false
+			continue
+		}
+		changes = append(changes, bulrushchute.StoreEvent{Object: bulrushchute.Object{Kind: kind, Name: name, Version: revision}, Deleted: true})
+	}
+	return changes, complete
+}
+
+// publish packs objects, which takes long for large ones, and then has control publish
+// them.
+func (r *reader) publish(ctx context.Context, changes []bulrushchute.StoreEvent) {
+	var records []bulrushchute.Record
+	for _, change := range changes {
+		if record, replicated := packObject(change.Object, change.Deleted); replicated {
+			records = append(records, record)
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	r.node.control.do(ctx, func(now bulrushchute.Millis) {
+		for _, record := range records {
+			r.node.control.membership.Table().Publish(now, record)
 		}
 	})
-	return complete
 }
