--- a/bulrushnode/late_catalogue_test.go
+++ b/bulrushnode/late_catalogue_test.go
@@ -1,6 +1,7 @@
 package bulrushnode
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushstore"
 )
 
 // largeRouting returns a version of a routing table with many routes.
@@ -114,3 +116,36 @@
 		assert.Equal(t, node.statusOf(t, "unknown.example"), http.StatusNotFound)
 	}
 }
+
+// Guards against versions that are parsed although a newer one has arrived, and against
+// an older version that comes into force after a newer one.
+func TestSupersededVersionsAreNotParsed(t *testing.T) {
+	n := New(nodeSettings(t), bulrushstore.NewMemory(), bulrushchute.NewManualClock(1_000_000))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- n.control.run(ctx) }()
+	defer func() {
+		stop()
+		assert.NilError(t, <-ended)
+	}()
+	publish := func(object bulrushchute.Object) {
+		n.control.do(ctx, func(now bulrushchute.Millis) { n.control.publishObject(now, object, false) })
+	}
+	for version := 2; version < 50; version++ {
+		object := largeRouting(t, version, 1000)
+		object.Version = uint64(version)
+		publish(object)
+	}
+	record, found := n.control.largeRecords.take()
+	assert.Assert(t, found)
+	assert.Equal(t, record.Version.Counter, uint64(49))
+	_, found = n.control.largeRecords.take()
+	assert.Assert(t, !found)
+
+	small := routingOf(t, 50)
+	small.Version = 50
+	publish(small)
+	n.control.do(ctx, func(now bulrushchute.Millis) { n.control.applyCatalogue(now, parseCatalogueRecord(record)) })
+	assert.Equal(t, n.board.Read().Catalogue.Routing().Label, "50")
+	assert.Equal(t, len(n.control.notInForce), 0)
+}
