Request a change from another announcer after half a second

A record that the first announcer does not deliver, because it is gone, cut off or busy, was requested from the next one only after 1 to 1.25 s. That leaves little of the 2 s in which a change must be in force. Records other than those of members are now requested again after 0.5 to 0.75 s.

--- a/bulrushspread/receive.go
+++ b/bulrushspread/receive.go
@@ -11,8 +11,12 @@
 const (
 	retryCheckInterval = 250 * bulrushchute.Millisecond
 	initialRetryDelay  = bulrushchute.Second
-	maxWantSends       = 4
-	maxAnnouncers      = 4
+	// urgentRetryDelay replaces initialRetryDelay for urgent records. A change of the
+	// catalogue must be in force 2 s after its acknowledgement, also if the first
+	// announcer is gone. A table of 1,400 routes is on its way for 0.3 s at most.
+	urgentRetryDelay = 500 * bulrushchute.Millisecond
+	maxWantSends     = 4
+	maxAnnouncers    = 4
 	// maxWants limits the memory that a peer can use up by announcing records
 	// that do not exist.
 	maxWants = 65_536
@@ -120,10 +124,17 @@
 	w.announcers = append(w.announcers[:0], p.neighbour.Address)
 	w.sends = 1
 	w.requests++
-	w.retryAt = now + initialRetryDelay
+	w.retryAt = now + w.firstRetryDelay()
 	p.queueWant(have.Key)
 }
 
+func (w *want) firstRetryDelay() bulrushchute.Millis {
+	if priorityOfKey(w.key) == priorityUrgent {
+		return urgentRetryDelay
+	}
+	return initialRetryDelay
+}
+
 func (w *want) addAnnouncer(address bulrushchute.Address) {
 	if len(w.announcers) < maxAnnouncers && !slices.Contains(w.announcers, address) {
 		w.announcers = append(w.announcers, address)
@@ -223,7 +234,7 @@
 	address := w.announcers[w.sends%len(w.announcers)]
 	w.sends++
 	w.requests++
-	w.retryAt = now + initialRetryDelay<<w.sends
+	w.retryAt = now + w.firstRetryDelay()<<w.sends
 	p := t.getOrAddPeer(now, address)
 	if p == nil {
 		return true
