Parse only the routes of a table that have changed

Each version of a routing table was parsed as a whole, although most versions change one route, and a node with one core and a sixth of its time does nothing else meanwhile: the next node hears of the version only after the parse, whichever goroutine does it.

A node now keeps the parsed routes of the previous version by their encoding and parses those that are new.

--- a/bulrushcatalogue/routing.go
+++ b/bulrushcatalogue/routing.go
@@ -87,23 +87,25 @@
 	if err := checkTags(rt); err != nil {
 		return err
 	}
-	services, err := checkServices(rt.Services)
-	if err != nil {
+	if _, err := checkServices(rt.Services); err != nil {
 		return err
 	}
 	if err := rt.checkTenants(); err != nil {
 		return err
 	}
-	return rt.checkTargets(services)
+	return rt.checkTargets()
 }
 
-func (rt RoutingTable) checkTargets(services uniqueValues) error {
-	for i, route := range rt.Routes {
+func (rt RoutingTable) checkTargets() error {
+	services := make(map[bulrushchute.Service]bool, len(rt.Services))
+	for i := range rt.Services {
+		services[rt.Services[i].Service] = true
+	}
+	for i := range rt.Routes {
 		total := 0.0
-		for j, target := range route.Targets {
-			field := fmt.Sprintf("routes[%d].targets[%d].service", i, j)
-			if !services.seen[string(target.Service)] {
-				return newFieldError(field, string(target.Service), "a service of the table")
+		for j, target := range rt.Routes[i].Targets {
+			if !services[target.Service] {
+				return newFieldError(fmt.Sprintf("routes[%d].targets[%d].service", i, j), string(target.Service), "a service of the table")
 			}
 			total += target.Weight
 		}
--- a/bulrushnode/catalogue.go
+++ b/bulrushnode/catalogue.go
@@ -37,22 +37,25 @@
 		c.largeRecords.put(record)
 		return
 	}
-	c.applyCatalogue(now, parseCatalogueRecord(record))
+	c.applyCatalogue(now, parseCatalogueRecord(record, bulrushcatalogue.ParseRouting))
 }
 
-func parseCatalogueRecord(record bulrushchute.Record) catalogueChange {
+// parseTable parses a routing table.
+type parseTable func(document []byte) (bulrushcatalogue.RoutingTable, error)
+
+func parseCatalogueRecord(record bulrushchute.Record, parse parseTable) catalogueChange {
 	begin := time.Now()
 	change := catalogueChange{record: record}
 	var value []byte
 	if value, change.err = decompressValue(record.Value); change.err == nil {
 		change.bytes = len(value)
-		change.apply, change.err = parseCatalogueValue(record, value)
+		change.apply, change.err = parseCatalogueValue(record, value, parse)
 	}
 	change.parsing = time.Since(begin)
 	return change
 }
 
-func parseCatalogueValue(record bulrushchute.Record, value []byte) (func(bulrushcatalogue.Set) bulrushcatalogue.Set, error) {
+func parseCatalogueValue(record bulrushchute.Record, value []byte, parse parseTable) (func(bulrushcatalogue.Set) bulrushcatalogue.Set, error) {
 	kind, name := catalogueObject(record.Key)
 	version := record.Version.Counter
 	switch {
@@ -66,7 +69,7 @@
 	case kind == bulrushchute.KindRouting && record.Deleted:
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set }, nil
 	case kind == bulrushchute.KindRouting:
-		table, err := bulrushcatalogue.ParseRouting(value)
+		table, err := parse(value)
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set.WithRouting(table, record.Version) }, err
 	case kind == bulrushchute.KindMoveOrders && record.Deleted:
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set {
@@ -145,6 +148,8 @@
 	waiting map[bulrushchute.RecordKey]bulrushchute.Record
 	// arrived has an element while records wait.
 	arrived chan struct{}
+	// tables belongs to the goroutine that parses.
+	tables bulrushcatalogue.TableParser
 }
 
 func newLargeRecords(c *control) *largeRecords {
@@ -182,7 +187,7 @@
 		case <-lr.arrived:
 		}
 		for record, found := lr.take(); found && ctx.Err() == nil; record, found = lr.take() {
-			change := parseCatalogueRecord(record)
+			change := parseCatalogueRecord(record, lr.tables.Parse)
 			lr.control.do(ctx, func(now bulrushchute.Millis) { lr.control.applyCatalogue(now, change) })
 		}
 	}
--- a/bulrushnode/late_catalogue_test.go
+++ b/bulrushnode/late_catalogue_test.go
@@ -145,7 +145,9 @@
 	small := routingOf(t, 50)
 	small.Version = 50
 	publish(small)
-	n.control.do(ctx, func(now bulrushchute.Millis) { n.control.applyCatalogue(now, parseCatalogueRecord(record)) })
+	n.control.do(ctx, func(now bulrushchute.Millis) {
+		n.control.applyCatalogue(now, parseCatalogueRecord(record, bulrushcatalogue.ParseRouting))
+	})
 	assert.Equal(t, n.board.Read().Catalogue.Routing().Label, "50")
 	assert.Equal(t, len(n.control.notInForce), 0)
 }
