Count the age of a confirmation from the read of the store

A confirmation counted as fresh when it arrived, whatever it took: read at 0 and received at 1.5 s, it let a copy count as current until 3.25 s, and moved the node's own read of the store as far. The node that read the store counted from the end of its read. So a node that lost a change could rely on an older copy, and answer 404 by it, for longer than the 1.75 s on which the bound is built.

Messages with records state the age of the confirmation among them; control messages state when they were queued, from which the receiver computes by how much they were late, as attempts do; the wait for control's goroutine counts as well.

In the simulation of several data centres confirmations have their age now.

--- a/bulrushfreshness/tracker.go
+++ b/bulrushfreshness/tracker.go
@@ -67,8 +67,7 @@
 type Confirmation struct {
 	Revision uint64
 	Hash     uint64
-	// Age is the time since the read, if it is known. It is 0 for a confirmation that
-	// arrives as it spreads.
+	// Age is the time since the read.
 	Age bulrushchute.Millis
 }
 
--- a/bulrushfreshness/tracker_test.go
+++ b/bulrushfreshness/tracker_test.go
@@ -213,7 +213,7 @@
 				for turn, tracker := range trackers {
 					role := Role{FirstReader: true, Turn: turn, Nodes: 100}
 					if arrivals[now] {
-						tracker.ObserveConfirmation(now, Confirmation{Revision: 1})
+						tracker.ObserveConfirmation(now, Confirmation{Revision: 1, Age: spreadDelay})
 					}
 					if tracker.Next(now, role) == ActionRead {
 						reads++
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -176,6 +176,7 @@
 
 func (c *control) handle(r inboundControl) {
 	now := c.clock.Now()
+	delay := r.message.Delay + bulrushchute.MillisOf(time.Since(r.receivedAt))
 	if c.keys.handle(now, r.from, r.message) {
 		return
 	}
@@ -188,15 +189,21 @@
 		return
 	}
 	if r.message.Confirmation != nil {
-		c.onSentConfirmation(now, *r.message.Confirmation)
+		c.onSentConfirmation(now, r.message.Confirmation.WithDelay(delay))
 		return
 	}
+	if r.message.Records != nil {
+		c.freshness.arrivingAge = r.message.Records.ConfirmationAge + delay
+	}
 	c.send(c.membership.Receive(now, r.from, r.message))
 }
 
 func (c *control) send(actions []bulrushmembership.Action) {
 	for _, a := range actions {
 		a.Message.From = c.id
+		if a.Message.Records != nil {
+			c.stateConfirmationAge(a.Message.Records)
+		}
 		c.transport.Send(a.To, a.Message)
 	}
 }
--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -33,6 +33,11 @@
 	role        bulrushfreshness.Role
 	nextRole    bulrushchute.Millis
 	revision    uint64
+	// readAt is the time of the read on which the confirmation among the records is
+	// based, as far as this node knows. arrivingAge is the age of the confirmation that
+	// is being stored.
+	readAt      bulrushchute.Millis
+	arrivingAge bulrushchute.Millis
 	// reads receives a value when a read of the store is due.
 	reads chan struct{}
 	// waiting are the nodes that introduced themselves before the copy was confirmed.
@@ -126,17 +131,28 @@
 	return bulrushfreshness.Summary{Hash: summary.Hash, Newest: summary.NewestCounter, Incomplete: len(c.notInForce) > 0}
 }
 
-// publishConfirmation spreads the confirmation of a read of the store.
-func (c *control) publishConfirmation(now bulrushchute.Millis, revision uint64) {
+// publishConfirmation spreads the confirmation of a read of the store that began at the
+// given time.
+func (c *control) publishConfirmation(now, began bulrushchute.Millis, revision uint64) {
 	table := c.membership.Table()
 	version := bulrushchute.RecordVersion{Epoch: revision, Counter: 1}
 	if previous, exists := table.Get(confirmationKey); exists && previous.Version.Epoch == revision {
 		version.Counter = previous.Version.Counter + 1
 	}
 	value := binary.LittleEndian.AppendUint64(nil, c.summarizeCatalogue().Hash)
+	c.freshness.arrivingAge = now - began
 	table.Publish(now, bulrushchute.Record{Key: confirmationKey, Version: version, Value: value})
 }
 
+// stateConfirmationAge sets the age of the confirmation in a message with records.
+func (c *control) stateConfirmationAge(records *bulrushchute.Records) {
+	for i := range records.Records {
+		if records.Records[i].Key == confirmationKey {
+			records.ConfirmationAge = max(0, c.clock.Now()-c.freshness.readAt)
+		}
+	}
+}
+
 // onConfirmation handles a confirmation that this node or another one published.
 func (c *control) onConfirmation(now bulrushchute.Millis, record bulrushchute.Record) {
 	if len(record.Value) != 8 {
@@ -144,10 +160,12 @@
 		return
 	}
 	c.observeCopy()
-	c.freshness.revision = record.Version.Epoch
-	c.freshness.tracker.ObserveConfirmation(now, bulrushfreshness.Confirmation{
+	f := c.freshness
+	f.revision, f.readAt = record.Version.Epoch, now-f.arrivingAge
+	f.tracker.ObserveConfirmation(now, bulrushfreshness.Confirmation{
 		Revision: record.Version.Epoch,
 		Hash:     binary.LittleEndian.Uint64(record.Value),
+		Age:      f.arrivingAge,
 	})
 }
 
@@ -210,7 +228,7 @@
 		c.observeCopy()
 		c.freshness.tracker.ReadEnded(now, began, err == nil && complete, c.freshness.role)
 		if err == nil && complete {
-			c.publishConfirmation(now, revision)
+			c.publishConfirmation(now, began, revision)
 		}
 		c.publishFreshness(now)
 		c.updateState(c.membership.Status())
--- a/bulrushspread/size.go
+++ b/bulrushspread/size.go
@@ -53,6 +53,9 @@
 		for i := range r.Records {
 			size += sizeRecord(&r.Records[i])
 		}
+		if r.ConfirmationAge != 0 {
+			size += 1 + sizeInt(int64(r.ConfirmationAge))
+		}
 	}
 	if d := message.Digest; d != nil {
 		size += 3 + sizeUint(uint64(len(d.Buckets))) + sizeOptionalBool(d.Reply) + sizeOptionalBool(d.Shared)
--- a/bulrushspread/table_test.go
+++ b/bulrushspread/table_test.go
@@ -124,6 +124,7 @@
 		{Have: &bulrushchute.Have{}},
 		{Want: &bulrushchute.Want{Keys: []bulrushchute.RecordKey{key, key}}},
 		{Records: &bulrushchute.Records{Records: []bulrushchute.Record{record}}},
+		{Records: &bulrushchute.Records{Records: []bulrushchute.Record{record}, ConfirmationAge: instant}},
 		{Digest: &bulrushchute.Digest{Buckets: []uint64{n, 1, 2}, Reply: flag, Shared: !flag}},
 		{Evidence: &bulrushchute.Evidence{Service: "s", Generation: n, Requests: -5, Latencies: []uint32{1, 70_000}}},
 		{Evidence: &bulrushchute.Evidence{Service: "s", Generation: n, WarmingLatencies: []uint32{0, 300}, RunningAges: []uint32{7}}},
--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -158,8 +158,12 @@
 			return c.sendControl(ctx, to, queue)
 		})
 	}
+	message := Message{Control: &control}
+	if control.Heartbeat != nil || control.Records != nil || control.Confirmation != nil {
+		message.SentAt = c.bootClock.Now()
+	}
 	select {
-	case queue <- Message{Control: &control}:
+	case queue <- message:
 	default:
 		c.droppedControl.Add(1)
 	}
--- a/bulrushwire/held_up.go
+++ b/bulrushwire/held_up.go
@@ -18,8 +18,9 @@
 	StageQueue Stage = "write_queue"
 	// StageWrite is the write to the socket.
 	StageWrite Stage = "write"
-	// StagePath is the time from the sending of an attempt until it was read, compared
-	// with the fastest one of its connection. It includes the stages at the sender.
+	// StagePath is the time from the sending of an attempt or a control message until it
+	// was read, compared with the fastest one of its connection. It includes the stages
+	// at the sender.
 	StagePath Stage = "path"
 	// StageRead is the handling by the loop that reads the connection, which reads
 	// nothing meanwhile.
--- a/bulrushwire/message_test.go
+++ b/bulrushwire/message_test.go
@@ -44,9 +44,10 @@
 		"reply without content":     {Reply: &bulrushchute.Reply{}},
 		"reply with two content fields": {Reply: &bulrushchute.Reply{
 			Refusal: &bulrushchute.Refusal{}, Failure: &bulrushchute.Failure{}}},
-		"control without content":      {Control: &bulrushchute.Control{From: "a"}},
-		"confirmation from the future": {Control: &bulrushchute.Control{From: "a", Confirmation: &bulrushchute.Confirmation{Age: -1}}},
-		"control without a sender":     {Control: &bulrushchute.Control{Want: &bulrushchute.Want{}}},
+		"control without content":               {Control: &bulrushchute.Control{From: "a"}},
+		"recorded confirmation from the future": {Control: &bulrushchute.Control{From: "a", Records: &bulrushchute.Records{ConfirmationAge: -1}}},
+		"confirmation from the future":          {Control: &bulrushchute.Control{From: "a", Confirmation: &bulrushchute.Confirmation{Age: -1}}},
+		"control without a sender":              {Control: &bulrushchute.Control{Want: &bulrushchute.Want{}}},
 	}
 	for name, message := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -182,7 +182,10 @@
 		s.server.cancel(*message.Cancel)
 		s.server.mutex.Unlock()
 	case message.Control != nil:
-		s.server.handler.HandleControl(s.peer, *message.Control)
+		control := *message.Control
+		control.Delay = s.delayOf(message)
+		s.connection.report(message, StagePath, control.Delay)
+		s.server.handler.HandleControl(s.peer, control)
 	case message.Ping != nil:
 		select {
 		case s.pongDue <- struct{}{}:
@@ -209,7 +212,8 @@
 	}
 }
 
-// delayOf returns by how much an attempt arrived later than the fastest one.
+// delayOf returns by how much a message arrived later than the fastest one, or 0 if its
+// sender does not state when it was sent.
 func (s *session) delayOf(message Message) bulrushchute.Millis {
 	if message.SentAt == 0 {
 		return 0
--- a/message.go
+++ b/message.go
@@ -158,7 +158,7 @@
 }
 
 // Control is a message between nodes that belongs to no request. Exactly one field
-// besides From is set.
+// besides From and Delay is set.
 type Control struct {
 	From         InstanceID    `cbor:"1,keyasint"`
 	Heartbeat    *Heartbeat    `cbor:"2,keyasint,omitempty"`
@@ -172,6 +172,9 @@
 	Promise      *Promise      `cbor:"10,keyasint,omitempty"`
 	Confirmation *Confirmation `cbor:"11,keyasint,omitempty"`
 	Usage        *Usage        `cbor:"12,keyasint,omitempty"`
+	// Delay is by how much the message took longer than the fastest one of its
+	// connection. The receiver sets it, on messages whose age matters.
+	Delay Millis `cbor:"-"`
 }
 
 // Confirmation tells a node that has started which state of the catalogue a
@@ -184,6 +187,12 @@
 	Age Millis `cbor:"3,keyasint"`
 }
 
+// WithDelay returns a copy that is older by the time that it took to arrive.
+func (c Confirmation) WithDelay(delay Millis) Confirmation {
+	c.Age += delay
+	return c
+}
+
 // Heartbeat is sent to each overlay neighbour.
 type Heartbeat struct {
 	Sequence    uint64 `cbor:"1,keyasint"`
@@ -225,6 +234,9 @@
 // Records carries records.
 type Records struct {
 	Records []Record `cbor:"1,keyasint"`
+	// ConfirmationAge is the time since the read of the store on which the record of
+	// TopicConfirmation among the records is based.
+	ConfirmationAge Millis `cbor:"2,keyasint,omitempty"`
 }
 
 // Digest summarises the records of the sender, which are divided into buckets.
