Refuse requests that a planned stop would cut

Report of another operator, and it can happen here: a request whose head came early in a planned stop and whose body came late was passed on, ran at its server, and was cut when the stop ended (502, outcome unknown), also if it must not be repeated. The connection of such a request is not idle, and the handler did not look at the drain.

While a node drains, it passes a request on only if the deadline ends before the drain does; before the connections are closed, also if the p95 of the service's latencies fits into the time left, or is not known. Others are refused as not run, with reason 'leaving'. The check is at the start of each request, so it covers requests that waited behind others of their connection.

--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -119,6 +119,15 @@
 	return ac.loop(ctx)
 }
 
+// expectedLatency returns the p95 of the latencies of a request's service, and false
+// while there are too few samples.
+func (r *runner) expectedLatency(now bulrushchute.Millis, request call) (bulrushchute.Millis, bool) {
+	serviceState := r.serviceStates.get(request.info.Service, request.subset)
+	serviceState.mutex.Lock()
+	defer serviceState.mutex.Unlock()
+	return serviceState.budgets.HedgeDelay(now)
+}
+
 func (ac *activeCall) loop(ctx context.Context) callResult {
 	for {
 		action := ac.nextAction()
--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,11 +41,27 @@
 	maxIdleCloseDelay = 1500 * time.Millisecond
 )
 
+// drainEnd is when the drain of a node ends. It is safe for concurrent use.
+type drainEnd struct {
+	// at is 0 until the drain begins.
+	at atomic.Int64
+	// closing is set once the connections of callers are being closed.
+	closing atomic.Bool
+}
+
+// left returns the time until the end of the drain, and false if the node does not drain.
+func (de *drainEnd) left(now bulrushchute.Millis) (bulrushchute.Millis, bool) {
+	at := bulrushchute.Millis(de.at.Load())
+	return at - now, at > 0
+}
+
 // drain shuts the node down without interrupting requests. It first informs the
 // peers, then waits for the requests in progress, and then closes the connections.
 func (n *Node) drain(callers *callerEndpoint, peerServer *http.Server) error {
 	klog.InfoS("node draining", "instance", n.id)
-	ctx, cancel := context.WithTimeout(n.context, n.settings.GraceMs.Duration()-shutdownReserve)
+	span := n.settings.GraceMs.Duration() - shutdownReserve
+	n.entryHandler.drain.at.Store(int64(n.clock.Now() + bulrushchute.MillisOf(span)))
+	ctx, cancel := context.WithTimeout(n.context, span)
 	defer cancel()
 	n.control.do(ctx, func(now bulrushchute.Millis) {
 		n.control.draining = true
@@ -91,6 +108,7 @@
 		if time.Since(lastArrivalAt) < idleCloseDelay && time.Since(start) < maxIdleCloseDelay {
 			continue
 		}
+		ce.entryHandler.drain.closing.Store(true)
 		ce.server.CloseIdle()
 		if ce.entryHandler.active.Load() == 0 {
 			break
--- a/bulrushnode/drain_test.go
+++ b/bulrushnode/drain_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,3 +122,106 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// lateRequest is a request that a caller sends while its node drains.
+type lateRequest struct {
+	// headAt and bodyAt are the times after the stop at which its parts are sent.
+	headAt, bodyAt time.Duration
+	method         string
+}
+
+// send sends the request and returns the status of the answer, 0 if there is none.
+func (lr lateRequest) send(connection net.Conn, stoppedAt time.Time) int {
+	head := lr.method + " /slow HTTP/1.1\r\nHost: a\r\n" + headerService + ": board\r\nContent-Length: 4\r\n\r\n"
+	for _, part := range []struct {
+		at   time.Duration
+		text string
+	}{{lr.headAt, head}, {lr.bodyAt, "body"}} {
+		time.Sleep(time.Until(stoppedAt.Add(part.at)))
+		if _, err := connection.Write([]byte(part.text)); err != nil {
+			return 0
+		}
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// Guards against a request that arrives late in a planned stop, is passed on although it
+// cannot end before the stop does, and is cut while its server works on it.
+func TestLateRequestIsCutAtTheEndOfADrain(t *testing.T) {
+	const (
+		grace = 6 * bulrushchute.Second
+		work  = 2500 * time.Millisecond
+	)
+	var runs atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/slow" {
+			runs.Add(1)
+			time.Sleep(work)
+		}
+	}))
+	defer backend.Close()
+	entry, err := json.Marshal(bulrushcatalogue.ServiceEntry{
+		Service: "board", Owner: "test", TimeoutMs: 20_000,
+		Limits: bulrushcatalogue.Limits{Slots: 20, Connections: 40, Queue: 20, ColdSlots: 20, WarmMs: 1},
+	})
+	assert.NilError(t, err)
+	store := bulrushstore.NewMemory()
+	_, err = store.Create(t.Context(), bulrushchute.Object{Kind: bulrushchute.KindServices, Name: "board", Value: entry})
+	assert.NilError(t, err)
+	serving := nodeSettings(t)
+	serving.BackendAddress = bulrushchute.Address(strings.TrimPrefix(backend.URL, "http://"))
+	beside := runNode(serving, store)
+	defer beside.stop()
+	leaving := nodeSettings(t)
+	leaving.GraceMs, leaving.SeedAddresses = grace, []bulrushchute.Address{serving.PeerAddress}
+	n := runNode(leaving, store)
+	for beside.State() != bulrushboard.NodeReady || n.State() != bulrushboard.NodeReady {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.NilError(t, beside.Announce(Announcement{Service: "board", Version: "v1", Address: serving.BackendAddress, Slots: 20, State: BackendServing}))
+	assert.Equal(t, postUntilServed(t, n.settings.CallerAddress), http.StatusOK)
+	runs.Store(0)
+
+	const whole = 100 * time.Millisecond
+	cases := map[string]lateRequest{
+		"early":                          {500 * time.Millisecond, 500 * time.Millisecond, http.MethodPost},
+		"whole after a second":           {time.Second, time.Second + whole, http.MethodPost},
+		"idempotent after a second":      {time.Second, time.Second + whole, http.MethodPut},
+		"body after the idle close":      {200 * time.Millisecond, 3400 * time.Millisecond, http.MethodPost},
+		"body in the middle":             {200 * time.Millisecond, 4400 * time.Millisecond, http.MethodPost},
+		"body at the end":                {200 * time.Millisecond, 5200 * time.Millisecond, http.MethodPost},
+		"idempotent, body in the middle": {200 * time.Millisecond, 4400 * time.Millisecond, http.MethodPut},
+	}
+	stoppedAt := time.Now().Add(200 * time.Millisecond)
+	statuses := make(map[string]<-chan int)
+	for name, request := range cases {
+		connection, err := net.Dial("tcp", string(n.settings.CallerAddress))
+		assert.NilError(t, err)
+		defer func() { _ = connection.Close() }()
+		status := make(chan int, 1)
+		statuses[name] = status
+		go func() { status <- request.send(connection, stoppedAt) }()
+	}
+	time.Sleep(time.Until(stoppedAt))
+	n.stop()
+	served := 0
+	for name := range cases {
+		status := <-statuses[name]
+		assert.Check(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "%s: status %d", name, status)
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	assert.Check(t, served >= 3, "%d requests were served", served)
+	assert.Check(t, int(runs.Load()) == served, "%d requests ran, the callers of %d got the answer", runs.Load(), served)
+	assert.NilError(t, <-n.done)
+	assert.Check(t, time.Since(stoppedAt) <= grace.Duration(), "the stop took %s", time.Since(stoppedAt))
+}
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -43,6 +43,8 @@
 	// requests received since the start.
 	active  atomic.Int64
 	arrived atomic.Int64
+	// drain is set while the node drains.
+	drain drainEnd
 	// trustTenantHeader is set when the tenant is taken from a header instead of
 	// the caller's certificate.
 	trustTenantHeader bool
@@ -109,6 +111,8 @@
 			return eh.runner.run(ctx, prepared)
 		}
 		return notRun(bulrushchute.ReasonIsolated, retryAfterDefault)
+	case !eh.endsBeforeDrain(prepared):
+		return notRun(bulrushchute.ReasonLeaving, retryAfterDefault)
 	}
 	if key == "" || prepared.info.Idempotent || eh.keys.disabled {
 		return eh.runner.run(ctx, prepared)
@@ -116,6 +120,21 @@
 	return eh.keys.callHome(ctx, view, prepared, key)
 }
 
+// endsBeforeDrain reports whether a request may be passed on. A leaving node takes no
+// request that it would cut while a backend server works on it.
+func (eh *entryHandler) endsBeforeDrain(prepared call) bool {
+	now := eh.clock.Now()
+	left, draining := eh.drain.left(now)
+	if !draining || prepared.info.Deadline-now <= left {
+		return true
+	}
+	if eh.drain.closing.Load() {
+		return false
+	}
+	expected, known := eh.runner.expectedLatency(now, prepared)
+	return !known || expected <= left
+}
+
 func notRun(reason bulrushchute.Reason, retryAfter bulrushchute.Millis) callResult {
 	return callResult{final: bulrushattempt.FinalResult{
 		Outcome:    bulrushchute.OutcomeNotRun,
