--- a/bulrushnode/late_catalogue_test.go
+++ b/bulrushnode/late_catalogue_test.go
@@ -151,3 +151,38 @@
 	assert.Equal(t, n.board.Read().Catalogue.Routing().Label, "50")
 	assert.Equal(t, len(n.control.notInForce), 0)
 }
+
+// staleOnlyStore is a store that answers stale lists only.
+type staleOnlyStore struct {
+	*outageStore
+}
+
+func (s *staleOnlyStore) ListStale(ctx context.Context, kind bulrushchute.Kind) ([]bulrushchute.Object, uint64, error) {
+	return s.Memory.List(ctx, kind)
+}
+
+// Guards against nodes that start from stale lists and take each other's equal copies
+// for a confirmation: the table may have changed since.
+func TestStaleStartsDoNotConfirmEachOther(t *testing.T) {
+	memory := bulrushstore.NewMemory()
+	_, err := memory.Create(t.Context(), routingOf(t, 1))
+	assert.NilError(t, err)
+	var nodes []runningNode
+	var seeds []bulrushchute.Address
+	for range 2 {
+		store := &staleOnlyStore{&outageStore{Memory: memory}}
+		store.down.Store(true)
+		settings := nodeSettings(t)
+		settings.SeedAddresses = seeds
+		node := runNodeWithOptions(settings, store, Options{Kinds: []bulrushchute.Kind{bulrushchute.KindRouting}})
+		defer node.stop()
+		nodes = append(nodes, node)
+		seeds = append(seeds, settings.PeerAddress)
+	}
+	nodes[0].waitForMember(t, nodes[1].id)
+	time.Sleep(inForceWithin)
+	for _, node := range nodes {
+		assert.Equal(t, node.label(), "1")
+		assert.Equal(t, node.statusOf(t, "unknown.example"), http.StatusServiceUnavailable)
+	}
+}
