Hand over usage counts whatever the callers of a leaving node do

Tenants' requests were not reported: a node that stops as planned handed its counts over only after its callers had closed their connections, with the time that was left of the drain. When they took all of it, nothing was sent. What the node itself had collected as the collector of its group was then lost, and the window settled as complete without it, since the node was no member any more.

The hand-over now begins once the node's own server has no request left, beside the close of the callers, and the counts are sent also if no time is left to wait for receipts.

--- a/bulrushnode/drain.go
+++ b/bulrushnode/drain.go
@@ -71,12 +71,21 @@
 	})
 	bulrushtask.Pause(ctx, drainPropagationTime)
 	n.admission.drain()
+	// Callers that stay connected must not take the time for the counts, which are of
+	// the requests of this node's backend server.
+	handedOver := make(chan struct{})
+	n.tasks.Start(ctx, "usage hand-over", func(ctx context.Context) error {
+		defer close(handedOver)
+		waitUntil(ctx, n.admission.empty)
+		n.usage.handOver(ctx)
+		return nil
+	})
 	err := callers.close(ctx)
 	waitUntil(ctx, n.admission.empty)
 	handover, cancelHandover := context.WithTimeout(ctx, keyHandoverTimeout)
 	waitUntil(handover, func() bool { return !n.keys.isHome() })
 	cancelHandover()
-	n.usage.handOver(ctx)
+	<-handedOver
 	// Uses n.context, because the last record must be spread even if the drain timed
 	// out.
 	n.control.do(n.context, n.control.membership.Leave)
--- a/bulrushnode/usage.go
+++ b/bulrushnode/usage.go
@@ -197,14 +197,15 @@
 }
 
 // handOver passes on this node's counts, and those that it has collected, before the
-// node ends.
+// node ends. It waits for receipts until the context ends.
 func (u *usage) handOver(ctx context.Context) {
 	if !u.active() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, usageHandoverTimeout)
 	defer cancel()
-	u.control.do(ctx, func(bulrushchute.Millis) { u.send(u.collector.Stop(u.options.Clock.Now())) })
+	// The counts are sent also if no time is left to wait for receipts.
+	u.control.do(u.duty.context, func(bulrushchute.Millis) { u.send(u.collector.Stop(u.options.Clock.Now())) })
 	waitUntil(ctx, func() bool {
 		pending := true
 		u.control.do(ctx, func(bulrushchute.Millis) { pending = u.collector.Pending() })
--- a/bulrushnode/usage_test.go
+++ b/bulrushnode/usage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -172,3 +173,47 @@
 		assert.Equal(t, token == platform.tokens[i], platform.holders[i+1] == platform.holders[i])
 	}
 }
+
+// collectingNode returns the node that adds up the counts of the others.
+func collectingNode(t *testing.T, nodes map[string]runningNode) runningNode {
+	for {
+		for _, node := range nodes {
+			collects := false
+			node.control.do(t.Context(), func(bulrushchute.Millis) { collects = node.usage.collector.Collects() })
+			if collects {
+				return node
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against counts that a planned stop loses, because a caller that stays connected
+// takes all of the time that is left for handing them over.
+func TestUsageIsLostBesideASlowCaller(t *testing.T) {
+	platform := &usagePlatform{reports: make(map[bulrushchute.UsageWindow]bulrushchute.UsageCounts), runs: make(bulrushchute.UsageCounts)}
+	nodes := runUsageNodes(t, platform, 3)
+	for _, node := range nodes {
+		sendRequests(t, node, "k-1", 10)
+	}
+	platform.waitForTotals()
+	leaving := collectingNode(t, nodes)
+	caller, err := net.Dial("tcp", string(leaving.settings.CallerAddress))
+	assert.NilError(t, err)
+	defer func() { _ = caller.Close() }()
+	_, err = caller.Write([]byte("GET /view/1 HTTP/1.1\r\n"))
+	assert.NilError(t, err)
+	for _, node := range nodes {
+		sendRequests(t, node, "k-1", 40)
+	}
+	leaving.stop()
+	<-leaving.done
+	// A window of a second is reported after six more at the latest.
+	deadline := time.Now().Add(15 * time.Second)
+	reported, runs := platform.totals()
+	for !maps.Equal(reported, runs) && time.Now().Before(deadline) {
+		time.Sleep(50 * time.Millisecond)
+		reported, runs = platform.totals()
+	}
+	assert.DeepEqual(t, reported, runs)
+}
--- a/bulrushusage/collector.go
+++ b/bulrushusage/collector.go
@@ -157,6 +157,11 @@
 	return c.Tick(now)
 }
 
+// Collects reports whether this node adds up the counts of its group.
+func (c *Collector) Collects() bool {
+	return c.tree.collector(place{bulrushchute.UsageGroup, c.dataCentre, groupOf(c.self, c.tree.bits)}).id == c.self
+}
+
 // Pending reports whether the node waits for receipts, so that a planned stop loses
 // counts if the process ends now.
 func (c *Collector) Pending() bool {
