State the time of sending only on confirmations

Each control message with a heartbeat or records read the boot clock at both ends, a system call each. Only messages whose age matters state it now.

--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,7 +160,7 @@
 		})
 	}
 	message := Message{Control: &control}
-	if control.Heartbeat != nil || control.Records != nil || control.Confirmation != nil {
+	if carriesConfirmation(control) {
 		message.SentAt = c.bootClock.Now()
 	}
 	select {
@@ -169,6 +170,16 @@
 	}
 }
 
+// carriesConfirmation reports whether the age of a control message matters.
+func carriesConfirmation(control bulrushchute.Control) bool {
+	if control.Records == nil {
+		return control.Confirmation != nil
+	}
+	return slices.ContainsFunc(control.Records.Records, func(record bulrushchute.Record) bool {
+		return record.Key.Topic == bulrushchute.TopicConfirmation
+	})
+}
+
 // sendControl writes the control messages queued for a peer until none has
 // been queued for controlIdleTimeout or the context ends. A message whose write
 // or dial fails is dropped.
--- a/bulrushwire/message.go
+++ b/bulrushwire/message.go
@@ -39,10 +39,10 @@
 	// its answer.
 	Resume  *Resume  `cbor:"7,keyasint,omitempty"`
 	Resumed *Resumed `cbor:"8,keyasint,omitempty"`
-	// SentAt is set besides on attempts, and on control messages with a heartbeat,
-	// records or a confirmation: the time on the sender's clock at which Attempt.Remaining
-	// was determined or the control message was queued. It is 0 if the sender does not
-	// state it.
+	// SentAt is set besides on attempts, and on control messages with a confirmation of
+	// the catalogue: the time on the sender's clock at which Attempt.Remaining was
+	// determined or the control message was queued. It is 0 if the sender does not state
+	// it.
 	SentAt bulrushchute.Millis `cbor:"9,keyasint,omitempty"`
 }
 
