Count the turns of first readers from the arrival of a confirmation

With the age of a confirmation counted from its read, the first readers of other data centres, whose turns are 0.15 s apart, were due when the next confirmation was on its way.

The turns count from the arrival again, and end at the latest 1.25 s after the read. TestTurnsCountFromTheArrivalOfAConfirmation fails without the change.

--- a/bulrushfreshness/tracker.go
+++ b/bulrushfreshness/tracker.go
@@ -104,6 +104,8 @@
 	// set, or else when the wait for the first confirmation began.
 	confirmedAt bulrushchute.Millis
 	confirmed   bool
+	// heardAt is when the node learned of it.
+	heardAt bulrushchute.Millis
 	// readAt is set after a failed read and for the first read. It replaces the time
 	// that follows from confirmedAt.
 	readAt   bulrushchute.Millis
@@ -113,19 +115,20 @@
 	// computed. It is drawn anew after each confirmation.
 	draw float64
 	// behind is the confirmation that the copy does not match, if isBehind is set,
-	// and receivedAt the time at which it arrived.
-	behind      Confirmation
-	isBehind    bool
-	behindSince bulrushchute.Millis
-	receivedAt  bulrushchute.Millis
-	compared    bool
+	// readOfBehind the time of its read, and behindHeardAt the time at which it arrived.
+	behind        Confirmation
+	isBehind      bool
+	behindSince   bulrushchute.Millis
+	readOfBehind  bulrushchute.Millis
+	behindHeardAt bulrushchute.Millis
+	compared      bool
 }
 
 // NewTracker returns a Tracker for a node that starts. It asks for the first read
 // after firstRead and a random delay unless a confirmation arrives before. With 0, the
 // node waits for the confirmations of others as long as one that lost them.
 func NewTracker(now, firstRead bulrushchute.Millis, random *rand.Rand) *Tracker {
-	t := &Tracker{random: random, confirmedAt: now}
+	t := &Tracker{random: random, confirmedAt: now, heardAt: now}
 	t.redraw()
 	if firstRead > 0 {
 		// The size of the fleet is not known yet.
@@ -167,7 +170,7 @@
 func (t *Tracker) ObserveCopy(copied Summary) {
 	t.copied = copied
 	if t.isBehind && copied.matches(t.behind) {
-		t.confirm(t.receivedAt)
+		t.confirm(t.readOfBehind, t.behindHeardAt)
 	}
 }
 
@@ -177,7 +180,7 @@
 		return
 	}
 	if t.copied.matches(confirmation) {
-		t.confirm(now - confirmation.Age)
+		t.confirm(now-confirmation.Age, now)
 		return
 	}
 	if t.copied.Hash != confirmation.Hash && t.copied.Newest > confirmation.Revision {
@@ -188,11 +191,11 @@
 	t.setBehind(now, confirmation, now-confirmation.Age)
 }
 
-func (t *Tracker) setBehind(now bulrushchute.Millis, confirmation Confirmation, receivedAt bulrushchute.Millis) {
+func (t *Tracker) setBehind(now bulrushchute.Millis, confirmation Confirmation, readAt bulrushchute.Millis) {
 	if !t.isBehind {
 		t.isBehind, t.behindSince, t.compared = true, now, false
 	}
-	t.behind, t.receivedAt = confirmation, receivedAt
+	t.behind, t.readOfBehind, t.behindHeardAt = confirmation, readAt, now
 }
 
 // lacksRecords reports whether the copy is behind because a record has not arrived.
@@ -201,9 +204,9 @@
 	return t.isBehind && t.behind.Hash != t.copied.Hash
 }
 
-func (t *Tracker) confirm(at bulrushchute.Millis) {
+func (t *Tracker) confirm(at, heardAt bulrushchute.Millis) {
 	if !t.confirmed || at > t.confirmedAt {
-		t.confirmedAt = at
+		t.confirmedAt, t.heardAt = at, heardAt
 	}
 	t.confirmed = true
 	t.isBehind = false
@@ -232,7 +235,10 @@
 		return t.readAt
 	}
 	if role.FirstReader {
-		return t.confirmedAt + ConfirmInterval + min(bulrushchute.Millis(role.Turn)*turnDelay, maxTurnDelay)
+		// The turns count from the arrival, because a confirmation takes as long as the
+		// delay between two turns.
+		turn := min(bulrushchute.Millis(role.Turn)*turnDelay, maxTurnDelay)
+		return min(t.heardAt+ConfirmInterval+turn, t.confirmedAt+unconfirmedAfter)
 	}
 	delay := t.readDelay(role.Nodes)
 	next := t.confirmedAt + unconfirmedAfter + delay
@@ -255,7 +261,7 @@
 func (t *Tracker) ReadEnded(now, began bulrushchute.Millis, succeeded bool, role Role) {
 	t.reading = false
 	if succeeded && !t.copied.Incomplete {
-		t.confirm(began)
+		t.confirm(began, began)
 		return
 	}
 	if succeeded {
--- a/bulrushfreshness/tracker_test.go
+++ b/bulrushfreshness/tracker_test.go
@@ -232,6 +232,19 @@
 	}
 }
 
+// Guards against first readers of other data centres that read the store although the
+// confirmation of the first one is on its way, because it took as long as the one before.
+func TestTurnsCountFromTheArrivalOfAConfirmation(t *testing.T) {
+	role := Role{FirstReader: true, Turn: 1, Nodes: 60}
+	tracker := newTestTracker(1)
+	tracker.ObserveConfirmation(testStart+spreadDelay, Confirmation{Revision: 1, Age: spreadDelay})
+	nextArrival := testStart + ConfirmInterval + spreadDelay + 100
+	assert.Equal(t, tracker.Next(nextArrival, role), ActionNone)
+	// A confirmation that was late for another reason does not put off the read.
+	tracker.ObserveConfirmation(nextArrival, Confirmation{Revision: 2, Age: nextArrival - testStart - 10})
+	assert.Equal(t, tracker.Next(testStart+10+unconfirmedAfter, role), ActionRead)
+}
+
 // simulateLostReader runs nodes that were all confirmed at the same time and have no
 // first reader any more. It returns the number of reads until all are confirmed
 // again, and the greatest age of a confirmation.
