--- a/bulrushnode/usage_status.go
+++ b/bulrushnode/usage_status.go
@@ -38,6 +38,8 @@
 	// among them that were sent before.
 	ReportsSent uint64 `json:"reports_sent"`
 	RepeatsSent uint64 `json:"repeats_sent"`
+	// Collects is set if this node adds up the counts of its group.
+	Collects bool `json:"collects"`
 	// MessagesSent counts the messages with counts that this node has sent to other
 	// nodes, repeats included.
 	MessagesSent uint64 `json:"messages_sent"`
@@ -58,6 +60,7 @@
 		status = UsageStatus{
 			Holder: u.holder.ID, HolderAddress: u.holder.Address, Token: u.holder.Token,
 			SettledWindow: u.holder.Settled,
+			Collects:      u.collector.Collects(),
 			MessagesSent:  u.messagesSent,
 			OpenWindow:    open,
 			OpenCounts:    u.counter.Counts(open),
--- a/bulrushnode/usage_test.go
+++ b/bulrushnode/usage_test.go
@@ -175,12 +175,10 @@
 }
 
 // collectingNode returns the node that adds up the counts of the others.
-func collectingNode(t *testing.T, nodes map[string]runningNode) runningNode {
+func collectingNode(nodes map[string]runningNode) runningNode {
 	for {
 		for _, node := range nodes {
-			collects := false
-			node.control.do(t.Context(), func(bulrushchute.Millis) { collects = node.usage.collector.Collects() })
-			if collects {
+			if node.usageStatus().Collects {
 				return node
 			}
 		}
@@ -197,7 +195,7 @@
 		sendRequests(t, node, "k-1", 10)
 	}
 	platform.waitForTotals()
-	leaving := collectingNode(t, nodes)
+	leaving := collectingNode(nodes)
 	caller, err := net.Dial("tcp", string(leaving.settings.CallerAddress))
 	assert.NilError(t, err)
 	defer func() { _ = caller.Close() }()
