--- a/bulrushnode/usage_test.go
+++ b/bulrushnode/usage_test.go
@@ -205,7 +205,7 @@
 		sendRequests(t, node, "k-1", 40)
 	}
 	leaving.stop()
-	<-leaving.done
+	assert.ErrorContains(t, <-leaving.done, "callers still connected")
 	// A window of a second is reported after six more at the latest.
 	deadline := time.Now().Add(15 * time.Second)
 	reported, runs := platform.totals()
