--- a/bulrushnode/freshness_test.go
+++ b/bulrushnode/freshness_test.go
@@ -121,12 +121,7 @@
 
 // writeRouting writes a version of the routing table.
 func (f *routingFleet) writeRouting(t *testing.T, version int) {
-	object := routingOf(t, version)
-	current, err := f.memory.Get(t.Context(), object.Kind, object.Name)
-	assert.NilError(t, err)
-	object.Version = current.Version
-	_, err = f.memory.Update(t.Context(), object)
-	assert.NilError(t, err)
+	f.write(t, routingOf(t, version))
 }
 
 func (r runningNode) assertInForce(t *testing.T, label string) {
--- a/bulrushnode/late_catalogue_test.go
+++ b/bulrushnode/late_catalogue_test.go
@@ -46,15 +46,16 @@
 // routesToParseIn returns how many routes of a table a node parses in the given time,
 // so that a test has the same load with and without the race detector.
 func routesToParseIn(t *testing.T, span time.Duration) int {
-	const sample = 1000
+	// An object of the store has 1 MB at most.
+	const sample, most = 1000, 2500
 	best := time.Hour
 	for range 3 {
 		best = min(best, timeToParse(t, largeRouting(t, 1, sample)))
 	}
-	return min(2500, int(sample*span/best))
+	return min(most, int(sample*span/best))
 }
 
-// write stores a version of the routing table.
+// write stores an object in place of its current version.
 func (f *routingFleet) write(t *testing.T, object bulrushchute.Object) {
 	current, err := f.memory.Get(t.Context(), object.Kind, object.Name)
 	assert.NilError(t, err)
