--- a/bulrushnode/catalogue.go
+++ b/bulrushnode/catalogue.go
@@ -15,7 +15,7 @@
 
 // largeRecordBytes is the size of a packed catalogue record from which control does not
 // parse it itself. A routing table of 1,400 routes is packed to 20 KB and takes a node
-// with a sixth of a core 0.1 s or more.
+// with a sixth of a core 0.1 s or more to parse as a whole.
 const largeRecordBytes = 4 << 10
 
 // catalogueChange is a parsed catalogue record.
