Refuse a table that is too large also if its parts are small

TableParser checked the size of each route and of the rest only, so it took a document of more than 1 MB, which ParseRouting refuses. TestTableParserRejectsLargeDocuments failed before.

--- a/bulrushcatalogue/table_parser.go
+++ b/bulrushcatalogue/table_parser.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+
+	"bulrushchute.example/bulrushchute"
 )
 
 const (
@@ -29,7 +31,7 @@
 // shared with the previous table and must not be modified.
 func (tp *TableParser) Parse(document []byte) (RoutingTable, error) {
 	encodedRoutes, rest, ok := splitRoutes(document)
-	if !ok {
+	if !ok || len(document) > bulrushchute.MaxObjectBytes {
 		return ParseRouting(document)
 	}
 	table, ok := decodeCanonical[RoutingTable](rest)
--- a/bulrushcatalogue/table_parser_test.go
+++ b/bulrushcatalogue/table_parser_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
 )
 
 func ExampleTableParser() {
@@ -64,7 +66,7 @@
 	t.Helper()
 	got, gotErr := parser.Parse(document)
 	want, wantErr := ParseRouting(document)
-	assert.Equal(t, fmt.Sprint(gotErr), fmt.Sprint(wantErr), "%s", document)
+	assert.Equal(t, fmt.Sprint(gotErr), fmt.Sprint(wantErr), "%s", document[:min(len(document), 2000)])
 	if wantErr == nil {
 		assert.DeepEqual(t, got, want)
 	}
@@ -107,3 +109,19 @@
 		}
 	}
 }
+
+// Guards against a document that is too large and accepted, because each part of it is
+// small.
+func TestTableParserRejectsLargeDocuments(t *testing.T) {
+	prefixes := make([]string, 10_000)
+	for i := range prefixes {
+		prefixes[i] = fmt.Sprintf("/p%d/", i)
+	}
+	document, err := newTable(prefixes...).Encode()
+	assert.NilError(t, err)
+	assert.Assert(t, len(document) > bulrushchute.MaxObjectBytes)
+	var parser TableParser
+	assertAgrees(t, &parser, document)
+	_, err = parser.Parse(document)
+	assert.ErrorType(t, err, (*bulrushchute.FieldError)(nil))
+}
