Let only records that decide routes make a copy count as out of date

A record that a node cannot read made its copy count as out of date for good, also an entry of a data centre, a move order, or a kind that only a later release knows. In a fleet of two releases the older nodes would have refused unknown routes as not run, and read the store, for as long as that record exists. Whether a route exists follows from routing tables and service entries only.

TestUnreadableRecordOfAnotherKindDoesNotMatter failed in three of five cases before.

--- a/bulrushnode/catalogue.go
+++ b/bulrushnode/catalogue.go
@@ -32,7 +32,9 @@
 // onCatalogue applies a changed catalogue record, or has it parsed by the goroutine of
 // largeRecords if it is large.
 func (c *control) onCatalogue(now bulrushchute.Millis, record bulrushchute.Record) {
-	c.notInForce[record.Key] = true
+	if decidesRoutes(record.Key) {
+		c.notInForce[record.Key] = true
+	}
 	if len(record.Value) >= largeRecordBytes {
 		c.largeRecords.put(record)
 		return
@@ -95,6 +97,13 @@
 	return bulrushchute.Kind(kind), name
 }
 
+// decidesRoutes reports whether a catalogue record can decide which routes and services
+// exist, so that no unknown route may be refused for good without its newest version.
+func decidesRoutes(key bulrushchute.RecordKey) bool {
+	kind, _ := catalogueObject(key)
+	return kind == bulrushchute.KindRouting || kind == bulrushchute.KindServices
+}
+
 // applyCatalogue puts a parsed catalogue record in force. If it could not be parsed, the
 // last valid version remains in force.
 func (c *control) applyCatalogue(now bulrushchute.Millis, change catalogueChange) {
@@ -102,7 +111,7 @@
 	kind, name := catalogueObject(record.Key)
 	newest, _ := c.membership.Table().Get(record.Key)
 	superseded := record.Version.Less(newest.Version)
-	if superseded && !c.notInForce[record.Key] {
+	if superseded && decidesRoutes(record.Key) && !c.notInForce[record.Key] {
 		// A newer version was small enough to overtake this one.
 		return
 	}
--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -73,7 +73,8 @@
 	joinTimedOut bool
 	// freshness tracks when the copy of the catalogue was last known to be current.
 	freshness *freshness
-	// notInForce holds the catalogue records whose newest version is not in force.
+	// notInForce holds the catalogue records that decide routes and whose newest version
+	// is not in force.
 	notInForce   map[bulrushchute.RecordKey]bool
 	largeRecords *largeRecords
 	// restored holds what is known about restores of the store.
--- a/bulrushnode/late_catalogue_test.go
+++ b/bulrushnode/late_catalogue_test.go
@@ -118,6 +118,32 @@
 	}
 }
 
+// Guards against a node that counts as out of date for good, because of a record that does
+// not decide routes and that this release cannot read.
+func TestUnreadableRecordOfAnotherKindDoesNotMatter(t *testing.T) {
+	cases := map[string]struct {
+		name       string
+		incomplete bool
+	}{
+		"routing table":           {"routing/main", true},
+		"service":                 {"services/board", true},
+		"data centre":             {"datacentres/ub-1", false},
+		"move order":              {"moveorders/board", false},
+		"kind of a later release": {"policies/board", false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			n := New(nodeSettings(t), bulrushstore.NewMemory(), bulrushchute.NewManualClock(1_000_000))
+			n.control.onCatalogue(1_000_000, bulrushchute.Record{
+				Key:     bulrushchute.RecordKey{Topic: bulrushchute.TopicCatalogue, Name: tc.name},
+				Version: bulrushchute.RecordVersion{Counter: 3},
+				Value:   compressValue([]byte("unreadable")),
+			})
+			assert.Equal(t, n.control.summarizeCatalogue().Incomplete, tc.incomplete)
+		})
+	}
+}
+
 // Guards against versions that are parsed although a newer one has arrived, and against
 // an older version that comes into force after a newer one.
 func TestSupersededVersionsAreNotParsed(t *testing.T) {
