--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -88,7 +88,7 @@
 	if f.role.FirstReader && !isBehind {
 		return
 	}
-	klog.InfoS("catalogue repaired", "by", action, "behind", isBehind, "behind_ms", behind, "age_ms", f.tracker.Age(now))
+	klog.InfoS("catalogue repair begun", "by", action, "behind", isBehind, "behind_ms", behind, "age_ms", f.tracker.Age(now))
 }
 
 func (c *control) publishFreshness(now bulrushchute.Millis) {
