Limit the ages that confirmations state

An absurd age or delay that a faulty node states overflowed when the time since was added, so that the confirmation counted as fresh at this node or at the next one, and an outdated copy as current. Ages and delays are limited to an hour.

TestAbsurdAgeOfAConfirmationCountsAsFresh failed in all three cases before.

--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -177,7 +177,7 @@
 
 func (c *control) handle(r inboundControl) {
 	now := c.clock.Now()
-	delay := r.message.Delay + bulrushchute.MillisOf(time.Since(r.receivedAt))
+	delay := min(r.message.Delay, maxStatedAge) + bulrushchute.MillisOf(time.Since(r.receivedAt))
 	if c.keys.handle(now, r.from, r.message) {
 		return
 	}
@@ -190,11 +190,13 @@
 		return
 	}
 	if r.message.Confirmation != nil {
-		c.onSentConfirmation(now, r.message.Confirmation.WithDelay(delay))
+		sent := *r.message.Confirmation
+		sent.Age = min(sent.Age, maxStatedAge)
+		c.onSentConfirmation(now, sent.WithDelay(delay))
 		return
 	}
 	if r.message.Records != nil {
-		c.freshness.arrivingAge = r.message.Records.ConfirmationAge + delay
+		c.freshness.arrivingAge = min(r.message.Records.ConfirmationAge, maxStatedAge) + delay
 	}
 	c.send(c.membership.Receive(now, r.from, r.message))
 }
--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -44,6 +44,10 @@
 	waiting []bulrushchute.Address
 }
 
+// maxStatedAge limits the ages and delays of confirmations, so that absurd ones that a
+// faulty node states cannot overflow. Any age beyond bulrushfreshness.MaxAge is too old.
+const maxStatedAge = bulrushchute.Hour
+
 // maxWaiting limits the nodes that get the confirmation later.
 const maxWaiting = 256
 
@@ -148,7 +152,7 @@
 func (c *control) stateConfirmationAge(records *bulrushchute.Records) {
 	for i := range records.Records {
 		if records.Records[i].Key == confirmationKey {
-			records.ConfirmationAge = max(0, c.clock.Now()-c.freshness.readAt)
+			records.ConfirmationAge = min(max(0, c.clock.Now()-c.freshness.readAt), maxStatedAge)
 		}
 	}
 }
