--- /dev/null
+++ b/review/standin/cold_again.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	coldSpan = 3 * time.Second
+	// coldBound is coldPerS x coldOverage + coldSlack of the deployment.
+	coldBound = 12*1.5 + 5
+)
+
+// coldTime is a time in which a server was cold.
+type coldTime struct {
+	server *server
+	from   time.Time
+}
+
+func init() { cases["cold-again"] = coldAgain }
+
+// coldAgain has servers that do not tell their load become cold again under steady
+// traffic. Their health responses say so at once, their heartbeats within heartbeatS.
+func coldAgain(f *fleet, trouble bool) (verdict, error) {
+	s, err := startSmall(f, func(sv *server) { sv.silent, sv.slots, sv.work = true, 18, 210*time.Millisecond })
+	if err != nil {
+		return verdict{}, err
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, 45*time.Second)
+	defer cancel()
+	for _, n := range f.nodes {
+		file := f.newClient(n, "file", http.MethodPost, "file.example", "/file/repair", 2500*time.Millisecond)
+		go f.newClient(n, "view", http.MethodGet, "view.example", "/view/open", 2*time.Second).run(ctx, 4)
+		go file.run(ctx, 8)
+		go func() {
+			// The rate rises until the servers have shown what they can do.
+			pause(ctx, 4*time.Second)
+			file.run(ctx, 8)
+		}()
+	}
+	pause(ctx, 8*time.Second)
+	crashed := 0
+	var times []coldTime
+	for i := range 6 {
+		n := f.nodes[1+i%2*2]
+		sv := s.servers[n]
+		ended := make(chan struct{}, 1)
+		if trouble {
+			sv.onCrash = func() { ended <- struct{}{} }
+			times = append(times, coldTime{server: sv, from: time.Now()})
+			sv.becomeCold(coldSpan)
+		}
+		select {
+		case <-ended:
+			crashed++
+			if err := s.replace(n, 2*time.Second); err != nil {
+				return verdict{}, err
+			}
+			pause(ctx, 4*time.Second)
+		case <-time.After(coldSpan + 2700*time.Millisecond):
+		}
+	}
+	<-ctx.Done()
+	time.Sleep(3 * time.Second)
+	worst, broken := 0, 0
+	for _, cold := range times {
+		most := busiestSecond(cold.server, cold.from, cold.from.Add(coldSpan))
+		f.record.line("server %s, cold at %.3f s: %d requests in the busiest second", cold.server.id, cold.from.Sub(f.record.began).Seconds(), most)
+		worst = max(worst, most)
+		if float64(most) > coldBound {
+			broken++
+		}
+	}
+	counts := pretty(f.counts(func(done result) bool { return done.kind == "file" }))
+	return verdict{broken: broken > 0, summary: fmt.Sprintf("%d of %d cold times with more than %.0f requests in a second, %d at most; %d servers crashed; filings by status %s",
+		broken, len(times), coldBound, worst, crashed, counts)}, nil
+}
+
+// replace starts another server on a machine whose server has crashed.
+func (s *small) replace(n *node, after time.Duration) error {
+	former := s.servers[n]
+	s.stops[n]()
+	time.Sleep(after)
+	next := newServer(s.fleet.record, former.id+"r", former.service, n.zone, n.app(), former.slots, former.work)
+	next.silent = former.silent
+	next.becomeCold(coldSpan)
+	if err := next.start(); err != nil {
+		return err
+	}
+	s.servers[n] = next
+	ctx, cancel := context.WithCancel(s.fleet.ctx)
+	s.stops[n] = cancel
+	go next.beat(ctx, n.control(), always("ready"))
+	return nil
+}
+
+// busiestSecond returns the most requests that arrived within a second, of those that
+// arrived between two times.
+func busiestSecond(sv *server, from, to time.Time) int {
+	sv.mutex.Lock()
+	defer sv.mutex.Unlock()
+	most := 0
+	for i, first := range sv.arrivals {
+		if first.Before(from) || !first.Before(to) {
+			continue
+		}
+		count := 0
+		for _, at := range sv.arrivals[i:] {
+			if at.Before(to) && at.Sub(first) < time.Second {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
