Review case 5: a repeated answer passes for a health response

Cause: an answer on the connection of a health check is not compared with anything. A repeated answer to an earlier request says nothing of X-Cold-Ms, so the node takes a cold server for warm until the next reading. Case: a script in which faulty servers repeat 3% of their answers while they are cold.

--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -40,6 +40,9 @@
 	sequence int
 	// silent is set if the service does not tell its load.
 	silent bool
+	// faulty is set if the server repeats a share of its answers until faultyUntil.
+	faulty      bool
+	faultyUntil time.Time
 	// coldUntil is the end of the time in which the server is cold, in which work takes
 	// twice as long.
 	coldSince, coldUntil time.Time
@@ -74,6 +77,11 @@
 	if err != nil {
 		return err
 	}
+	if s.faulty {
+		go s.serveFaulty(listener)
+		s.record.line("server %s of %s starts at %s", s.id, s.service, s.address)
+		return nil
+	}
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(listener) }()
 	s.record.line("server %s of %s starts at %s", s.id, s.service, s.address)
