Count only what was sent and arrived in the same second in review cases 3 and 5

Cause: the rule counts requests that were sent and arrived inside a second; the scripts counted arrivals alone. Change: both scripts take the time at which the client sent the request. In case 5 both servers of the service become cold at the same time.

--- a/review/standin/cold_again.go
+++ b/review/standin/cold_again.go
@@ -66,7 +66,7 @@
 	time.Sleep(3 * time.Second)
 	worst, broken := 0, 0
 	for _, cold := range times {
-		most := busiestSecond(cold.server, cold.from, cold.from.Add(coldSpan))
+		most := f.busiestSecond(cold.server, cold.from, cold.from.Add(coldSpan))
 		f.record.line("server %s, cold at %.3f s: %d requests in the busiest second", cold.server.id, cold.from.Sub(f.record.began).Seconds(), most)
 		worst = max(worst, most)
 		if float64(most) > coldBound {
@@ -96,19 +96,28 @@
 	return nil
 }
 
-// busiestSecond returns the most requests that arrived within a second, of those that
-// arrived between two times.
-func busiestSecond(sv *server, from, to time.Time) int {
+// busiestSecond returns the most requests that were sent by their clients and arrived
+// within the same second, between two times.
+func (f *fleet) busiestSecond(sv *server, from, to time.Time) int {
+	sentAt := make(map[string]time.Time)
+	f.mutex.Lock()
+	for _, done := range f.results {
+		sentAt[done.attempt] = done.sentAt
+	}
+	f.mutex.Unlock()
 	sv.mutex.Lock()
 	defer sv.mutex.Unlock()
-	most := 0
-	for i, first := range sv.arrivals {
-		if first.Before(from) || !first.Before(to) {
-			continue
+	var counted []arrival
+	for _, a := range sv.arrivals {
+		if sent, known := sentAt[a.attempt]; known && !sent.Before(from) && a.at.Before(to) {
+			counted = append(counted, a)
 		}
-		count := 0
-		for _, at := range sv.arrivals[i:] {
-			if at.Before(to) && at.Sub(first) < time.Second {
+	}
+	most := 0
+	for _, first := range counted {
+		begin, count := sentAt[first.attempt], 0
+		for _, a := range counted {
+			if !sentAt[a.attempt].Before(begin) && a.at.Before(begin.Add(time.Second)) {
 				count++
 			}
 		}
--- a/review/standin/cold_repeated.go
+++ b/review/standin/cold_repeated.go
@@ -38,22 +38,24 @@
 	}
 	pause(ctx, 8*time.Second)
 	var times []coldTime
-	for i := range 12 {
-		sv := s.servers[f.nodes[1+i%2*2]]
-		if trouble {
-			sv.mutex.Lock()
-			sv.faultyUntil = time.Now().Add(faultySpan)
-			sv.mutex.Unlock()
+	for range 12 {
+		for _, n := range []*node{f.nodes[1], f.nodes[3]} {
+			sv := s.servers[n]
+			if trouble {
+				sv.mutex.Lock()
+				sv.faultyUntil = time.Now().Add(faultySpan)
+				sv.mutex.Unlock()
+			}
+			times = append(times, coldTime{server: sv, from: time.Now()})
+			sv.becomeCold(coldSpan)
 		}
-		times = append(times, coldTime{server: sv, from: time.Now()})
-		sv.becomeCold(coldSpan)
 		pause(ctx, coldSpan+2700*time.Millisecond)
 	}
 	<-ctx.Done()
 	time.Sleep(3 * time.Second)
 	worst, broken := 0, 0
 	for _, cold := range times {
-		most := busiestSecond(cold.server, cold.from, cold.from.Add(coldSpan))
+		most := f.busiestSecond(cold.server, cold.from, cold.from.Add(coldSpan))
 		f.record.line("server %s, cold at %.3f s: %d requests in the busiest second", cold.server.id, cold.from.Sub(f.record.began).Seconds(), most)
 		worst = max(worst, most)
 		if float64(most) > coldBound {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -25,6 +25,12 @@
 	caller  string
 }
 
+// arrival is a request that has arrived at a server, whether it runs or not.
+type arrival struct {
+	at      time.Time
+	attempt string
+}
+
 // server is an application server. One of its methods starts it, and stop ends it as a
 // crash does.
 type server struct {
@@ -55,8 +61,8 @@
 	running int
 	waiting int
 	runs    []run
-	// arrivals are the times at which requests arrived, without those answered 421.
-	arrivals []time.Time
+	// arrivals are the requests that arrived, without those answered 421.
+	arrivals []arrival
 	free     chan struct{}
 	http     *http.Server
 }
@@ -135,7 +141,7 @@
 		return
 	}
 	s.mutex.Lock()
-	s.arrivals = append(s.arrivals, time.Now())
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), attempt: attempt})
 	crashes := s.onCrash != nil && s.coldLeft() > 0 && s.recentArrivals() > crashAbove
 	s.mutex.Unlock()
 	if crashes {
@@ -196,7 +202,7 @@
 // arrived while the server was cold. The mutex is held.
 func (s *server) recentArrivals() int {
 	count := 0
-	for i := len(s.arrivals) - 1; i >= 0 && time.Since(s.arrivals[i]) < time.Second && !s.arrivals[i].Before(s.coldSince); i-- {
+	for i := len(s.arrivals) - 1; i >= 0 && time.Since(s.arrivals[i].at) < time.Second && !s.arrivals[i].at.Before(s.coldSince); i-- {
 		count++
 	}
 	return count
