--- a/review/standin/cold_again.go
+++ b/review/standin/cold_again.go
@@ -24,7 +24,7 @@
 // coldAgain has servers that do not tell their load become cold again under steady
 // traffic. Their health responses say so at once, their heartbeats within heartbeatS.
 func coldAgain(f *fleet, trouble bool) (verdict, error) {
-	s, err := startSmall(f, func(sv *server) { sv.silent, sv.slots, sv.work = true, 18, 210*time.Millisecond })
+	s, err := startSmall(f, hanga, func(sv *server) { sv.silent, sv.work = true, 210*time.Millisecond })
 	if err != nil {
 		return verdict{}, err
 	}
@@ -65,17 +65,53 @@
 	<-ctx.Done()
 	time.Sleep(3 * time.Second)
 	worst, broken := 0, 0
+	var latest time.Duration
 	for _, cold := range times {
 		most := f.busiestSecond(cold.server, cold.from, cold.from.Add(coldSpan))
 		f.record.line("server %s, cold at %.3f s: %d requests in the busiest second", cold.server.id, cold.from.Sub(f.record.began).Seconds(), most)
 		worst = max(worst, most)
 		if float64(most) > coldBound {
 			broken++
+			latest = max(latest, cold.server.firstTold(cold.from))
 		}
 	}
 	counts := pretty(f.counts(func(done result) bool { return done.kind == "file" }))
-	return verdict{broken: broken > 0, summary: fmt.Sprintf("%d of %d cold times with more than %.0f requests in a second, %d at most; %d servers crashed; filings by status %s",
-		broken, len(times), coldBound, worst, crashed, counts)}, nil
+	return verdict{broken: broken > 0, summary: fmt.Sprintf("%d of %d cold times with more than %.0f requests in a second, %d at most; the health path had said so after %d ms at the latest; %d servers crashed, "+
+		"%d filings that had run got no answer of theirs; filings by status %s",
+		broken, len(times), coldBound, worst, latest.Milliseconds(), crashed, s.countLost(), counts)}, nil
+}
+
+// firstTold returns how long after a time a health response first said that the server is
+// cold.
+func (s *server) firstTold(from time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, at := range s.toldCold {
+		if !at.Before(from) {
+			return at.Sub(from)
+		}
+	}
+	return coldSpan
+}
+
+// countLost returns the number of filings that ran at a server and whose clients got no
+// answer of a server.
+func (s *small) countLost() int {
+	ran := make(map[string]bool)
+	for _, sv := range s.all {
+		for _, r := range sv.takenRuns() {
+			ran[r.attempt] = true
+		}
+	}
+	s.fleet.mutex.Lock()
+	defer s.fleet.mutex.Unlock()
+	lost := 0
+	for _, done := range s.fleet.results {
+		if done.kind == "file" && done.signature == "" && ran[done.attempt] {
+			lost++
+		}
+	}
+	return lost
 }
 
 // replace starts another server on a machine whose server has crashed.
@@ -83,13 +119,14 @@
 	former := s.servers[n]
 	s.stops[n]()
 	time.Sleep(after)
-	next := newServer(s.fleet.record, former.id+"r", former.service, n.zone, n.app(), former.slots, former.work)
+	next := newServer(s.fleet.record, former.id+"r", former.service, n.zone, n.app(), s.fleet.figures, former.work)
 	next.silent = former.silent
 	next.becomeCold(coldSpan)
 	if err := next.start(); err != nil {
 		return err
 	}
 	s.servers[n] = next
+	s.all = append(s.all, next)
 	ctx, cancel := context.WithCancel(s.fleet.ctx)
 	s.stops[n] = cancel
 	go next.beat(ctx, n.control(), always("ready"))
--- a/review/standin/cold_repeated.go
+++ b/review/standin/cold_repeated.go
@@ -19,8 +19,8 @@
 // coldRepeated has servers that tell their load become cold again under steady traffic.
 // With the trouble, they repeat a share of their answers meanwhile.
 func coldRepeated(f *fleet, trouble bool) (verdict, error) {
-	s, err := startSmall(f, func(sv *server) {
-		sv.slots, sv.work, sv.faulty = 18, 210*time.Millisecond, sv.service == ledgers
+	s, err := startSmall(f, hanga, func(sv *server) {
+		sv.work, sv.faulty = 210*time.Millisecond, sv.service == ledgers
 	})
 	if err != nil {
 		return verdict{}, err
--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -52,7 +52,7 @@
 			return
 		}
 		if request.URL.Path != "/health" && s.repeats() {
-			s.record.line("server %s will repeat its answer to %s", s.id, request.Header.Get("X-Attempt-Id"))
+			s.record.line("%s %s: its answer will be repeated", shortServer(s.id), shortAttempt(request.Header.Get("X-Attempt-Id")))
 			late = data
 		}
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -20,6 +20,7 @@
 
 // node is one machine of the system: its addresses and the process.
 type node struct {
+	number                  int
 	name, zone, service, ip string
 	process                 *exec.Cmd
 	exited                  chan struct{}
@@ -34,15 +35,17 @@
 // fleet is a small deployment: the platform's store, the nodes and the clients.
 type fleet struct {
 	record *record
-	store  *store
-	root   string // of the repository
-	folder string // temporary
-	prefix string // of the loopback addresses
-	nodes  []*node
-	ctx    context.Context
-	cancel context.CancelFunc
-	number atomic.Int64
-	names  string
+	// figures are those of a small site.
+	figures deployment
+	store   *store
+	root    string // of the repository
+	folder  string // temporary
+	prefix  string // of the loopback addresses
+	nodes   []*node
+	ctx     context.Context
+	cancel  context.CancelFunc
+	number  atomic.Int64
+	names   string
 
 	// startMutex is held while processes are started or ended. None is started once
 	// closed is set.
@@ -62,9 +65,20 @@
 	whole               bool
 }
 
+// deployment holds the figures in which the two small sites differ.
+type deployment struct {
+	retryBudgetSlack, slots, queue, connections int
+	coldPerS                                    float64
+}
+
+var (
+	towpath = deployment{retryBudgetSlack: 60, slots: 9, queue: 18, connections: 240, coldPerS: 8.4}
+	hanga   = deployment{retryBudgetSlack: 64, slots: 18, queue: 72, connections: 260, coldPerS: 12}
+)
+
 const bounds = `{"seedLagS":3,"reuseAfterS":2,"contactS":3000,"ackS":4000,"catchUpS":4,"drainS":2000,"graceS":6,` +
 	`"lossSlackS":200,"configS":2000,"rollbackSlackS":250,"maxSkewS":5000,"retryBudgetRatio":0.2,"budgetWindowS":10,` +
-	`"retryBudgetSlack":60,"exposureShare":0.1,"exposureSlack":50,"rollbackS":5000,"coldOverage":1.5,"coldSlack":5,` +
+	`"retryBudgetSlack":%d,"exposureShare":0.1,"exposureSlack":50,"rollbackS":5000,"coldOverage":1.5,"coldSlack":5,` +
 	`"evacuateS":5000,"recoveryS":15,"probesPerS":60}`
 
 func newFleet(record *record) (*fleet, error) {
@@ -97,7 +111,7 @@
 // addNode adds a machine. Its node is not started.
 func (f *fleet) addNode(zone, service string) *node {
 	number := len(f.nodes) + 1
-	n := &node{name: fmt.Sprintf("sidecar-%s-%d", zone, number), zone: zone, service: service, ip: fmt.Sprintf("%s%d", f.prefix, number)}
+	n := &node{number: number, name: fmt.Sprintf("sidecar-%s-%d", zone, number), zone: zone, service: service, ip: fmt.Sprintf("%s%d", f.prefix, number)}
 	f.nodes = append(f.nodes, n)
 	return n
 }
@@ -112,7 +126,7 @@
 	settings := fmt.Sprintf(`{"instance":%q,"data_centre":%q,"region":"r1","service":%q,"caller_address":%q,"ready_address":%q,`+
 		`"announce_address":%q,"peer_address":%q,"operator_address":%q,"backend_address":%q,"store_address":%q,"first_start":%t,`+
 		`"bounds":%s,"usage":{"address":"","duties":[]}}`, n.name, n.zone, n.service, n.outbound(), n.ready(), n.control(),
-		n.ip+":7620", n.ip+":9621", n.app(), f.storeAddress(), first, bounds)
+		n.ip+":7620", n.ip+":9621", n.app(), f.storeAddress(), first, fmt.Sprintf(bounds, f.figures.retryBudgetSlack))
 	path := filepath.Join(f.folder, n.name+".json")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
@@ -204,7 +218,7 @@
 }
 
 // configure writes a version of the configuration.
-func (f *fleet) configure(version int, services []string, connections int, routes ...route) {
+func (f *fleet) configure(version int, services []string, routes ...route) {
 	var routeList, serviceList []map[string]any
 	for _, r := range routes {
 		routeList = append(routeList, map[string]any{
@@ -214,8 +228,8 @@
 	}
 	for _, service := range services {
 		serviceList = append(serviceList, map[string]any{
-			"name": service, "health_path": "/health", "connections": connections, "protocol": "h1", "tls": false,
-			"cold_start_s": 3.0, "cold_per_s": 12.0,
+			"name": service, "health_path": "/health", "connections": f.figures.connections, "protocol": "h1", "tls": false,
+			"cold_start_s": 3.0, "cold_per_s": f.figures.coldPerS,
 		})
 	}
 	f.store.put("config", "main", map[string]any{
@@ -270,8 +284,9 @@
 		done.status, done.signature, done.whole = response.StatusCode, response.Header.Get("X-Response-Signature"), err == nil
 	}
 	done.endedAt = time.Now()
-	f.record.line("client of %s: %s %s %s%s ended after %d ms with status %d, signature %q", c.node.name, attempt, c.method, c.host, c.path,
-		done.endedAt.Sub(done.sentAt).Milliseconds(), done.status, done.signature)
+	server := strings.Split(done.signature+"..", ".")[1]
+	f.record.line("%d %s %s %d %d %s", c.node.number, shortAttempt(attempt), c.kind, done.status,
+		done.endedAt.Sub(done.sentAt).Milliseconds(), strings.Replace(server, "i-"+f.names, "i-", 1))
 	f.mutex.Lock()
 	f.results = append(f.results, done)
 	f.mutex.Unlock()
--- a/review/standin/late_heartbeats.go
+++ b/review/standin/late_heartbeats.go
@@ -12,7 +12,7 @@
 // lateHeartbeats lets a server leave. Two of its heartbeats arrive 3.5 s late, after the
 // node that acknowledged its leaving was killed and started again.
 func lateHeartbeats(f *fleet, trouble bool) (verdict, error) {
-	s, err := startSmall(f, func(*server) {})
+	s, err := startSmall(f, towpath, func(*server) {})
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/standin/odd_heartbeat.go
+++ b/review/standin/odd_heartbeat.go
@@ -12,7 +12,7 @@
 // oddHeartbeat sends one heartbeat of another writer, with a service that the
 // configuration does not name.
 func oddHeartbeat(f *fleet, trouble bool) (verdict, error) {
-	s, err := startSmall(f, func(*server) {})
+	s, err := startSmall(f, towpath, func(*server) {})
 	if err != nil {
 		return verdict{}, err
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -58,19 +59,23 @@
 
 	mutex   sync.Mutex
 	leaving bool
+	// ended is set once the server's process has ended.
+	ended   bool
 	running int
 	waiting int
 	runs    []run
 	// arrivals are the requests that arrived, without those answered 421.
 	arrivals []arrival
+	// toldCold are the times of the health responses that said that the server is cold.
+	toldCold []time.Time
 	free     chan struct{}
 	http     *http.Server
 }
 
-func newServer(record *record, id, service, zone, address string, slots int, work time.Duration) *server {
+func newServer(record *record, id, service, zone, address string, figures deployment, work time.Duration) *server {
 	return &server{
 		record: record, id: id, service: service, zone: zone, address: address,
-		slots: slots, queue: 4 * slots, work: work,
+		slots: figures.slots, queue: figures.queue, work: work,
 	}
 }
 
@@ -95,16 +100,31 @@
 }
 
 func (s *server) stop() {
+	s.mutex.Lock()
+	s.ended = true
+	s.mutex.Unlock()
 	_ = s.http.Close()
 	s.record.line("server %s ends", s.id)
 }
 
+func (s *server) hasEnded() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ended
+}
+
 func (s *server) setLeaving() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.leaving = true
 }
 
+func (s *server) isLeaving() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.leaving
+}
+
 func (s *server) load() string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -120,6 +140,9 @@
 
 func (s *server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	header := writer.Header()
+	if s.isLeaving() {
+		header.Set("Connection", "close")
+	}
 	if !s.silent {
 		header.Set("X-Server-Load", s.load())
 	}
@@ -147,8 +170,10 @@
 	if crashes {
 		s.crash()
 	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
+	if s.hasEnded() {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
 	deadlineMs, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
@@ -160,6 +185,9 @@
 		return
 	}
 	defer s.end()
+	if s.hasEnded() {
+		return
+	}
 	taken := run{
 		at: time.Now(), server: s.id, service: s.service, attempt: attempt, method: request.Method,
 		path: request.URL.RequestURI(), caller: request.Header.Get("X-Caller-Service"),
@@ -171,7 +199,7 @@
 		work *= 2
 	}
 	s.mutex.Unlock()
-	s.record.line("server %s of %s runs %s %s %s, %d bytes, caller service %s", s.id, s.service, attempt, taken.method, taken.path, len(body), taken.caller)
+	s.record.line("%s %s runs %s", shortServer(s.id), shortAttempt(attempt), taken.caller)
 	select {
 	case <-time.After(work):
 	case <-ctx.Done():
@@ -185,6 +213,9 @@
 func (s *server) serveHealth(writer http.ResponseWriter) {
 	s.mutex.Lock()
 	leaving, leftMs := s.leaving, s.coldLeft().Milliseconds()
+	if leftMs > 0 {
+		s.toldCold = append(s.toldCold, time.Now())
+	}
 	s.mutex.Unlock()
 	writer.Header().Set("X-Instance-Id", s.id)
 	if leftMs > 0 {
@@ -265,6 +296,11 @@
 	<-s.free
 }
 
+// shortServer and shortAttempt leave out the eight digits that all names of a play have
+// in common.
+func shortServer(id string) string       { return id[:2] + id[10:] }
+func shortAttempt(attempt string) string { return strings.TrimLeft(attempt[8:], "0") }
+
 // heartbeat is the content of a heartbeat, as deploy/wire.toml names its fields.
 type heartbeat struct {
 	Service  string  `json:"service"`
--- a/review/standin/small.go
+++ b/review/standin/small.go
@@ -11,7 +11,9 @@
 type small struct {
 	fleet   *fleet
 	servers map[*node]*server
-	stops   map[*node]context.CancelFunc
+	// all are the servers that were started.
+	all   []*server
+	stops map[*node]context.CancelFunc
 }
 
 const (
@@ -19,9 +21,10 @@
 	ledgers = "ledgers-p9d"
 )
 
-func startSmall(f *fleet, prepare func(*server)) (*small, error) {
+func startSmall(f *fleet, figures deployment, prepare func(*server)) (*small, error) {
 	s := &small{fleet: f, servers: make(map[*node]*server), stops: make(map[*node]context.CancelFunc)}
-	f.configure(7, []string{boards, ledgers}, 240,
+	f.figures = figures
+	f.configure(7, []string{boards, ledgers},
 		route{"r-view", "view.example", "/view/", "idempotent", boards, 2000, 500, 2},
 		route{"r-file", "file.example", "/file/", "non_idempotent", ledgers, 2500, 600, 2})
 	for i, service := range []string{boards, ledgers, boards, ledgers, boards} {
@@ -33,12 +36,13 @@
 		}
 	}
 	for i, n := range f.nodes {
-		sv := newServer(f.record, fmt.Sprintf("i-%s%02d", f.names, i), n.service, n.zone, n.app(), 9, 50*time.Millisecond)
+		sv := newServer(f.record, fmt.Sprintf("i-%s%02d", f.names, i), n.service, n.zone, n.app(), figures, 50*time.Millisecond)
 		prepare(sv)
 		if err := sv.start(); err != nil {
 			return nil, err
 		}
 		s.servers[n] = sv
+		s.all = append(s.all, sv)
 		ctx, cancel := context.WithCancel(f.ctx)
 		s.stops[n] = cancel
 		go sv.beat(ctx, n.control(), always("ready"))
