Refuse heartbeats of servers that the settings do not name

Cause: nothing compared what a heartbeat says with the settings of the instance. Any heartbeat with a later start time took the place of the current server, whose own heartbeats then counted as late; the node took the caller service from the last announcement.

Other hypotheses: the order by start time is needed for a server that restarts under its ID and for late heartbeats, and stays. The caller service is now that of the settings, but this alone would have left the server idle.

--- a/bulrushnode/announcement.go
+++ b/bulrushnode/announcement.go
@@ -79,6 +79,15 @@
 	return nil
 }
 
+// checkServer rejects a backend server other than the one of the settings. The node would
+// send its requests to another server, and name a wrong service in those of its callers.
+func (a Announcement) checkServer(settings Settings) error {
+	if settings.Service != "" && a.Service != settings.Service {
+		return &bulrushchute.FieldError{Field: "service", Value: string(a.Service), Allowed: string(settings.Service)}
+	}
+	return a.checkHost(settings.BackendAddress)
+}
+
 // checkHost rejects a backend server on another host than the one in the
 // settings, because the node's view of its load would not be exact.
 func (a Announcement) checkHost(expected bulrushchute.Address) error {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -190,10 +190,10 @@
 
 // ownService returns the service of the backend server beside this node.
 func (n *Node) ownService() bulrushchute.Service {
-	if announced := n.admission.latestAnnouncement().Service; announced != "" {
-		return announced
+	if n.settings.Service != "" {
+		return n.settings.Service
 	}
-	return n.settings.Service
+	return n.admission.latestAnnouncement().Service
 }
 
 // newInstanceID returns a unique ID for this run of the process. The address
@@ -349,9 +349,10 @@
 	return tls.NewListener(listener, config)
 }
 
-// Announce handles an announcement of the backend server beside this node.
+// Announce handles an announcement of the backend server beside this node. It returns a
+// *bulrushchute.FieldError for another server than the one of the settings.
 func (n *Node) Announce(announcement Announcement) error {
-	if err := announcement.checkHost(n.settings.BackendAddress); err != nil {
+	if err := announcement.checkServer(n.settings); err != nil {
 		return err
 	}
 	n.admission.heard()
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -28,7 +28,8 @@
 	// BackendAddress is the address of the backend server. An announcement is
 	// accepted only if it names the same IP address.
 	BackendAddress bulrushchute.Address `json:"backend_address"`
-	// Service is the service of the backend server until its first announcement.
+	// Service is the service of the backend server. Announcements of another service
+	// are refused. If it is empty, the announcements state the service.
 	Service bulrushchute.Service `json:"service,omitempty"`
 	// WithoutKeys disables the homes of idempotency keys. Requests with a key are
 	// then served like requests without one.
