Let an object replace only the catalogue entry of its own name

An object of another writer in the store could replace the routing table, the move order of a service, a service or a data centre that is stored under another name. One that cannot be read made all nodes answer 503 instead of 404 for unknown routes, since the routing table counted as out of date.

Cause: as with heartbeats, the value alone decided what it applies to. The name of the object was used for deletions only, and all objects of the kind routing were taken for the one routing table. bulrushctl refuses such entries, the nodes did not.

Objects of the kind routing other than main are not read. The other kinds are refused with the line "catalogue entry not taken" if value and name differ; those that nodes of earlier versions pass on are refused as well.

--- a/bulrushnode/catalogue.go
+++ b/bulrushnode/catalogue.go
@@ -1,6 +1,7 @@
 package bulrushnode
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync"
@@ -67,11 +68,13 @@
 		}, nil
 	case kind == bulrushchute.KindServices:
 		entry, err := bulrushcatalogue.ParseService(value)
+		err = cmp.Or(err, checkObjectName("service", string(entry.Service), name))
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set.WithService(entry, version) }, err
 	case kind == bulrushchute.KindRouting && record.Deleted:
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set }, nil
 	case kind == bulrushchute.KindRouting:
 		table, err := parse(value)
+		err = cmp.Or(err, checkObjectName("name", bulrushcatalogue.RoutingTableName, name))
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set.WithRouting(table, record.Version) }, err
 	case kind == bulrushchute.KindMoveOrders && record.Deleted:
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set {
@@ -79,6 +82,7 @@
 		}, nil
 	case kind == bulrushchute.KindMoveOrders:
 		order, err := bulrushcatalogue.ParseMoveOrder(value)
+		err = cmp.Or(err, checkObjectName("service", string(order.Service), name))
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set.WithMoveOrder(order, version) }, err
 	case kind == bulrushchute.KindDataCentres && record.Deleted:
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set {
@@ -86,11 +90,26 @@
 		}, nil
 	case kind == bulrushchute.KindDataCentres:
 		entry, err := bulrushcatalogue.ParseDataCentre(value)
+		err = cmp.Or(err, checkObjectName("data_centre", string(entry.DataCentre), name))
 		return func(set bulrushcatalogue.Set) bulrushcatalogue.Set { return set.WithDataCentre(entry, version) }, err
 	}
 	return nil, &bulrushchute.FieldError{Field: "kind", Value: string(kind), Allowed: "services, datacentres, routing or moveorders"}
 }
 
+// checkObjectName rejects an object whose value belongs to another object, which it would
+// replace.
+func checkObjectName(field, value, name string) error {
+	if value == name {
+		return nil
+	}
+	return &bulrushchute.FieldError{Field: field, Value: value, Allowed: "the object's name, " + name}
+}
+
+// isStrayRouting reports whether an object is of KindRouting and not the routing table.
+func isStrayRouting(object bulrushchute.Object) bool {
+	return object.Kind == bulrushchute.KindRouting && object.Name != bulrushcatalogue.RoutingTableName
+}
+
 // catalogueObject returns the kind and the name of the object of a catalogue record.
 func catalogueObject(key bulrushchute.RecordKey) (bulrushchute.Kind, string) {
 	kind, name, _ := strings.Cut(key.Name, "/")
@@ -100,8 +119,8 @@
 // decidesRoutes reports whether a catalogue record can decide which routes and services
 // exist, so that no unknown route may be refused for good without its newest version.
 func decidesRoutes(key bulrushchute.RecordKey) bool {
-	kind, _ := catalogueObject(key)
-	return kind == bulrushchute.KindRouting || kind == bulrushchute.KindServices
+	kind, name := catalogueObject(key)
+	return kind == bulrushchute.KindRouting && name == bulrushcatalogue.RoutingTableName || kind == bulrushchute.KindServices
 }
 
 // applyCatalogue puts a parsed catalogue record in force. If it could not be parsed, the
@@ -247,11 +266,10 @@
 	}
 }
 
-// packObject returns the record of an object, or false if objects of its kind do not
-// spread as records.
+// packObject returns the record of an object, or false if it does not spread as a record.
 func packObject(object bulrushchute.Object, deleted bool) (bulrushchute.Record, bool) {
 	key, replicated := recordKeyOf(object)
-	if !replicated {
+	if !replicated || isStrayRouting(object) {
 		return bulrushchute.Record{}, false
 	}
 	return bulrushchute.Record{
--- a/bulrushnode/late_catalogue_test.go
+++ b/bulrushnode/late_catalogue_test.go
@@ -126,6 +126,7 @@
 		incomplete bool
 	}{
 		"routing table":           {"routing/main", true},
+		"other routing object":    {"routing/other", false},
 		"service":                 {"services/board", true},
 		"data centre":             {"datacentres/ub-1", false},
 		"move order":              {"moveorders/board", false},
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -267,6 +267,10 @@
 	c.restored.observe(now, bulrushchute.EraOf(revision))
 	known := c.knownObjects(kind)
 	for _, object := range objects {
+		if isStrayRouting(object) {
+			klog.V(1).InfoS("object of the store not taken", "kind", kind, "name", object.Name)
+			continue
+		}
 		version, exists := known[object.Name]
 		delete(known, object.Name)
 		if exists && version == object.Version {
