Limit the memory that large answers take together

A backend server that sends bytes without an end, or long answers, to all requests makes the node beside it run out of memory; the requests of all other callers on that node end with it.

Cause: the head and the body of each answer are limited, their sum is not. A node keeps up to 7 MB for each slot of its server while it reads, and then until the answer is written to the node of the caller, however long that takes.

Answers of more than 64 KB now reserve memory: those up to 512 KB share 16 MB, larger ones 14 MB. They wait for it, with their connections not read meanwhile, and keep it until the reply has been written. A message that grows from medium to large waits only for large ones, which wait for nothing, so they cannot wait for each other. A length beyond the limit is refused before the body is read, and the answer to a health check is limited to 64 KB.

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -1,6 +1,7 @@
 package bulrushbackend
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 )
 
 const (
@@ -24,6 +26,8 @@
 	// maxInterimAnswers is the number of interim answers (1xx) before a final one
 	// after which a request fails.
 	maxInterimAnswers = 16
+	// smallBodyBytes is the size up to which a body needs no reservation.
+	smallBodyBytes = 64 << 10
 	// DefaultMaxHeaderBytes is used if Settings.MaxHeaderBytes is 0.
 	DefaultMaxHeaderBytes = 64 << 10
 )
@@ -41,7 +45,8 @@
 	// Idempotent lets the request use a connection that has been idle for longer
 	// than maxIdleNonIdempotent.
 	Idempotent bool
-	// Attempt is the attempt that the answer must match, nil for a health check.
+	// Attempt is the attempt that the answer must match, nil for a health check. The
+	// answer to a health check is limited to smallBodyBytes.
 	Attempt *bulrushchute.Attempt
 }
 
@@ -81,7 +86,11 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes is the maximum size of an answer's body.
 	MaxBodyBytes int64
-	Protocol     bulrushchute.BackendProtocol
+	// Memory limits the bodies that are larger than smallBodyBytes together, nil for no
+	// limit. A bulrushmemory.Hold in the request's context keeps the part of an answer
+	// until that has been passed on.
+	Memory   *bulrushmemory.Budget
+	Protocol bulrushchute.BackendProtocol
 }
 
 // Client sends requests to one backend server over a pool of keep-alive
@@ -128,7 +137,7 @@
 		return Answer{}, &Error{Reason: errorReason(ctx, err), Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	answer, reusable, err := c.roundTrip(conn, request)
+	answer, reusable, err := c.roundTrip(ctx, conn, request)
 	if !stop() {
 		reusable = false
 	}
@@ -243,7 +252,7 @@
 // the connection is reusable. A request larger than maxSyncWriteBytes is
 // written and its answer read concurrently, because a server may answer before
 // it has read the whole body.
-func (c *Client) roundTrip(conn *connection, request Request) (Answer, bool, error) {
+func (c *Client) roundTrip(ctx context.Context, conn *connection, request Request) (Answer, bool, error) {
 	data, err := encodeRequest(request)
 	if err != nil {
 		return Answer{}, false, err
@@ -252,17 +261,17 @@
 		if _, err := conn.Write(data); err != nil {
 			// The server may have answered before it closed the connection, so
 			// its answer takes precedence over the write error.
-			answer, _, readErr := c.readAnswer(conn, request)
+			answer, _, readErr := c.readAnswer(ctx, conn, request)
 			if readErr != nil {
 				return Answer{}, false, errors.Wrap(err, "write request")
 			}
 			return answer, false, nil
 		}
-		return c.readAnswer(conn, request)
+		return c.readAnswer(ctx, conn, request)
 	}
 	writeDone := make(chan error, 1)
 	go writeRequest(conn, data, writeDone)
-	answer, reusable, err := c.readAnswer(conn, request)
+	answer, reusable, err := c.readAnswer(ctx, conn, request)
 	if err != nil {
 		_ = conn.Close()
 	}
@@ -281,9 +290,9 @@
 
 // readAnswer reads the answer to the request and skips answers to others.
 // It also reports whether the connection is reusable.
-func (c *Client) readAnswer(conn *connection, request Request) (Answer, bool, error) {
+func (c *Client) readAnswer(ctx context.Context, conn *connection, request Request) (Answer, bool, error) {
 	for range maxMismatchedAnswers {
-		answer, last, err := c.readNextAnswer(conn, request)
+		answer, last, err := c.readNextAnswer(ctx, conn, request)
 		if err != nil {
 			return Answer{}, false, err
 		}
@@ -304,13 +313,13 @@
 
 // readNextAnswer reads one whole answer, to whichever request. It also
 // reports whether the server closes the connection after it.
-func (c *Client) readNextAnswer(conn *connection, request Request) (Answer, bool, error) {
+func (c *Client) readNextAnswer(ctx context.Context, conn *connection, request Request) (Answer, bool, error) {
 	response, err := readFinalResponse(conn, request.Method, c.settings.MaxHeaderBytes)
 	if err != nil {
 		return Answer{}, false, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := c.readBody(response)
+	body, err := c.readBody(ctx, response, c.maxBodyBytes(request))
 	if err != nil {
 		// Otherwise closing the body would read the rest of it.
 		_ = conn.Close()
@@ -320,14 +329,92 @@
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Report: report}, response.Close, nil
 }
 
-func (c *Client) readBody(response *http.Response) ([]byte, error) {
+func (c *Client) maxBodyBytes(request Request) int64 {
+	if request.Attempt == nil {
+		return min(c.settings.MaxBodyBytes, smallBodyBytes)
+	}
+	return c.settings.MaxBodyBytes
+}
+
+// readBody reads the body of an answer. From smallBodyBytes on it waits for its part of
+// the memory.
+func (c *Client) readBody(ctx context.Context, response *http.Response, maxBytes int64) ([]byte, error) {
 	if isCloseDelimited(response) && !c.settings.Protocol.AcceptsCloseDelimited() {
 		return nil, &answerError{problem: "answer has neither a Content-Length nor chunked encoding"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, c.settings.MaxBodyBytes))
+	size := response.ContentLength
+	if response.Body == http.NoBody {
+		size = 0
+	}
+	if size > maxBytes {
+		return nil, &http.MaxBytesError{Limit: maxBytes}
+	}
+	reader := http.MaxBytesReader(nil, response.Body, maxBytes)
+	var body bytes.Buffer
+	if c.settings.Memory == nil || maxBytes <= smallBodyBytes || 0 <= size && size <= smallBodyBytes {
+		err := readAll(&body, reader, max(0, size))
+		return body.Bytes(), err
+	}
+	if err := readPart(&body, reader, size, smallBodyBytes); err != nil || body.Len() < smallBodyBytes {
+		return body.Bytes(), err
+	}
+	reservation, err := c.readReserved(ctx, &body, reader, size, maxBytes)
+	if err != nil {
+		return nil, err
+	}
+	reservation.Shrink(int64(body.Len()))
+	bulrushmemory.HoldOf(ctx).Keep(reservation)
+	return body.Bytes(), nil
+}
+
+// readReserved reads the rest of a body and returns the reservation for it. The size is
+// negative if it is unknown.
+func (c *Client) readReserved(ctx context.Context, body *bytes.Buffer, reader io.Reader, size, maxBytes int64) (*bulrushmemory.Reservation, error) {
+	memory := c.settings.Memory
+	if size >= 0 {
+		reservation, err := memory.Reserve(ctx, size)
+		if err != nil {
+			return nil, err
+		}
+		return releaseOnError(reservation, readAll(body, reader, size-int64(body.Len())))
+	}
+	reservation, err := memory.ReserveUnknown(ctx)
+	if err != nil {
+		return nil, err
+	}
+	err = readPart(body, reader, size, memory.MediumBytes())
+	if err == nil && int64(body.Len()) == memory.MediumBytes() {
+		err = reservation.Grow(ctx, maxBytes)
+		if err == nil {
+			err = readAll(body, reader, 0)
+		}
+	}
+	return releaseOnError(reservation, err)
+}
+
+func releaseOnError(reservation *bulrushmemory.Reservation, err error) (*bulrushmemory.Reservation, error) {
+	if err != nil {
+		reservation.Release()
+		return nil, err
+	}
+	return reservation, nil
+}
+
+// readPart appends to a buffer until it has the given number of bytes, or to the end of a
+// body of the given size.
+func readPart(buffer *bytes.Buffer, reader io.Reader, size, until int64) error {
+	missing := until - int64(buffer.Len())
+	return readAll(buffer, io.LimitReader(reader, missing), min(max(0, size), missing))
+}
+
+// readAll appends all bytes of a reader to a buffer, of which it expects the given number.
+func readAll(buffer *bytes.Buffer, reader io.Reader, expected int64) error {
+	// ReadFrom needs room for a further read to find the end.
+	buffer.Grow(int(expected) + bytes.MinRead)
+	_, err := buffer.ReadFrom(reader)
 	var tooLarge *http.MaxBytesError
 	if err != nil && !errors.As(err, &tooLarge) {
-		return nil, &answerError{problem: "read answer body: " + err.Error()}
+		return &answerError{problem: "read answer body: " + err.Error()}
 	}
-	return body, err
+	return err
 }
--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -12,6 +12,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushquarantine"
 	"bulrushchute.example/bulrushchute/bulrushtask"
@@ -37,6 +38,8 @@
 	tasks     *bulrushtask.Group
 	// context is cancelled at the end of the drain.
 	context context.Context
+	// memory limits the large answers of all clients.
+	memory *bulrushmemory.Budget
 
 	// mutex guards the fields below, except pollWake, trial and usage.
 	mutex      sync.Mutex
@@ -114,6 +117,7 @@
 		clockSkew:  clockSkew,
 		protocols:  protocols,
 		context:    ctx,
+		memory:     bulrushmemory.NewBudget(answerMemory),
 		tasks:      bulrushtask.NewGroup(nil),
 		controller: bulrushadmission.New(clock.Now(), bulrushadmission.Settings{}),
 		waiters:    make(map[bulrushchute.AttemptID]chan bulrushadmission.Release),
@@ -222,7 +226,7 @@
 	if a.client != nil {
 		a.client.close()
 	}
-	a.client = newBackendClient(address, a.controller.ConnectionLimit(), a.protocols)
+	a.client = newBackendClient(address, a.controller.ConnectionLimit(), a.protocols, a.memory)
 }
 
 func (a *admission) latestAnnouncement() Announcement {
--- a/bulrushnode/dispatch.go
+++ b/bulrushnode/dispatch.go
@@ -8,6 +8,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushbackend"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushwire"
 )
 
@@ -43,11 +44,16 @@
 	backend bulrushchute.BackendProtocol
 }
 
-func newBackendClient(address bulrushchute.Address, connections int, protocols protocols) *backendClient {
+// answerMemory limits the answers of more than 64 KB that the node reads from its backend
+// server or has not passed on to another node yet. Copies made meanwhile come on top.
+var answerMemory = bulrushmemory.Limits{MediumBytes: 512 << 10, MediumTotal: 16 << 20, LargeTotal: 2 * bulrushwire.MaxBodyBytes}
+
+func newBackendClient(address bulrushchute.Address, connections int, protocols protocols, memory *bulrushmemory.Budget) *backendClient {
 	return &backendClient{protocols: protocols, client: bulrushbackend.NewClient(bulrushbackend.Settings{
 		Address:      address,
 		Connections:  connections,
 		MaxBodyBytes: bulrushwire.MaxBodyBytes,
+		Memory:       memory,
 		Protocol:     protocols.backend,
 	})}
 }
--- a/bulrushnode/dispatch_test.go
+++ b/bulrushnode/dispatch_test.go
@@ -65,7 +65,7 @@
 }
 
 func dispatchTo(address bulrushchute.Address, attempt bulrushchute.Attempt) dispatchResult {
-	client := newBackendClient(address, 4, Options{}.protocols())
+	client := newBackendClient(address, 4, Options{}.protocols(), nil)
 	defer client.close()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -139,7 +139,7 @@
 	}))
 	defer server.Close()
 	address := bulrushchute.Address(strings.TrimPrefix(server.URL, "http://"))
-	client := newBackendClient(address, 1, Options{}.protocols())
+	client := newBackendClient(address, 1, Options{}.protocols(), nil)
 	defer client.close()
 	first := client.dispatch(context.Background(), bulrushchute.Dispatch{Attempt: keyedPostAttempt()})
 	assert.Assert(t, first.answer != nil)
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -8,6 +8,7 @@
 	"github.com/coder/websocket"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushresume"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
@@ -250,6 +251,8 @@
 // runAttempt sends the reply on the connection to which the attempt belongs by then.
 // Without one, the reply waits for the peer to ask for it.
 func (s *Server) runAttempt(ctx context.Context, attempt bulrushchute.Attempt) error {
+	ctx, hold := bulrushmemory.WithHold(ctx)
+	defer hold.Release()
 	reply := s.handler.HandleAttempt(ctx, attempt)
 	reply.ID = attempt.ID
 	s.mutex.Lock()
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -12,6 +12,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -307,6 +309,22 @@
 	return errors.Wrap(err, "signal node")
 }
 
+// PeakMemory returns the largest resident size that the node's process has had so far,
+// in bytes. It works on Linux only.
+func (i *Instance) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.command.Process.Pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "read the memory of the node")
+	}
+	_, after, found := strings.Cut(string(status), "VmHWM:")
+	fields := strings.Fields(after)
+	if !found || len(fields) == 0 {
+		return 0, errors.New("the status of the node's process has no VmHWM")
+	}
+	kilobytes, err := strconv.ParseInt(fields[0], 10, 64)
+	return kilobytes << 10, errors.Wrap(err, "read the memory of the node")
+}
+
 // NodeExitedError reports that a node's process had already exited when it was
 // signalled.
 type NodeExitedError struct {
--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -39,8 +39,19 @@
 	// they have begun to run, empty for none.
 	CrashPath    string `json:"crash_path"`
 	CrashAfterMs int64  `json:"crash_after_ms"`
+	// AnswerBlocks is the number of blocks of AnswerBlockBytes that follow the ID in
+	// the body of an answer, EndlessAnswer for no end until the caller closes.
+	AnswerBlocks int `json:"answer_blocks"`
+	// BlockMs is the pause after each block.
+	BlockMs int64 `json:"block_ms"`
 }
 
+// AnswerBlockBytes is the size of a block of a long answer.
+const AnswerBlockBytes = 32 << 10
+
+// EndlessAnswer is the value of Behaviour.AnswerBlocks for answers without an end.
+const EndlessAnswer = -1
+
 // Config describes one backend server.
 type Config struct {
 	Service     string
@@ -391,6 +402,24 @@
 		writer.WriteHeader(http.StatusInternalServerError)
 	}
 	_, _ = writer.Write([]byte(request.Header.Get(HeaderRequestID)))
+	b.writeBlocks(writer, request)
+}
+
+// writeBlocks writes the blocks of a long answer until the caller leaves.
+func (b *Backend) writeBlocks(writer http.ResponseWriter, request *http.Request) {
+	b.mutex.Lock()
+	blocks, pause := b.behaviour.AnswerBlocks, time.Duration(b.behaviour.BlockMs)*time.Millisecond
+	b.mutex.Unlock()
+	block := make([]byte, AnswerBlockBytes)
+	for written := 0; written != blocks && request.Context().Err() == nil; written++ {
+		if _, err := writer.Write(block); err != nil {
+			return
+		}
+		if pause > 0 {
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(pause)
+		}
+	}
 }
 
 // deadlinePassed reports whether the deadline in the request's header is past.
