--- a/cmd/bulrushbench/bulrushdemo/memory_test.go
+++ b/cmd/bulrushbench/bulrushdemo/memory_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -98,6 +99,17 @@
 	c.add(fmt.Sprintf("%s %d whole=%t", service, response.StatusCode, err == nil && length == response.ContentLength))
 }
 
+func checkPeakMemory(t *testing.T, instances []*bulrushdemo.Instance) {
+	var peaks []int64
+	for _, instance := range instances {
+		peak, err := instance.PeakMemory()
+		assert.NilError(t, err)
+		peaks = append(peaks, peak>>20)
+		assert.Check(t, peak <= maxNodeMemory, "%d MB", peak>>20)
+	}
+	t.Logf("peak_mb=%v", peaks)
+}
+
 // Guards against a node that runs out of memory because its backend server, or many of
 // them, send long answers or bytes without an end: each answer is limited, and so must be
 // their sum. Requests to other services must not suffer.
@@ -125,14 +137,8 @@
 				time.Sleep(longAnswerInterval)
 			}
 			callers.Wait()
-			var peaks []int64
-			for _, instance := range instances {
-				peak, err := instance.PeakMemory()
-				assert.NilError(t, err)
-				peaks = append(peaks, peak>>20)
-				assert.Check(t, peak <= maxNodeMemory, "%d MB", peak>>20)
-			}
-			t.Logf("peak_mb=%v results=%v", peaks, results.byResult)
+			checkPeakMemory(t, instances)
+			t.Logf("results=%v", results.byResult)
 			for result, count := range results.byResult {
 				if len(result) > len(ledgerService) && result[:len(ledgerService)] == ledgerService {
 					assert.Check(t, result == ledgerService+" 200 whole=true", "%s: %d", result, count)
@@ -141,3 +147,20 @@
 		})
 	}
 }
+
+// Guards against a node that runs out of memory because its callers do not read their long
+// responses.
+func TestMemoryUnderCallersThatDoNotRead(t *testing.T) {
+	const callers = 60
+	_, instances := longAnswerFleet(t, bulrushstandin.Behaviour{AnswerBlocks: longAnswerBlocks})
+	node := instances[len(instances)-1]
+	for range callers {
+		socket, err := net.Dial("tcp", string(node.Settings.CallerAddress))
+		assert.NilError(t, err)
+		defer func() { _ = socket.Close() }()
+		_, err = fmt.Fprintf(socket, "GET / HTTP/1.1\r\nHost: a\r\nBulrush-Service: %s\r\n%s: %s\r\n\r\n", viewService, bulrushstandin.HeaderRequestID, uuid.NewString())
+		assert.NilError(t, err)
+	}
+	time.Sleep(longAnswerTimeout)
+	checkPeakMemory(t, instances)
+}
