Learn from each health check that a server is cold

Cause: the prober read the body of a health answer, not its header. Only the reading of the load took the cold time from there, which servers that do not tell their load are not asked for.

The prober now passes the header on: the cold time, and whether the server says that it leaves. Answers with the ID of another server, or of a request, say nothing. A failed check does not end a cold time.

TestHealthAnswerTellsThatTheServerIsCold failed before.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -204,6 +204,23 @@
 	}
 }
 
+// observeHealth records what the answer to a health check says of a server, whether or not
+// the server reports its load.
+func (a *admission) observeHealth(backend Announcement, status int, header http.Header) {
+	if !a.protocols.backend.ReportsLoad() {
+		return
+	}
+	report := a.protocols.backend.ReadReport(nil, status, header)
+	if report.Mismatched || report.Server != "" && report.Server != backend.Server {
+		return
+	}
+	healthy := status < http.StatusInternalServerError
+	if report.Cold > 0 || healthy {
+		a.observeCold(report)
+	}
+	a.observeLeaving(backend, report)
+}
+
 // confirm records that the backend server has answered since the start of this node.
 func (a *admission) confirm() {
 	a.mutex.Lock()
--- a/bulrushnode/prober.go
+++ b/bulrushnode/prober.go
@@ -78,7 +78,7 @@
 	}
 	// Alternates between ProbeHealth, which is 0, and ProbeLoad.
 	p.nextKind = bulrushadmission.ProbeLoad - p.nextKind
-	report, ok := p.fetch(ctx, "http://"+string(backend.Address)+path)
+	report, ok := p.fetch(ctx, backend, path)
 	if ctx.Err() != nil {
 		return
 	}
@@ -107,9 +107,9 @@
 	}
 }
 
-func (p *prober) fetch(ctx context.Context, url string) (loadReport, bool) {
+func (p *prober) fetch(ctx context.Context, backend Announcement, path string) (loadReport, bool) {
 	var report loadReport
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(backend.Address)+path, nil)
 	if err != nil {
 		return report, false
 	}
@@ -118,6 +118,7 @@
 		return report, false
 	}
 	defer func() { _ = response.Body.Close() }()
+	p.admission.observeHealth(backend, response.StatusCode, response.Header)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxProbeBytes))
 	if err != nil || response.StatusCode >= http.StatusInternalServerError {
 		return report, false
