Do not let late heartbeats confirm a server that fails its health checks

Cause: the first announcement after the start of a node is held back until the health check passes or a further one arrives. Any further one counted, also one as late as the first, though the health checks failed.

If a health check has failed since the first announcement, further ones now confirm the server only 6 s after it, which a server that leaves does not reach: it sends none after its deregistration. A server whose health checks fail for no reason is used then. A rejected health check (the server is full) is no failure. Two announcements at once confirm nothing, since no health check has ended between them. A change of what is announced confirmed as well.

--- a/bulrushnode/admission.go
+++ b/bulrushnode/admission.go
@@ -22,6 +22,14 @@
 // its slot, since the backend server may still be working on it.
 const unansweredSlotDelay = 50 * time.Millisecond
 
+// minConfirmationDelay is the time after the first announcement until a further one confirms
+// the backend server. It is longer than a health check takes.
+const minConfirmationDelay = 2 * bulrushchute.Millis(loadReadTimeout/time.Millisecond)
+
+// maxAnnouncementDelay is that time if the server fails its health checks: an announcement
+// from before the start of the node may be late by seconds.
+const maxAnnouncementDelay = 6 * bulrushchute.Second
+
 // formerProcessMargin is how long before the node its backend server must have started
 // for a former process of the node to have sent it requests. A node and its server
 // that start together are not exactly simultaneous.
@@ -67,10 +75,14 @@
 	// started must be read.
 	initialReadNeeded bool
 	// unconfirmed is set from the first announcement after the start of this process
-	// until the server's health check succeeds or a further announcement arrives. The
-	// first one may have been delayed, and a former process may have acknowledged
-	// that the server is leaving.
+	// until the server's health check succeeds or a further announcement arrives that
+	// confirms it. The first ones may have been delayed, and a former process may have
+	// acknowledged that the server is leaving.
 	unconfirmed bool
+	// firstAnnouncedAt is when the first announcement arrived, and healthDenied is set if
+	// the server has failed a health check since.
+	firstAnnouncedAt bulrushchute.Millis
+	healthDenied     bool
 	// statedLeaving is set once the backend server process has said in an answer that
 	// it leaves.
 	statedLeaving bool
@@ -142,11 +154,14 @@
 	}
 	limits.StartedBefore = a.backend.Service == "" && announcement.StartedAtMs > 0 && announcement.StartedAtMs < a.createdAt-formerProcessMargin
 	announcement = a.withStatedLeaving(announcement)
-	a.unconfirmed = a.backend.Service == "" && a.protocols.backend.ReportsLoad()
+	if a.backend.Service == "" {
+		a.unconfirmed, a.firstAnnouncedAt = a.protocols.backend.ReportsLoad(), now
+	}
 	if announcement.sameProcess(a.backend) {
 		a.notifyWaiters(a.controller.UpdateAnnouncement(now, limits))
 	} else {
 		a.statedLeaving = false
+		a.unconfirmed = a.unconfirmed && a.backend.Service == ""
 		a.notifyWaiters(a.controller.BackendStarted(now, limits))
 		a.replaceClient(announcement.Address)
 		a.initialReadNeeded = a.protocols.backend.ReportsLoad()
@@ -199,7 +214,16 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.serverEnd.awaited = false
-	if a.backend.Service != "" {
+	if a.backend.Service == "" {
+		return
+	}
+	// A server that is leaving fails its health check and sends no more announcements, but
+	// several of them may be late.
+	needed := minConfirmationDelay
+	if a.healthDenied {
+		needed = maxAnnouncementDelay
+	}
+	if a.clock.Now()-a.firstAnnouncedAt >= needed {
 		a.unconfirmed = false
 	}
 }
@@ -219,6 +243,16 @@
 		a.observeCold(report)
 	}
 	a.observeLeaving(backend, report)
+	if !healthy && !report.NotRun {
+		a.denyHealth(backend)
+	}
+}
+
+// denyHealth records that a server has failed a health check.
+func (a *admission) denyHealth(backend Announcement) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.healthDenied = a.healthDenied || backend.sameProcess(a.backend)
 }
 
 // confirm records that the backend server has answered since the start of this node.
--- a/bulrushnode/health_test.go
+++ b/bulrushnode/health_test.go
@@ -91,3 +91,44 @@
 		})
 	}
 }
+
+// Guards against a leaving server that gets requests because two of its announcements reach
+// a node that has just started late, and against a server that is never used because its
+// health checks fail for no reason.
+func TestLateAnnouncementsAfterTheStart(t *testing.T) {
+	leaving := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusServiceUnavailable) }
+	full := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Full", "1")
+		leaving(writer, request)
+	}
+	cases := map[string]struct {
+		health http.HandlerFunc
+		// announcedAt are the times of the announcements.
+		announcedAt []bulrushchute.Millis
+		wantWork    bool
+	}{
+		"leaving, announced twice":         {leaving, []bulrushchute.Millis{0, 1000}, false},
+		"leaving, announced twice at once": {leaving, []bulrushchute.Millis{0, 1}, false},
+		"failing, announced for long":      {leaving, []bulrushchute.Millis{0, 1500, 3000, 4500, 6000}, true},
+		"full, announced once":             {full, []bulrushchute.Millis{0}, false},
+		"full, announced twice":            {full, []bulrushchute.Millis{0, 1500}, true},
+		"in order, announced once":         {func(http.ResponseWriter, *http.Request) {}, []bulrushchute.Millis{0}, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newHealthFixture(t, tc.health)
+			start := f.clock.Now()
+			for number, at := range tc.announcedAt {
+				f.clock.Advance(start + at - f.clock.Now())
+				announcement := f.first
+				// A change of what is announced must not count as a confirmation.
+				announcement.ColdMs = bulrushchute.Millis(len(tc.announcedAt) - number)
+				f.hear(announcement)
+				f.refreshLoad(t.Context())
+				_, _ = f.prober.fetch(t.Context(), f.first, bulrushcatalogue.DefaultHealthPath)
+			}
+			_, state := f.state()
+			assert.Equal(t, state.TakesWork(), tc.wantWork)
+		})
+	}
+}
--- a/bulrushnode/load_reader.go
+++ b/bulrushnode/load_reader.go
@@ -89,6 +89,8 @@
 		}
 		if answer.Status < http.StatusInternalServerError {
 			a.confirm()
+		} else if !answer.Report.NotRun {
+			a.denyHealth(backend)
 		}
 	} else {
 		// Requests proceed without a reading, as with a server that reports no
