--- a/bulrushmemory/budget.go
+++ b/bulrushmemory/budget.go
@@ -67,7 +67,8 @@
 }
 
 // Grow exchanges the reservation of a medium message for that of a large one. It waits for
-// large messages only, which wait for nothing, so that no two messages wait for each other.
+// large messages only, and these wait for no other memory, so that no two messages wait for
+// each other.
 func (r *Reservation) Grow(ctx context.Context, bytes int64) error {
 	grown, err := r.budget.Reserve(ctx, max(bytes, r.budget.limits.MediumBytes+1))
 	if err != nil {
