Add review case 8: a copy of a rejected health check makes a request run twice

Cause: a refusal without an ID passes for the answer to any request. The node drops a connection after such a refusal of a request, but not after one of a health check, and sends the next request on it. Servers reject health checks beyond three a second, and three of five send a second copy of 0.03 of their answers where the next answer is expected.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,7 @@
 // cases return whether the rule was broken, with or without the disruption.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"slow-reader": slowReader,
+	"health-copy": healthCopy,
 }
 
 // main exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -70,8 +70,11 @@
 			return nil, errors.New("no free ports")
 		}
 		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		if w.taken[address] {
+			continue
+		}
 		listener, err := net.Listen("tcp", address)
-		if err != nil || w.taken[address] {
+		if err != nil {
 			continue
 		}
 		_ = listener.Close()
