--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(w *world, trouble bool) (bool, error){
 	"slow-reader": slowReader,
 	"health-copy": healthCopy,
+	"clock-back":  clockBack,
 }
 
 // main exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -17,7 +17,7 @@
 	born          int64
 	slots         int
 	workMs, bytes int
-	listener      net.Listener
+	http          *http.Server
 
 	mutex    sync.Mutex
 	state    string
@@ -35,10 +35,11 @@
 		return nil, err
 	}
 	s := &server{
-		world: n.world, node: n, id: id, born: born, slots: 9, workMs: workMs, bytes: answerBytes, listener: listener,
+		world: n.world, node: n, id: id, born: born, slots: 9, workMs: workMs, bytes: answerBytes,
 		state: "ready", stopped: make(chan struct{}),
 	}
-	go func() { _ = (&http.Server{Handler: s}).Serve(listener) }()
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(listener) }()
 	n.world.note("server %s of %s started, born %d", id, n.service, born)
 	return s, nil
 }
@@ -73,7 +74,14 @@
 	s.state = state
 }
 
-// runs returns how many requests have reached the server and run since a time.
+// crash ends the server and all its connections.
+func (s *server) crash() {
+	close(s.stopped)
+	_ = s.http.Close()
+	s.world.note("server %s crashed", s.id)
+}
+
+// runsSince returns how many requests have reached the server and run since a time.
 func (s *server) runsSince(since time.Time) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
