--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -100,6 +100,9 @@
 	state, running := s.state, s.running
 	s.mutex.Unlock()
 	header := writer.Header()
+	if state != "ready" {
+		header.Set("Connection", "close")
+	}
 	header.Set("X-Server-Load", fmt.Sprintf("%d,0,%d,100", running, s.slots))
 	if request.URL.Path == "/health" {
 		header.Set("X-Instance-Id", s.id)
