Bring back catalogue entries that are falsely deleted

Cause: records are ordered by version only, and a listed object is published under its own version, which is not later than that of the deletion. Nodes of an earlier release in the same fleet still spread such deletions.

Change: a consistent list at revision L that has an object of version v, whose record is deleted at d with v <= d <= L, shows that the deletion cannot have taken place. The object is published under L, later than d and earlier than any further change of it. With d = L there is no such version until the store's next change. Stale lists repair nothing, nor are key maps repaired, which are never deleted. Each false deletion is logged, and counted in bulrush_catalogue.

TestFalseDeletionIsRepaired failed before; TestRepairsOfList and TestStaleListRepairsNothing guard the limits.

--- a/bulrushnode/control.go
+++ b/bulrushnode/control.go
@@ -78,7 +78,8 @@
 	notInForce   map[bulrushchute.RecordKey]bool
 	largeRecords *largeRecords
 	// restored holds what is known about restores of the store.
-	restored restoredCopy
+	restored       restoredCopy
+	deletionRepair deletionRepair
 	// seedAddresses is the number of addresses in the settings through which the
 	// node joins. If it is 0, those in the store are used.
 	seedAddresses int
@@ -113,6 +114,7 @@
 		heldUp:          &n.heldUp,
 		freshness:       newFreshness(n, self.ID),
 		notInForce:      make(map[bulrushchute.RecordKey]bool),
+		deletionRepair:  deletionRepair{pending: make(map[bulrushchute.RecordKey]bulrushchute.RecordVersion)},
 	}
 	c.largeRecords = newLargeRecords(c)
 	c.membership = bulrushmembership.New(n.clock.Now(), bulrushmembership.Config{
--- a/bulrushnode/freshness.go
+++ b/bulrushnode/freshness.go
@@ -251,6 +251,9 @@
 	AgeMs    bulrushchute.Millis `json:"age_ms"`
 	Revision uint64              `json:"revision"`
 	Joined   bool                `json:"joined"`
+	// FalseDeletions counts the deleted entries that this node has found to exist in the
+	// store.
+	FalseDeletions uint64 `json:"false_deletions"`
 }
 
 func (n *Node) catalogueStatus() CatalogueStatus {
@@ -260,6 +263,7 @@
 		status.AgeMs = n.control.freshness.tracker.Age(now)
 		status.Revision = n.control.freshness.revision
 		status.Joined = n.control.membership.Status().Joined
+		status.FalseDeletions = n.control.deletionRepair.found
 	})
 	return status
 }
--- a/bulrushnode/reader.go
+++ b/bulrushnode/reader.go
@@ -192,7 +192,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "list %s", kind)
 		}
-		r.publishList(ctx, kind, objects, revision)
+		r.publishConsistentList(ctx, kind, objects, revision)
 		*at = cursor{listed: true, revision: revision}
 		return nil
 	}
@@ -226,7 +226,7 @@
 		if err != nil {
 			return verifiedRevision, false, err
 		}
-		complete = r.publishList(ctx, kind, objects, revision) && complete
+		complete = r.publishConsistentList(ctx, kind, objects, revision) && complete
 		if i == 0 {
 			latestRevision = revision
 		}
