Make decisions the same on x86-64 and arm64

TestDecisionsWithOneTenant failed on x86-64, as its hashes were recorded on arm64. The users' finding names the cause: arm64 fuses a product and a sum, so that one rounding is left out; of the 34 such lines in decision code, one changes the hashes, the refill of named limits. A permit came a millisecond earlier or later.

Change: that line states the fusion with math.FMA, which rounds once on each architecture and keeps the recorded hashes. The products of all other lines are rounded by an explicit conversion, which no compiler may fuse. "make fused", part of "make lint", compiles the packages of decisions for arm64 and names each line with a fused instruction.

Nothing was run on arm64; with GOAMD64=v1 the compiler fuses nothing, so decisions on x86-64 change in named limits only.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 KNOWN_RED := $(shell awk '/^Test/ {printf "%s%s", sep, $$1; sep="|"}' KNOWN-RED.txt 2>/dev/null)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 
-.PHONY: build demo test explore soak lint known-red clean
+.PHONY: build demo test explore soak lint fused known-red clean
 
 build:
 	@mkdir -p $(BIN)
@@ -38,6 +38,18 @@
 explore: known-red
 	go test -count=1 $(SKIP) ./...
 
+# Decisions must be the same on each architecture, but compilers may fuse a product and a
+# sum, which leaves out a rounding: arm64 and GOAMD64=v3 do. Products are rounded with an
+# explicit conversion, or the fusion is stated with math.FMA. This finds others.
+DECISION_PACKAGES := admission attempt discovery freshness key membership move quarantine resume routing spread usage
+fused:
+	@found=$$(GOOS=linux GOARCH=arm64 go build -gcflags=-S $(addprefix ./bulrush,$(DECISION_PACKAGES)) 2>&1 \
+		| sed -nE 's/.*\(([^ ()]*):([0-9]+)\)\tFN?M(ADD|SUB)[DS].*/\1 \2/p' | sort -u \
+		| while read file line; do \
+			sed -n "$${line}p" $$file | grep -q 'math\.FMA(' || echo "$${file#$(CURDIR)/}:$$line: product is fused with a sum"; \
+		done); \
+	test -z "$$found" || { echo "$$found"; exit 1; }
+
 # Runs real processes under random faults, with SEEDS seeds from FIRST on. CI
 # runs one seed.
 SEEDS := 50
@@ -48,7 +60,7 @@
 known-red:
 	@if [ -n "$(KNOWN_RED)" ]; then echo "passed over, see KNOWN-RED.txt: $(KNOWN_RED)"; fi
 
-lint: $(LINTER)
+lint: $(LINTER) fused
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	@set -e; for module in $(MODULES); do \
 		(cd $$module && go vet ./... && $(LINTER) run ./...); \
--- a/bulrushadmission/baseline.go
+++ b/bulrushadmission/baseline.go
@@ -98,7 +98,7 @@
 		rb.samples++
 		step = max(step, 1/float64(rb.samples))
 	}
-	rb.meanMs += step * (sample - rb.meanMs)
+	rb.meanMs += float64(step * (sample - rb.meanMs))
 	rb.upperQuantileMs = max(updateQuantile(rb.upperQuantileMs, elapsedMs, upperQuantile, step), rb.meanMs)
 }
 
@@ -126,7 +126,7 @@
 	if failed {
 		target = 1
 	}
-	rb.failureRate += failureSmoothing * (target - rb.failureRate)
+	rb.failureRate += float64(failureSmoothing * (target - rb.failureRate))
 }
 
 // baselineTable holds the baselines of a bounded number of routes.
--- a/bulrushadmission/last_slots.go
+++ b/bulrushadmission/last_slots.go
@@ -54,7 +54,7 @@
 // the last slots, as a multiple of the route's mean latency.
 func (lm *lastSlotsMonitor) observe(now bulrushchute.Millis, ratio float64) {
 	lm.samples++
-	lm.latencyRatio += max(lastSlotsSmoothing, 1/float64(lm.samples)) * (ratio - lm.latencyRatio)
+	lm.latencyRatio += float64(max(lastSlotsSmoothing, 1/float64(lm.samples)) * (ratio - lm.latencyRatio))
 	if lm.samples < lastSlotsMinSamples || lm.latencyRatio < maxLastSlotsRatio {
 		return
 	}
--- a/bulrushadmission/limit.go
+++ b/bulrushadmission/limit.go
@@ -61,7 +61,7 @@
 // recordLatencyRatio records an answer's latency as a multiple of the baseline
 // and reports whether the limit was cut.
 func (al *adaptiveLimit) recordLatencyRatio(ratio float64) bool {
-	al.latencyRatio += latencyRatioSmoothing * (ratio - al.latencyRatio)
+	al.latencyRatio += float64(latencyRatioSmoothing * (ratio - al.latencyRatio))
 	if al.latencyRatio < latencyRatioToCut {
 		return false
 	}
--- a/bulrushadmission/named_limit.go
+++ b/bulrushadmission/named_limit.go
@@ -61,7 +61,8 @@
 
 func (nl *namedLimit) refill(now bulrushchute.Millis) {
 	elapsed := float64(max(0, now-nl.updatedAt)) / float64(bulrushchute.Second)
-	nl.permits = min(nl.capacity(), nl.permits+elapsed*nl.perS)
+	// Rounded once on each architecture.
+	nl.permits = min(nl.capacity(), math.FMA(elapsed, nl.perS, nl.permits))
 	nl.updatedAt = max(nl.updatedAt, now)
 }
 
--- a/bulrushadmission/recent_use.go
+++ b/bulrushadmission/recent_use.go
@@ -61,8 +61,8 @@
 	ru.total = recentUse{}
 	kept := ru.entries[:0]
 	for _, use := range ru.entries {
-		use.demand *= factor
-		use.received *= factor
+		use.demand = float64(use.demand * factor)
+		use.received = float64(use.received * factor)
 		if use.demand < negligibleDemand {
 			delete(ru.byTenant, use.tenant)
 			continue
--- a/bulrushadmission/slot_time.go
+++ b/bulrushadmission/slot_time.go
@@ -37,7 +37,7 @@
 // recordEnd records that one of inFlight requests ended.
 func (sm *slotTimeMeter) recordEnd(now bulrushchute.Millis, inFlight int) {
 	if sm.busy {
-		sample := float64(now-sm.lastEndAt) * float64(inFlight)
+		sample := float64(float64(now-sm.lastEndAt) * float64(inFlight))
 		sm.slotMsPerRequest = ewma(sm.slotMsPerRequest, sample, slotTimeSmoothing)
 	}
 	sm.lastEndAt = now
@@ -69,12 +69,12 @@
 }
 
 // ewma updates an exponentially weighted moving average, which starts with the
-// first sample.
+// first sample. The conversion rounds the product on each architecture, see "make fused".
 func ewma(mean, sample, smoothing float64) float64 {
 	if mean <= 0 {
 		return sample
 	}
-	return mean + smoothing*(sample-mean)
+	return mean + float64(smoothing*(sample-mean))
 }
 
 // slotWaitMs returns the time until the given number of queued requests have got
--- a/bulrushdiscovery/seeker.go
+++ b/bulrushdiscovery/seeker.go
@@ -98,7 +98,7 @@
 // Its distribution is exponential towards the end of writeSpread, so that only a few
 // of any number of nodes read before the first one has written.
 func (s *Seeker) spreadDelay() bulrushchute.Millis {
-	share := 1 + math.Log(1-s.random.Float64())/math.Log(maxNodes)
+	share := 1 + math.Log(1-float64(s.random.Float64()))/math.Log(maxNodes)
 	return bulrushchute.Millis(max(0, share) * float64(writeSpread))
 }
 
--- a/bulrushfreshness/tracker.go
+++ b/bulrushfreshness/tracker.go
@@ -138,7 +138,7 @@
 }
 
 func (t *Tracker) redraw() {
-	t.draw = 1 - t.random.Float64()
+	t.draw = 1 - float64(t.random.Float64())
 }
 
 // Confirmed reports whether the copy has ever been confirmed.
--- a/bulrushmembership/link.go
+++ b/bulrushmembership/link.go
@@ -212,7 +212,7 @@
 		l.hasRTT = true
 		return
 	}
-	l.rttMs += rttSmoothing * (elapsedMs - l.rttMs)
+	l.rttMs += float64(rttSmoothing * (elapsedMs - l.rttMs))
 }
 
 // inboundPeer is a node without a link that exchanged a heartbeat with this node.
--- a/bulrushmove/baseline.go
+++ b/bulrushmove/baseline.go
@@ -125,12 +125,12 @@
 // toleratedFailureRate returns the highest failure rate that is not bad.
 func (b *baselineTracker) toleratedFailureRate(frozen bool) float64 {
 	longTermRate := (b.current.Failures + 1) / (b.current.Requests + 1)
-	recentRate := (b.recent.Failures + recentPriorRequests*longTermRate) / (b.recent.Requests + recentPriorRequests)
+	recentRate := (b.recent.Failures + float64(recentPriorRequests*longTermRate)) / (b.recent.Requests + recentPriorRequests)
 	margin := failureRateMargin
 	if frozen {
 		margin = frozenFailureRateMargin
 	}
-	return min(toleratedRateFactor*max(longTermRate, recentRate)+margin, maxToleratedRate)
+	return min(float64(toleratedRateFactor*max(longTermRate, recentRate))+margin, maxToleratedRate)
 }
 
 // toleratedSlowRate returns the highest rate of slow answers that is not bad, or
@@ -140,12 +140,12 @@
 		return 0, false
 	}
 	longTermRate := (b.current.Slow + 1) / (b.current.Answers + 1)
-	recentRate := (b.recent.latenciesAbove(b.current.BoundBucket) + recentPriorRequests*longTermRate) / (b.recent.answers() + recentPriorRequests)
+	recentRate := (b.recent.latenciesAbove(b.current.BoundBucket) + float64(recentPriorRequests*longTermRate)) / (b.recent.answers() + recentPriorRequests)
 	margin := slowRateMargin
 	if frozen {
 		margin = frozenSlowRateMargin
 	}
-	return min(toleratedRateFactor*max(longTermRate, recentRate)+margin, maxToleratedRate), true
+	return min(float64(toleratedRateFactor*max(longTermRate, recentRate))+margin, maxToleratedRate), true
 }
 
 // toleratedBadRate returns the highest rate of requests that fail or are very slow
@@ -156,11 +156,11 @@
 	if b.current.Answers < minAnswers || b.current.VerySlowBucket == 0 {
 		return 0, false
 	}
-	longTermRate := (b.current.Bad + pooledRequests*pooledRate) / (b.current.Requests + pooledRequests)
-	recentRate := (b.recent.badRequests(b.current.VerySlowBucket) + recentPriorRequests*longTermRate) / (b.recent.Requests + recentPriorRequests)
+	longTermRate := (b.current.Bad + float64(pooledRequests*pooledRate)) / (b.current.Requests + pooledRequests)
+	recentRate := (b.recent.badRequests(b.current.VerySlowBucket) + float64(recentPriorRequests*longTermRate)) / (b.recent.Requests + recentPriorRequests)
 	margin := badRateMargin
 	if frozen {
 		margin = frozenBadRateMargin
 	}
-	return min(toleratedRateFactor*max(longTermRate, recentRate)+margin, maxToleratedRate), true
+	return min(float64(toleratedRateFactor*max(longTermRate, recentRate))+margin, maxToleratedRate), true
 }
--- a/bulrushmove/clearance.go
+++ b/bulrushmove/clearance.go
@@ -102,11 +102,11 @@
 		if !known {
 			continue
 		}
-		badRate := tolerated + (1-tolerated)*alternatives[clearedAlternative]
+		badRate := tolerated + float64((1-tolerated)*alternatives[clearedAlternative])
 		for bucket, count := range running.ages {
 			if count > 0 {
 				longer := baseline.longTerm.fractionFrom(bucket)
-				nats += count * math.Log((badRate+(1-badRate)*longer)/(tolerated+(1-tolerated)*longer))
+				nats += float64(count * math.Log((badRate+float64((1-badRate)*longer))/(tolerated+float64((1-tolerated)*longer))))
 			}
 		}
 	}
--- a/bulrushmove/exposure.go
+++ b/bulrushmove/exposure.go
@@ -35,7 +35,7 @@
 // grantable returns the number of requests that may be granted once the service
 // has had the given number of requests.
 func (el ExposureLimit) grantable(serviceRequests float64) float64 {
-	return grantedFraction * (el.Ratio*serviceRequests + el.Slack)
+	return grantedFraction * (float64(el.Ratio*serviceRequests) + el.Slack)
 }
 
 // Grant is the number of requests that one instance of the new version may receive
--- a/bulrushmove/sequential.go
+++ b/bulrushmove/sequential.go
@@ -34,8 +34,8 @@
 func incrementsOf(bad, total, tolerated float64) increments {
 	var logRatios increments
 	for i, fraction := range alternatives {
-		rate := tolerated + (1-tolerated)*fraction
-		logRatios[i] = bad*math.Log(rate/tolerated) + (total-bad)*math.Log((1-rate)/(1-tolerated))
+		rate := tolerated + float64((1-tolerated)*fraction)
+		logRatios[i] = float64(bad*math.Log(rate/tolerated)) + float64((total-bad)*math.Log((1-rate)/(1-tolerated)))
 	}
 	return logRatios
 }
--- a/bulrushresume/silence.go
+++ b/bulrushresume/silence.go
@@ -56,7 +56,7 @@
 // Heard records a message from the peer.
 func (s *Silence) Heard(now bulrushchute.Millis) {
 	if s.pingedAt > 0 {
-		s.roundTrip += roundTripWeight * (float64(now-s.pingedAt) - s.roundTrip)
+		s.roundTrip += float64(roundTripWeight * (float64(now-s.pingedAt) - s.roundTrip))
 		s.pingedAt = 0
 	}
 	s.heardAt = now
--- a/bulrushrouting/candidate.go
+++ b/bulrushrouting/candidate.go
@@ -132,17 +132,17 @@
 	latencyMs, otherLoad := averages.latencyMs, averages.otherLoad
 	if c.sampled {
 		ageMs := float64(max(now-c.sampledAt, 0))
-		latencyMs += (c.latencyMs - latencyMs) * math.Exp(-ageMs/latencyDecayMs)
-		otherLoad += (c.otherLoad - otherLoad) * math.Exp(-ageMs/loadDecayMs)
+		latencyMs += float64((c.latencyMs - latencyMs) * math.Exp(-ageMs/latencyDecayMs))
+		otherLoad += float64((c.otherLoad - otherLoad) * math.Exp(-ageMs/loadDecayMs))
 	}
 	// An attempt that has been outstanding for longer than the estimate reveals
 	// a slow instance before an answer does.
 	latencyMs = max(latencyMs, c.outstanding.oldestAgeMs(now)-rttMs, minLatencyMs)
-	latencyMs += float64(c.outstanding.count()) * c.silenceMs(now) / silenceDivisor
+	latencyMs += float64(float64(c.outstanding.count()) * c.silenceMs(now) / silenceDivisor)
 	outstanding := float64(c.outstanding.count())
 	sentSinceReport := max(outstanding-float64(c.outstandingAtReport), 0)
-	utilization := (otherLoad + outstanding + sentSinceReport*averages.otherEntryNodes()) / c.limit
-	return latencyMs*(1+utilization)*(1+failurePenalty*c.decayedFailureRate(now)) + rttMs
+	utilization := (otherLoad + outstanding + float64(sentSinceReport*averages.otherEntryNodes())) / c.limit
+	return float64(latencyMs*(1+utilization)*(1+float64(failurePenalty*c.decayedFailureRate(now)))) + rttMs
 }
 
 // silenceMs returns how long the instance has left this node without an answer:
@@ -163,7 +163,7 @@
 
 func (c *candidate) observeFailure(now bulrushchute.Millis) {
 	rate := c.decayedFailureRate(now)
-	c.failureRate = rate + failureSmoothing*(1-rate)
+	c.failureRate = rate + float64(failureSmoothing*(1-rate))
 	c.lastFailureAt = now
 }
 
@@ -191,7 +191,7 @@
 	if !c.sampled {
 		c.latencyMs = sampleMs
 	}
-	c.latencyMs += latencySmoothing * (sampleMs - c.latencyMs)
+	c.latencyMs += float64(latencySmoothing * (sampleMs - c.latencyMs))
 	c.sampled = true
 	c.sampledAt = now
 }
--- a/bulrushrouting/router.go
+++ b/bulrushrouting/router.go
@@ -135,7 +135,7 @@
 	if c.instance.DataCentre != r.settings.DataCentre {
 		scoreMs *= 1 + r.settings.HomeBias
 	}
-	return scoreMs * (1 + scoreJitter*r.random.Float64())
+	return scoreMs * (1 + float64(scoreJitter*r.random.Float64()))
 }
 
 func (r *Router) observeResult(now bulrushchute.Millis, c *candidate, observation bulrushchute.Observation) {
@@ -165,7 +165,7 @@
 		r.averages.latencyMs = sampleMs
 		r.averages.sampled = true
 	}
-	r.averages.latencyMs += averageSmoothing * (sampleMs - r.averages.latencyMs)
+	r.averages.latencyMs += float64(averageSmoothing * (sampleMs - r.averages.latencyMs))
 }
 
 // observeCancelled uses the elapsed time of a cancelled attempt as a latency
@@ -185,8 +185,8 @@
 }
 
 func (r *Router) updateAverageLoad(c *candidate) {
-	r.averages.otherLoad += averageSmoothing * (c.otherLoad - r.averages.otherLoad)
-	r.averages.outstandingAtReport += averageSmoothing * (float64(c.outstandingAtReport) - r.averages.outstandingAtReport)
+	r.averages.otherLoad += float64(averageSmoothing * (c.otherLoad - r.averages.otherLoad))
+	r.averages.outstandingAtReport += float64(averageSmoothing * (float64(c.outstandingAtReport) - r.averages.outstandingAtReport))
 }
 
 // tier returns the tier of a candidate, and false for an instance that must
--- a/bulrushrouting/rtt.go
+++ b/bulrushrouting/rtt.go
@@ -45,9 +45,9 @@
 	estimateMs := rt.estimateMs(dataCentre)
 	stepMs := max(estimateMs*rttStepRatio, minRTTStepMs)
 	if sampleMs > estimateMs {
-		estimateMs += stepMs * rttQuantile
+		estimateMs += float64(stepMs * rttQuantile)
 	} else {
-		estimateMs -= stepMs * (1 - rttQuantile)
+		estimateMs -= float64(stepMs * (1 - rttQuantile))
 	}
 	rt.estimatesMs[dataCentre] = max(estimateMs, 0)
 }
--- a/bulrushrouting/settings.go
+++ b/bulrushrouting/settings.go
@@ -70,7 +70,7 @@
 		return 1
 	}
 	elapsed := float64(max(now-w.ReturnedAt, 0)) / float64(w.Ramp)
-	return initialReturnWeight + (1-initialReturnWeight)*elapsed
+	return initialReturnWeight + float64((1-initialReturnWeight)*elapsed)
 }
 
 // Weights maps data centres to their weights. A data centre that is not in the
