Close the link of a test once the large attempt is being written

TestAttemptIsSentAfterItsCallerLeft failed on x86-64, in 3 of 15 runs before, and here in 28 of 30 beside other work: "got no reply" where a NotSentError is expected.

Cause: the test's order of events was not the one it means. It closed the link and waited for the first half buffer of the large attempt. On a closed link the proxy reads once. In 29 of the 30 runs that read was a ping of 9 bytes, in the other one 4,096 bytes, so that all of them waited 793 to 802 ms, until the link was opened (trial with these figures printed). The second attempt was then sent at once, and its end without a reply was true: no request was lost that could have been said not to be sent.

Change: the link is slow, not closed, until the large attempt arrives, and is closed then. The second attempt has to end while the link is closed, within 500 ms instead of 2 s. The checks of its error, of the large attempt and of what was started are unchanged.

--- a/bulrushwire/full_link_test.go
+++ b/bulrushwire/full_link_test.go
@@ -53,6 +53,12 @@
 	close(ld.passable)
 }
 
+func (ld *linkDirection) setRate(bytesPerSecond int) {
+	ld.mutex.Lock()
+	defer ld.mutex.Unlock()
+	ld.bytesPerSecond = bytesPerSecond
+}
+
 // pass blocks until the link has carried n bytes.
 func (ld *linkDirection) pass(n int) {
 	ld.arrived.Add(int64(n))
@@ -60,9 +66,9 @@
 	passable := ld.passable
 	ld.mutex.Unlock()
 	<-passable
+	ld.mutex.Lock()
+	defer ld.mutex.Unlock()
 	if ld.bytesPerSecond > 0 {
-		ld.mutex.Lock()
-		defer ld.mutex.Unlock()
 		time.Sleep(time.Second * time.Duration(n) / time.Duration(ld.bytesPerSecond))
 	}
 }
@@ -271,21 +277,27 @@
 // an earlier one to be written.
 func TestAttemptIsSentAfterItsCallerLeft(t *testing.T) {
 	fixture := newLinkFixture(t, 0, 0)
+	link := fixture.proxy.fromClient
 	fixture.proxy.refusing.Store(true)
-	fixture.proxy.fromClient.close()
-	time.AfterFunc(800*time.Millisecond, fixture.proxy.fromClient.open)
-	before := fixture.proxy.fromClient.arrived.Load()
+	// The link takes longer for the large attempt than the test, so it is still being
+	// written when the first bytes have arrived. It is closed only then: on a closed link
+	// nothing arrives after the first read, which may be that of a ping.
+	link.setRate(16 * proxyBufferBytes)
+	before := link.arrived.Load()
 	large := fixture.startExchange(context.Background(), echoAttempt+100, make([]byte, bulrushwire.MaxBodyBytes))
-	for fixture.proxy.fromClient.arrived.Load() < before+proxyBufferBytes/2 {
+	for link.arrived.Load() < before+proxyBufferBytes/2 {
 		time.Sleep(time.Millisecond)
 	}
+	link.close()
 	ctx, leave := context.WithCancel(context.Background())
 	second := fixture.startExchange(ctx, slowAttempt, nil)
 	time.Sleep(100 * time.Millisecond)
 	leave()
 	var notSent *bulrushchute.NotSentError
-	err := receive(t, second, 2*time.Second, "end of the attempt")
+	err := receive(t, second, 500*time.Millisecond, "end of the attempt while the link is closed")
 	assert.Assert(t, errors.As(err, &notSent), "got %v", err)
+	link.setRate(0)
+	link.open()
 	assert.NilError(t, receive(t, large, 5*time.Second, "reply to the large attempt"))
 	first := receive(t, fixture.started, time.Second, "start of the large attempt")
 	assert.Equal(t, first.ID[0], byte(echoAttempt+100))
