--- a/bulrushnode/server_end_test.go
+++ b/bulrushnode/server_end_test.go
@@ -3,8 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,3 +166,86 @@
 		})
 	}
 }
+
+// restartingServer holds its requests until it restarts, which loses their connections. The
+// new process accepts at the same address at once, and answers at once.
+type restartingServer struct {
+	restarted chan struct{}
+	held      atomic.Int64
+	runs      atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (rs *restartingServer) ServeHTTP(writer http.ResponseWriter, _ *http.Request) {
+	select {
+	case <-rs.restarted:
+		rs.runs.Add(1)
+		return
+	default:
+	}
+	rs.held.Add(1)
+	<-rs.restarted
+	socket, _, err := writer.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = socket.Close()
+	}
+}
+
+// Guards against a node that was frozen while its server restarted, and sends the new
+// process, which is cold, as much as the former one: it sees lost connections and an address
+// that accepts, which by themselves are no sign of an end.
+func TestServerRestartsWhileTheNodeIsFrozen(t *testing.T) {
+	const (
+		coldPerS = 12
+		// mostInASecond is the users' bound for that rate.
+		mostInASecond = coldPerS*3/2 + 5
+		running, sent = 4, 40
+	)
+	limits := bulrushcatalogue.Limits{Slots: 20, Connections: 60, ColdSlots: 20, WarmMs: 3000, ColdPerS: coldPerS}
+	cases := map[string]struct {
+		frozen      bulrushchute.Millis
+		least, most int64
+	}{
+		"not frozen":               {0, sent, sent},
+		"frozen for a short time":  {400, 0, mostInASecond},
+		"frozen for a longer time": {3000, 0, mostInASecond},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			backend := &restartingServer{restarted: make(chan struct{})}
+			server := httptest.NewServer(backend)
+			defer server.Close()
+			clock := bulrushchute.NewManualClock(1_000_000)
+			a := newAdmission(t.Context(), clock, DefaultClockSkewMs, Options{}.protocols())
+			a.coldRateFactor = 1.5
+			a.configure(bulrushcatalogue.ServiceEntry{Service: "board", Owner: "test", Limits: limits}.WithDefaults())
+			a.announce(Announcement{
+				Service: "board", Version: "v1", Slots: 20, Connections: 60, State: BackendServing,
+				Address: bulrushchute.Address(strings.TrimPrefix(server.URL, "http://")),
+			})
+			serve := func(number int) {
+				attempt := attemptTo("board", byte(number), clock)
+				attempt.Path, attempt.Remaining, attempt.Deadline = fmt.Sprintf("/%d", number), 8000, clock.Now()+8000
+				a.serve(t.Context(), attempt)
+			}
+			var lost sync.WaitGroup
+			for number := range running {
+				lost.Go(func() { serve(number) })
+			}
+			for backend.held.Load() < running {
+				time.Sleep(time.Millisecond)
+			}
+			// Control's goroutine ticks each 50 ms, except while the process is frozen.
+			a.tick()
+			clock.Advance(tc.frozen)
+			close(backend.restarted)
+			a.tick()
+			lost.Wait()
+			for number := range sent {
+				serve(running + number)
+			}
+			runs := backend.runs.Load()
+			assert.Assert(t, runs >= tc.least && runs <= tc.most, "%d requests of %d, %d to %d wanted", runs, sent, tc.least, tc.most)
+		})
+	}
+}
