--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 # explicit conversion, or the fusion is stated with math.FMA. This finds others.
 DECISION_PACKAGES := admission attempt discovery freshness key membership move quarantine resume routing spread usage
 fused:
+	@GOOS=linux GOARCH=arm64 go build ./...
 	@found=$$(GOOS=linux GOARCH=arm64 go build -gcflags=-S $(addprefix ./bulrush,$(DECISION_PACKAGES)) 2>&1 \
 		| sed -nE 's/.*\(([^ ()]*):([0-9]+)\)\tFN?M(ADD|SUB)[DS].*/\1 \2/p' | sort -u \
 		| while read file line; do \
