Add tests of callers that misbehave, which fail

Cause: callers can make a node hold more than its memory and its descriptors. Nothing limits the sum of what they send, a parsed head is many times its bytes, and a body or a silent connection has no time limit. Change: tests with real nodes, a crowd and fixed bounds: 256 MB and 4,100 descriptors a node (300 in one test), and one ordinary request to each service afterwards. They run alone, after the other tests. The stand-in reads the whole body and states its size.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,9 @@
 # Packages whose tests use pgregory.net/rapid. Tests of other packages reject
 # its flags.
 PROPERTY_PACKAGES := /bulrush(admission|attempt|catalogue|key|membership|move|routing|spread|store|usage)$$
+# Packages whose tests measure processes. They run alone, after the other tests of their
+# module.
+ISOLATED_PACKAGES := /bulrushmisuse$$
 # Tests named in KNOWN-RED.txt (first word of each entry) are skipped and
 # printed.
 KNOWN_RED := $(shell awk '/^Test/ {printf "%s%s", sep, $$1; sep="|"}' KNOWN-RED.txt 2>/dev/null)
@@ -28,10 +31,12 @@
 	@set -e; for module in $(MODULES); do \
 		echo "module=$$module"; \
 		cd $$module; \
-		plain=$$(go list ./... | grep -vE '$(PROPERTY_PACKAGES)' || true); \
+		plain=$$(go list ./... | grep -vE '$(PROPERTY_PACKAGES)|$(ISOLATED_PACKAGES)' || true); \
 		property=$$(go list ./... | grep -E '$(PROPERTY_PACKAGES)' || true); \
 		if [ -n "$$plain" ]; then go test -race -count=1 $(SKIP) $$plain; fi; \
 		if [ -n "$$property" ]; then go test -race -count=1 $(SKIP) $$property -rapid.seed=$(SEED); fi; \
+		isolated=$$(go list ./... | grep -E '$(ISOLATED_PACKAGES)' || true); \
+		if [ -n "$$isolated" ]; then go test -count=1 -p 1 $(SKIP) $$isolated; fi; \
 		cd $(CURDIR); \
 	done
 
--- a/cmd/bulrushbench/bulrushdemo/fleet.go
+++ b/cmd/bulrushbench/bulrushdemo/fleet.go
@@ -325,6 +325,13 @@
 	return kilobytes << 10, errors.Wrap(err, "read the memory of the node")
 }
 
+// OpenDescriptors returns the number of descriptors that the node's process has open. It
+// works on Linux only.
+func (i *Instance) OpenDescriptors() (int, error) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.command.Process.Pid))
+	return len(entries), errors.Wrap(err, "count the descriptors of the node")
+}
+
 // NodeExitedError reports that a node's process had already exited when it was
 // signalled.
 type NodeExitedError struct {
--- a/cmd/bulrushbench/bulrushstandin/backend.go
+++ b/cmd/bulrushbench/bulrushstandin/backend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,6 +22,9 @@
 // HeaderRequestID carries the caller's unique ID of a request.
 const HeaderRequestID = "X-Request-Id"
 
+// HeaderBodyBytes carries the size of the request's body in an answer.
+const HeaderBodyBytes = "X-Body-Bytes"
+
 // restartRetry is the time after which a failed restart is tried again.
 const restartRetry = 50 * time.Millisecond
 
@@ -390,6 +394,10 @@
 		<-request.Context().Done()
 		return
 	}
+	bodyBytes, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		return
+	}
 	timer := time.NewTimer(serviceTime)
 	defer timer.Stop()
 	select {
@@ -397,6 +405,7 @@
 	case <-request.Context().Done():
 		return
 	}
+	writer.Header().Set(HeaderBodyBytes, strconv.FormatInt(bodyBytes, 10))
 	writer.Header().Set("X-Version", b.config.Version)
 	if failed {
 		writer.WriteHeader(http.StatusInternalServerError)
