Write large request bodies to the backend server without a copy

Cause: a request was encoded as one buffer, so its body existed twice beside the server while it was written. Change: a body over 16 KiB is written after its head. Result: TestEncodeRequestPreservesInput covers both forms.

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -257,8 +257,8 @@
 	if err != nil {
 		return Answer{}, false, err
 	}
-	if len(data) <= maxSyncWriteBytes {
-		if _, err := conn.Write(data); err != nil {
+	if len(data) == 1 && len(data[0]) <= maxSyncWriteBytes {
+		if _, err := conn.Write(data[0]); err != nil {
 			// The server may have answered before it closed the connection, so
 			// its answer takes precedence over the write error.
 			answer, _, readErr := c.readAnswer(ctx, conn, request)
@@ -283,9 +283,14 @@
 
 // writeRequest writes a request and sends the result on done. Closing the
 // connection unblocks it.
-func writeRequest(conn *connection, data []byte, done chan<- error) {
-	_, err := conn.Write(data)
-	done <- err
+func writeRequest(conn *connection, data [][]byte, done chan<- error) {
+	for _, part := range data {
+		if _, err := conn.Write(part); err != nil {
+			done <- err
+			return
+		}
+	}
+	done <- nil
 }
 
 // readAnswer reads the answer to the request and skips answers to others.
--- a/bulrushbackend/client_test.go
+++ b/bulrushbackend/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -201,5 +202,11 @@
 	request.Header.Set("X-Own", "1")
 	encoded, err := encodeRequest(request)
 	assert.NilError(t, err)
-	assert.Equal(t, string(encoded), "POST /filings?a=%2F HTTP/1.1\r\nHost: ledger.example\r\nX-Own: 1\r\nContent-Length: 6\r\n\r\nrepair")
+	assert.Equal(t, string(bytes.Join(encoded, nil)), "POST /filings?a=%2F HTTP/1.1\r\nHost: ledger.example\r\nX-Own: 1\r\nContent-Length: 6\r\n\r\nrepair")
+
+	request.Body = bytes.Repeat([]byte("x"), maxSyncWriteBytes+1)
+	encoded, err = encodeRequest(request)
+	assert.NilError(t, err)
+	want := "POST /filings?a=%2F HTTP/1.1\r\nHost: ledger.example\r\nX-Own: 1\r\nContent-Length: 16385\r\n\r\n" + string(request.Body)
+	assert.Equal(t, string(bytes.Join(encoded, nil)), want)
 }
--- a/bulrushbackend/message.go
+++ b/bulrushbackend/message.go
@@ -25,11 +25,13 @@
 	return e.problem
 }
 
-// encodeRequest serialises a request as HTTP/1.1. The request target is written
-// unchanged, without normalising its escapes.
-func encodeRequest(request Request) ([]byte, error) {
+// encodeRequest serialises a request as HTTP/1.1, and returns what is to be written one after
+// the other. A large body is not copied. The request target is written unchanged, without
+// normalising its escapes.
+func encodeRequest(request Request) ([][]byte, error) {
+	small := len(request.Body) <= maxSyncWriteBytes
 	var buffer bytes.Buffer
-	buffer.Grow(1024 + len(request.Body))
+	buffer.Grow(1024 + min(len(request.Body), maxSyncWriteBytes))
 	buffer.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	if err := request.Header.Write(&buffer); err != nil {
 		return nil, errors.Wrap(err, "write request header")
@@ -38,8 +40,11 @@
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
+	if !small {
+		return [][]byte{buffer.Bytes(), request.Body}, nil
+	}
 	buffer.Write(request.Body)
-	return buffer.Bytes(), nil
+	return [][]byte{buffer.Bytes()}, nil
 }
 
 // readFinalResponse reads the status line and header of the next final answer,
