Charge large attempts of other nodes to one account, and send bodies in parts

Cause: nothing limited the sum of the attempts that a node reads from other nodes. A body was one message of up to 7 MiB, which existed three times at each end, and which held up the other attempts of its connection. A head of over 65,536 elements could not be decoded, which closed the connection. Change: bulrushmemory.Account, of which stalled messages give way. A body over 256 KiB is sent before its attempt, in parts, to nodes that state Bulrush-Parts; others get one message as before. Without room the attempt is refused as no_memory, not run, and the entry node may try another server.

--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -144,6 +144,7 @@
 	connection := newConnection(c.context, socket, id, address, c.OnHeldUp)
 	connection.writeTimeout = writeTimeout
 	connection.process = response.Header.Get(headerProcess)
+	connection.acceptsParts = response.Header.Get(headerParts) == acceptsParts
 	return connection, nil
 }
 
--- a/bulrushwire/connection.go
+++ b/bulrushwire/connection.go
@@ -41,6 +41,8 @@
 	// cannot resume attempts.
 	id      bulrushresume.ConnectionID
 	process string
+	// acceptsParts is set if the peer accepts bodies in parts.
+	acceptsParts bool
 	// peer is the address of the other end. onHeldUp is told of messages that were held
 	// up, and may be nil.
 	peer     bulrushchute.Address
--- a/bulrushwire/message.go
+++ b/bulrushwire/message.go
@@ -14,8 +14,8 @@
 // MaxMessageBytes is the maximum size of an encoded message.
 const MaxMessageBytes = 8 << 20
 
-// MaxBodyBytes is the maximum size of a request or answer body. It leaves room
-// in a message for the header.
+// MaxBodyBytes is the maximum size of a body in a message. It leaves room in the message
+// for the header.
 const MaxBodyBytes = MaxMessageBytes - 1<<20
 
 // Limits on decoded messages. maxArrayElements is more than a control message
@@ -44,6 +44,8 @@
 	// determined or the control message was queued. It is 0 if the sender does not state
 	// it.
 	SentAt bulrushchute.Millis `cbor:"9,keyasint,omitempty"`
+	// Part is sent only to nodes that accept it.
+	Part *Part `cbor:"10,keyasint,omitempty"`
 }
 
 // Ping has no content.
@@ -160,6 +162,8 @@
 		return "pong"
 	case m.Resume != nil:
 		return "resume"
+	case m.Part != nil:
+		return "part"
 	default:
 		return "resumed"
 	}
@@ -167,7 +171,7 @@
 
 func (m Message) check() error {
 	set := countTrue(m.Attempt != nil, m.Reply != nil, m.Cancel != nil, m.Control != nil,
-		m.Ping != nil, m.Pong != nil, m.Resume != nil, m.Resumed != nil)
+		m.Ping != nil, m.Pong != nil, m.Resume != nil, m.Resumed != nil, m.Part != nil)
 	if set != 1 {
 		return &MessageError{Problem: fmt.Sprintf("%d content fields are set, want 1", set)}
 	}
@@ -178,6 +182,8 @@
 		return checkReply(*m.Reply)
 	case m.Control != nil:
 		return checkControl(*m.Control)
+	case m.Part != nil:
+		return checkPart(*m.Part)
 	}
 	return nil
 }
@@ -192,6 +198,8 @@
 		return &MessageError{Problem: "attempt with an unknown class"}
 	case attempt.Depth < 0:
 		return &MessageError{Problem: "attempt with a negative depth"}
+	case attempt.BodyBytes < 0 || attempt.BodyBytes > 0 && len(attempt.Body) > 0:
+		return &MessageError{Problem: "attempt with two bodies"}
 	}
 	return nil
 }
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -205,6 +205,11 @@
 	if err != nil {
 		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: p.address, Cause: err}
 	}
+	attempt, err = p.sendParts(ctx, connection, attempt)
+	if err != nil {
+		p.removePending(attempt.ID)
+		return bulrushchute.Reply{}, err
+	}
 	// The connection may just have been dialled.
 	sentAt := p.client.bootClock.Now()
 	attempt = attempt.WithDelay(sentAt - begin)
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -25,8 +25,13 @@
 	headerConnection = "Bulrush-Connection"
 	// headerProcess holds an ID of the accepting process.
 	headerProcess = "Bulrush-Process"
+	// headerParts is set by an accepting node that accepts bodies in parts.
+	headerParts = "Bulrush-Parts"
 )
 
+// defaultMemory is that of a Server whose Memory is not set.
+const defaultMemory = 88 << 20
+
 // Handler handles messages from other nodes.
 type Handler interface {
 	// HandleAttempt runs an attempt and returns its reply. The context ends when
@@ -52,6 +57,9 @@
 	// sessions are the open connections, and cancels end the running attempts.
 	sessions map[bulrushresume.ConnectionID]*session
 	cancels  map[bulrushchute.AttemptID]context.CancelFunc
+	// Memory is charged with the large attempts of peers. It must not be changed after the
+	// first connection.
+	Memory *bulrushmemory.Account
 	// OnRejected is called for each connection rejected because of its stated
 	// address. It must be set before the first connection and may be nil.
 	OnRejected func(remote, reason string)
@@ -72,6 +80,7 @@
 		ledger:    bulrushresume.NewLedger(bulrushresume.DefaultLimits),
 		sessions:  make(map[bulrushresume.ConnectionID]*session),
 		cancels:   make(map[bulrushchute.AttemptID]context.CancelFunc),
+		Memory:    bulrushmemory.NewAccount(defaultMemory, bulrushchute.NewMonotonicClock()),
 	}
 }
 
@@ -94,13 +103,18 @@
 		id = newConnectionID()
 	}
 	writer.Header().Set(headerProcess, s.process)
+	writer.Header().Set(headerParts, acceptsParts)
 	socket, err := websocket.Accept(writer, request, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(s.context)
 	defer cancel()
-	session := &session{server: s, peer: bulrushchute.Address(peer), pongDue: make(chan struct{}, 1)}
+	session := &session{
+		server: s, peer: bulrushchute.Address(peer), pongDue: make(chan struct{}, 1),
+		assemblies: make(map[bulrushchute.AttemptID]*assembly),
+	}
+	defer session.dropAllParts()
 	session.connection = newConnection(s.context, socket, id, session.peer, s.OnHeldUp)
 	if !s.addSession(session) {
 		session.connection.close()
@@ -169,6 +183,9 @@
 	pongDue chan struct{}
 	// delays belongs to the goroutine that reads the connection.
 	delays bulrushresume.DelayMeter
+	// assemblies are the bodies whose attempts have not arrived. They belong to the
+	// goroutine that reads the connection.
+	assemblies map[bulrushchute.AttemptID]*assembly
 }
 
 // handle must not block: attempts and cancels of the peer are read only after it.
@@ -178,7 +195,10 @@
 		delay := s.delayOf(message)
 		s.connection.report(message, StagePath, delay)
 		s.startAttempt(message.Attempt.WithDelay(delay))
+	case message.Part != nil:
+		s.addPart(*message.Part)
 	case message.Cancel != nil:
+		s.dropParts(*message.Cancel)
 		s.server.mutex.Lock()
 		s.server.cancel(*message.Cancel)
 		s.server.mutex.Unlock()
@@ -226,11 +246,18 @@
 // before violates the protocol and is dropped, since both replies would carry the
 // same ID.
 func (s *session) startAttempt(attempt bulrushchute.Attempt) {
+	attempt, share, ok := s.claimMemory(attempt)
+	if !ok {
+		s.refuse(attempt.ID)
+		return
+	}
 	ctx, begins := s.server.begin(s.connection.id, attempt)
 	if !begins {
+		share.Release()
 		return
 	}
 	s.server.tasks.Start(ctx, "attempt", func(ctx context.Context) error {
+		defer share.Release()
 		return s.server.runAttempt(ctx, attempt)
 	})
 }
--- a/message.go
+++ b/message.go
@@ -58,6 +58,9 @@
 	// Trial is set when the sender knows that a backend server ended while it ran a
 	// request of the same content, and has chosen the target to try it again.
 	Trial bool `cbor:"22,keyasint,omitempty"`
+	// BodyBytes is the size of a body that was sent before the attempt, which has no Body
+	// then. It is 0 otherwise.
+	BodyBytes int `cbor:"23,keyasint,omitempty"`
 }
 
 // WithDelay returns the attempt as it is after a delay on its way to the receiver: with
--- a/request.go
+++ b/request.go
@@ -111,8 +111,12 @@
 	ReasonQuarantined Reason = "content_quarantined"
 	ReasonTruncated   Reason = "answer_truncated"
 	ReasonTooLarge    Reason = "too_large"
-	ReasonTooDeep     Reason = "too_deep"
-	ReasonCancelled   Reason = "cancelled"
+	// ReasonBodyTimeout means that the body of a request did not arrive in time.
+	ReasonBodyTimeout Reason = "body_timeout"
+	// ReasonNoMemory means that a node holds as much for others as it may.
+	ReasonNoMemory  Reason = "no_memory"
+	ReasonTooDeep   Reason = "too_deep"
+	ReasonCancelled Reason = "cancelled"
 	// ReasonMalformed also applies to a key that was used for another request.
 	ReasonMalformed      Reason = "malformed"
 	ReasonUnknownService Reason = "unknown_service"
