Charge the requests of callers to an account, and bound the time of bodies

Callers saw: a node that ran out of memory, and with it each request on it. Cause: each request had limits, their sum had none. A head was parsed while it arrived, and a parsed head takes many times its bytes; requests that are read ahead counted with their bodies only; a body was held twice and had no time; an idle connection kept its last request and response. Change: a head is collected as bytes, and its cost is charged before it is parsed; bodies are charged before they are read. The first 16 KiB of one request of each connection are free, so that ordinary requests do not depend on the account. Without room, messages that have stalled give way, and the newcomer gets 503 (no_memory) after 0.5 s. A body that has not arrived by its request's deadline gets 408. Attempts that go on after their caller left keep their share.

--- a/bulrushcaller/check.go
+++ b/bulrushcaller/check.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"golang.org/x/net/http/httpguts"
+
+	"bulrushchute.example/bulrushchute"
 )
 
 // requestError reports a request that is answered without the handler. The
@@ -13,7 +15,9 @@
 // not known for certain.
 type requestError struct {
 	status int
-	cause  error
+	// retryAfter is when the request may be sent again, 0 for never.
+	retryAfter bulrushchute.Millis
+	cause      error
 }
 
 // Error implements error.
@@ -30,6 +34,10 @@
 	r := newResponse(nil)
 	r.last = true
 	r.header.Set("Content-Type", "text/plain; charset=utf-8")
+	if e.retryAfter > 0 {
+		seconds := (e.retryAfter + bulrushchute.Second - 1) / bulrushchute.Second
+		r.header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
 	r.WriteHeader(e.status)
 	_, _ = r.Write([]byte(strconv.Itoa(e.status) + " " + http.StatusText(e.status) + "\n"))
 	return r
--- a/bulrushcaller/connection.go
+++ b/bulrushcaller/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"crypto/tls"
 	"io"
@@ -14,12 +13,12 @@
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
 const (
-	// parserBufferBytes is the size of the parser's buffer. The bytes in it may
-	// belong to later requests, so the limit on headers is exact only to this size.
+	// parserBufferBytes is the size of the parser's buffer.
 	parserBufferBytes = 4 << 10
 	// lingerTimeout is how long the caller may take to read the last response.
 	// Closing a connection with unread bytes resets it, which can destroy a
@@ -44,6 +43,8 @@
 	// responses holds the responses of the requests that were started, oldest
 	// first. Its capacity bounds the requests that are read ahead.
 	responses chan *response
+	// head is the one that the parser reads. It keeps the buffer for the next one.
+	head head
 
 	mutex sync.Mutex
 	// parsing is set from the first byte of a request until it is started.
@@ -139,12 +140,23 @@
 func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.started == c.sent && !c.parsing && c.input.empty() {
-		c.stopped = true
-		_ = c.socket.Close()
+	if c.idle() {
+		c.close()
 	}
 }
 
+// idle reports whether the connection has no request and no response to send. The mutex is
+// held.
+func (c *connection) idle() bool {
+	return c.started == c.sent && !c.parsing && c.input.empty()
+}
+
+// close closes the socket. The mutex is held.
+func (c *connection) close() {
+	c.stopped = true
+	_ = c.socket.Close()
+}
+
 // parse reads requests and starts them, until the connection ends or must not be
 // used further.
 func (c *connection) parse(ctx context.Context) error {
@@ -157,6 +169,7 @@
 			return nil
 		}
 		next, err := c.readRequest(ctx, previous)
+		c.head.reset()
 		var rejected *requestError
 		switch {
 		case errors.As(err, &rejected):
@@ -169,9 +182,13 @@
 		if previous != nil && !sideBySide {
 			previous.wait(ctx)
 		}
-		if ctx.Err() != nil || !c.start(ctx, next) || next.last {
+		if ctx.Err() != nil || !c.start(ctx, next) {
+			next.release()
 			return ctx.Err()
 		}
+		if next.last {
+			return nil
+		}
 		previous = next
 	}
 }
@@ -224,58 +241,87 @@
 	return true
 }
 
-// readRequest reads the next request with its whole body.
+// readRequest reads the next request with its whole body, and returns the response to fill
+// in.
 func (c *connection) readRequest(ctx context.Context, previous *response) (*response, error) {
-	settings := c.server.settings
-	timeout := time.AfterFunc(settings.HeaderTimeout.Duration(), func() { _ = c.socket.Close() })
-	c.input.limit(int64(settings.MaxHeaderBytes + parserBufferBytes - c.reader.Buffered()))
-	request, err := http.ReadRequest(c.reader)
-	timeout.Stop()
-	exceeded := c.input.exceeded()
-	c.input.unlimit()
-	switch {
-	case exceeded:
-		return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge}
-	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed):
+	memory := newReservation(c.server.settings.Memory, func() { c.input.fail(errBodyEvicted) })
+	limits := c.server.settings.Limits()
+	next, err := c.readWithin(ctx, limits, memory, previous)
+	if err != nil {
+		memory.release()
 		return nil, err
-	case err != nil:
-		return nil, &requestError{status: http.StatusBadRequest, cause: err}
 	}
-	if rejected := checkRequest(request); rejected != nil {
-		return nil, rejected
-	}
-	return c.readBody(ctx, request, previous)
+	next.share = memory.finish()
+	return next, nil
 }
 
-// readBody reads the body and returns the response to fill in.
-func (c *connection) readBody(ctx context.Context, request *http.Request, previous *response) (*response, error) {
+func (c *connection) readWithin(ctx context.Context, limits Limits, memory *reservation, previous *response) (*response, error) {
+	request, err := c.readHeader(ctx, limits, memory)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.reserve(ctx, c.head.cost()+bodyCost(max(0, min(request.ContentLength, limits.BodyBytes))), memory, previous); err != nil {
+		return nil, err
+	}
 	arrivedAt := c.server.clock.Now()
-	limit := c.server.settings.MaxBodyBytes
-	if request.Body != http.NoBody && request.Body != nil {
-		if expectsContinue(request) {
+	hasBody := request.Body != http.NoBody && request.Body != nil
+	if hasBody {
+		if expectsContinue(request) && request.ContentLength <= limits.BodyBytes {
 			if err := c.sendContinue(ctx, previous); err != nil {
 				return nil, err
 			}
 		}
 		c.awaitBytes(ctx, previous)
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
-	if err != nil {
-		if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+	var body []byte
+	var rejected *BodyError
+	if hasBody {
+		body, err = c.readBody(ctx, request, memory, limits.BodyBytes)
+		if err != nil && !errors.As(err, &rejected) {
 			return nil, err
 		}
-		return nil, &requestError{status: http.StatusBadRequest, cause: err}
 	}
-	request.Body = io.NopCloser(bytes.NewReader(body))
+	request.Body = newRequestBody(body, err)
 	request.RemoteAddr = c.socket.RemoteAddr().String()
 	request.TLS = c.tls
-	next := newResponse(request.WithContext(withArrival(ctx, arrivedAt)))
+	next := newResponse(request.WithContext(bulrushmemory.WithShare(withArrival(ctx, arrivedAt), memory.share)))
 	next.runsAhead = c.server.handler.RunsAhead(next.request)
 	next.bodyBytes = len(body)
-	next.last = request.Close || !request.ProtoAtLeast(1, 1) || int64(len(body)) > limit
+	next.last = request.Close || !request.ProtoAtLeast(1, 1) || rejected != nil
 	return next, nil
 }
 
+// readHeader reads and parses the request line and the headers of a request.
+func (c *connection) readHeader(ctx context.Context, limits Limits, memory *reservation) (*http.Request, error) {
+	timeout := time.AfterFunc(limits.HeaderTimeout.Duration(), func() { _ = c.socket.Close() })
+	err := c.readHead(ctx, limits.HeaderBytes, memory)
+	timeout.Stop()
+	var evicted *BodyError
+	switch {
+	case errors.As(err, &evicted):
+		return nil, &requestError{status: evicted.Status, retryAfter: evicted.RetryAfter, cause: err}
+	case err != nil:
+		return nil, err
+	}
+	request, err := parseHead(c.head.bytes)
+	if err != nil {
+		return nil, err
+	}
+	if rejected := checkRequest(request); rejected != nil {
+		return nil, rejected
+	}
+	return request, nil
+}
+
+// reserve reserves the memory that a request takes. One that is read ahead and for which
+// there is no room waits for the responses before it.
+func (c *connection) reserve(ctx context.Context, bytes int64, memory *reservation, previous *response) error {
+	if previous != nil && !previous.isSent() && !memory.tryWithoutAllowance(bytes) {
+		previous.wait(ctx)
+	}
+	return rejectForMemory(memory.ensure(ctx, bytes))
+}
+
 // awaitBytes waits until the bodies that were read ahead are within their limit.
 func (c *connection) awaitBytes(ctx context.Context, previous *response) {
 	c.mutex.Lock()
@@ -308,6 +354,7 @@
 			failed = err != nil
 		}
 		c.countSent()
+		next.release()
 		close(next.sent)
 		if closing || failed {
 			c.stop()
--- a/bulrushcaller/input.go
+++ b/bulrushcaller/input.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math"
 	"net"
 	"sync"
 	"time"
@@ -15,7 +14,7 @@
 	socketReadBytes = 4 << 10
 	// maxUnparsedBytes limits the bytes that are read from the socket before they
 	// are parsed.
-	maxUnparsedBytes = 64 << 10
+	maxUnparsedBytes = 16 << 10
 	// closeCheckInterval is how often the connection is checked while nothing is read
 	// from it.
 	closeCheckInterval = 50 * time.Millisecond
@@ -32,13 +31,10 @@
 	err error
 	// discarding is set once the parser has stopped.
 	discarding bool
-	// budget is the number of bytes that the parser may read. It limits the size of
-	// headers.
-	budget int64
 }
 
 func newInput() *input {
-	in := &input{budget: math.MaxInt64}
+	in := &input{}
 	in.changed = sync.NewCond(&in.mutex)
 	return in
 }
@@ -93,41 +89,18 @@
 func (in *input) Read(data []byte) (int, error) {
 	in.mutex.Lock()
 	defer in.mutex.Unlock()
-	if in.budget <= 0 {
-		return 0, io.EOF
-	}
 	for len(in.unparsed) == 0 && in.err == nil {
 		in.changed.Wait()
 	}
 	if len(in.unparsed) == 0 {
 		return 0, in.err
 	}
-	n := copy(data[:min(int64(len(data)), in.budget)], in.unparsed)
-	in.budget -= int64(n)
+	n := copy(data, in.unparsed)
 	in.unparsed = in.unparsed[:copy(in.unparsed, in.unparsed[n:])]
 	in.changed.Broadcast()
 	return n, nil
 }
 
-// limit sets the number of bytes that may be read until unlimit. It is exceeded
-// when the parser reaches the end of the input although the connection is open.
-func (in *input) limit(budget int64) {
-	in.mutex.Lock()
-	defer in.mutex.Unlock()
-	in.budget = budget
-}
-
-func (in *input) unlimit() {
-	in.limit(math.MaxInt64)
-}
-
-// exceeded reports whether the parser has used up the budget.
-func (in *input) exceeded() bool {
-	in.mutex.Lock()
-	defer in.mutex.Unlock()
-	return in.budget <= 0
-}
-
 // empty reports whether the parser has read everything that has arrived.
 func (in *input) empty() bool {
 	in.mutex.Lock()
@@ -144,12 +117,17 @@
 	in.changed.Broadcast()
 }
 
-// end makes the parser's reads fail once it has read what is unparsed.
+// end makes the parser's reads fail.
 func (in *input) end() {
+	in.fail(net.ErrClosed)
+}
+
+// fail makes the parser's reads fail with an error, unless the connection has ended before.
+func (in *input) fail(err error) {
 	in.mutex.Lock()
 	defer in.mutex.Unlock()
 	if in.err == nil {
-		in.err = net.ErrClosed
+		in.err = err
 	}
 	in.unparsed = nil
 	in.discarding = true
--- /dev/null
+++ b/bulrushcaller/misuse_test.go
@@ -0,0 +1,136 @@
+package bulrushcaller
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
+)
+
+// smallAccount has room for one body of testLimits at a time.
+func smallAccount() *bulrushmemory.Account {
+	return bulrushmemory.NewAccount(60<<10, bulrushchute.NewMonotonicClock())
+}
+
+// newTestCallerOf returns another connection to the same server.
+func newTestCallerOf(t *testing.T, tc *testCaller) *testCaller {
+	socket, err := net.Dial("tcp", tc.socket.RemoteAddr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = socket.Close() })
+	return &testCaller{t: t, handler: tc.handler, server: tc.server, socket: socket, reader: bufio.NewReader(socket)}
+}
+
+// Guards against a body that is read for ever, and against a refusal of one that does not
+// say that its request has not run.
+func TestBodyTimeout(t *testing.T) {
+	cases := map[string]string{
+		"length": "POST /a HTTP/1.1\nHost: a\nContent-Length: 3\n\nab",
+		"chunks": "POST /a HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n2\nab\n",
+	}
+	for name, request := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCaller(t, testSettings())
+			tc.send(request)
+			got, closing := tc.read()
+			assert.Equal(t, got, "408 body_timeout")
+			assert.Assert(t, closing)
+			assert.Equal(t, len(tc.handler.startedPaths()), 0)
+		})
+	}
+}
+
+// Guards against bodies whose sum exceeds the memory, and against ordinary requests that
+// need the memory which others have.
+func TestBodiesShareMemory(t *testing.T) {
+	settings := testSettings()
+	settings.Memory = smallAccount()
+	body := strings.Repeat("x", 25<<10)
+	request := fmt.Sprintf("POST /held HTTP/1.1\nHost: a\nContent-Length: %d\n\n%s", len(body), body)
+	tc := newTestCaller(t, settings)
+	tc.send(request)
+	tc.awaitStarted("/held")
+	second := newTestCallerOf(t, tc)
+	second.send(request)
+	got, _ := second.read()
+	assert.Equal(t, got, "503 503 Service Unavailable\n")
+	ordinary := newTestCallerOf(t, tc)
+	close(tc.handler.gate("/small"))
+	ordinary.send("POST /small HTTP/1.1\nHost: a\nContent-Length: 5\n\nsmall")
+	got, _ = ordinary.read()
+	assert.Equal(t, got, "200 /smallsmall")
+	close(tc.handler.gate("/held"))
+	got, _ = tc.read()
+	assert.Equal(t, got, "200 /held"+body)
+	third := newTestCallerOf(t, tc)
+	third.send(request)
+	got, _ = third.read()
+	assert.Equal(t, got, "200 /held"+body)
+}
+
+// Guards against memory that is kept by an idle connection after its response.
+func TestMemoryIsReleased(t *testing.T) {
+	settings := testSettings()
+	settings.Memory = smallAccount()
+	body := strings.Repeat("x", 25<<10)
+	cases := map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\n\n%s", len(body), body),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\n\n%x\n%s\n0\nTrailer: dropped\n\n", len(body), body),
+	}
+	for name, framed := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCaller(t, settings)
+			close(tc.handler.gate("/a"))
+			for range 5 {
+				tc.send("POST /a HTTP/1.1\nHost: a\n" + framed)
+				got, closing := tc.read()
+				assert.Equal(t, got, "200 /a"+body)
+				assert.Assert(t, !closing)
+			}
+			share := settings.Memory.TryReserve(60 << 10)
+			assert.Assert(t, share != nil, "the idle connection keeps memory")
+			share.Release()
+		})
+	}
+}
+
+// Guards against heads of many lines that are parsed: each line takes much more memory than
+// its bytes.
+func TestManyHeaderLines(t *testing.T) {
+	settings := testSettingsWith(Limits{HeaderBytes: 64 << 10, HeaderTimeout: bulrushchute.Second})
+	settings.Memory = smallAccount()
+	tc := newTestCaller(t, settings)
+	tc.send("GET /a HTTP/1.1\nHost: a\n" + strings.Repeat("a:\n", 1000) + "\n")
+	got, closing := tc.read()
+	assert.Equal(t, got, "503 503 Service Unavailable\n")
+	assert.Assert(t, closing)
+}
+
+// Guards against a head that a backend server reads differently: it ends at its first empty
+// line, whatever the line ends are.
+func TestHeadEnds(t *testing.T) {
+	cases := map[string]struct{ bytes, want string }{
+		"line feeds only":      {"GET /a HTTP/1.1\nHost: a\n\n", "200 /a"},
+		"both line ends":       {"GET /a HTTP/1.1\r\nHost: a\n\r\n", "200 /a"},
+		"carriage return line": {"GET /a HTTP/1.1\r\nHost: a\r\n\r\r\nX: b\r\n\r\n", "400 400 Bad Request\n"},
+		"spaces in the middle": {"GET /a HTTP/1.1\r\nHost: a\r\nX: a\r\n \r\nY: b\r\n\r\n", "200 /a"},
+		"empty line first":     {"\r\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n", "400 400 Bad Request\n"},
+		"line over the buffer": {"GET /a HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", parserBufferBytes) + "\r\n\r\n", "200 /a"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tc := newTestCaller(t, testSettingsWith(Limits{HeaderBytes: 8 << 10, HeaderTimeout: bulrushchute.Second}))
+			close(tc.handler.gate("/a"))
+			_, err := io.WriteString(tc.socket, c.bytes)
+			assert.NilError(t, err)
+			got, _ := tc.read()
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
--- a/bulrushcaller/response.go
+++ b/bulrushcaller/response.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 )
 
 // response is the response to one request. The handler writes it to memory, from
@@ -26,6 +28,8 @@
 	runsAhead bool
 	// bodyBytes is the size of the request's body.
 	bodyBytes int
+	// share is the memory that the request has, or nil.
+	share *bulrushmemory.Share
 	// last is set when the connection ends after the response, because of the
 	// request itself.
 	last bool
@@ -43,13 +47,30 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			klog.ErrorS(nil, "handler panicked", "cause", cause, "stack", string(debug.Stack()))
-			*r = response{request: r.request, header: make(http.Header), done: r.done, sent: r.sent, bodyBytes: r.bodyBytes, last: true}
+			*r = response{request: r.request, header: make(http.Header), done: r.done, sent: r.sent, bodyBytes: r.bodyBytes, share: r.share, last: true}
 			r.WriteHeader(http.StatusInternalServerError)
 		}
 	}()
 	handler.ServeHTTP(r, r.request)
 }
 
+// release drops the request and the response, whose memory others may have now. The response
+// itself is known to the parser until the next request.
+func (r *response) release() {
+	r.request, r.header, r.body = nil, nil, bytes.Buffer{}
+	r.share.Release()
+}
+
+// isSent reports whether the response has been sent or dropped.
+func (r *response) isSent() bool {
+	select {
+	case <-r.sent:
+		return true
+	default:
+		return false
+	}
+}
+
 // Header implements http.ResponseWriter.
 func (r *response) Header() http.Header {
 	return r.header
--- a/bulrushcaller/server.go
+++ b/bulrushcaller/server.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushtask"
 )
 
@@ -28,18 +29,28 @@
 	// RunsAhead reports whether a request may be served at the same time as other
 	// requests of its connection. It must be true only for idempotent requests.
 	RunsAhead(request *http.Request) bool
+	// BodyTimeout returns the time that the body of a request may take to arrive.
+	BodyTimeout(request *http.Request) bulrushchute.Millis
 }
 
-// Settings configure a Server.
-type Settings struct {
-	// MaxHeaderBytes limits the request line and headers of a request.
-	MaxHeaderBytes int
-	// MaxBodyBytes limits the body of a request that is read before it is served.
-	// The handler gets one byte more of a longer body and must reject it.
-	MaxBodyBytes int64
+// Limits limit what a caller may send.
+type Limits struct {
+	// HeaderBytes limits the request line and headers of a request.
+	HeaderBytes int
+	// BodyBytes limits the body of a request. The handler gets a *BodyError instead of a
+	// longer one.
+	BodyBytes int64
 	// HeaderTimeout is the time from the first byte of a request after which its
 	// connection is closed if its headers are incomplete.
 	HeaderTimeout bulrushchute.Millis
+}
+
+// Settings configure a Server.
+type Settings struct {
+	// Limits returns the limits in force. It is called for each request.
+	Limits func() Limits
+	// Memory is charged with what requests take beyond requestAllowance.
+	Memory *bulrushmemory.Account
 	// ReadAheadRequests and ReadAheadBytes limit what is read from a connection
 	// before its oldest response has been sent: the number of requests after the
 	// oldest one, and the bytes of their bodies.
@@ -87,24 +98,35 @@
 			continue
 		}
 		delay = minAcceptDelay
-		s.tasks.Start(ctx, "caller", func(ctx context.Context) error {
-			s.serveSocket(ctx, socket)
-			return nil
-		})
+		s.serveSocket(ctx, socket)
 	}
 }
 
-// serveSocket serves one connection until it ends.
+// serveSocket starts to serve a connection.
 func (s *Server) serveSocket(ctx context.Context, socket net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	c := newConnection(s, socket, cancel)
 	if !s.add(c) {
+		cancel()
 		_ = socket.Close()
 		return
 	}
-	defer s.remove(c)
-	c.serve(ctx)
+	s.tasks.Start(ctx, "caller", func(ctx context.Context) error {
+		defer cancel()
+		defer s.remove(c)
+		c.serve(ctx)
+		return nil
+	})
+}
+
+func (s *Server) open() []*connection {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	open := make([]*connection, 0, len(s.connections))
+	for c := range s.connections {
+		open = append(open, c)
+	}
+	return open
 }
 
 // add registers a connection, and returns false if the server is closing.
@@ -135,12 +157,8 @@
 func (s *Server) CloseIdle() {
 	s.mutex.Lock()
 	s.closing = true
-	open := make([]*connection, 0, len(s.connections))
-	for c := range s.connections {
-		open = append(open, c)
-	}
 	s.mutex.Unlock()
-	for _, c := range open {
+	for _, c := range s.open() {
 		c.closeIfIdle()
 	}
 }
--- a/bulrushnode/call.go
+++ b/bulrushnode/call.go
@@ -11,6 +11,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushattempt"
 	"bulrushchute.example/bulrushchute/bulrushboard"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushmove"
 	"bulrushchute.example/bulrushchute/bulrushquarantine"
 	"bulrushchute.example/bulrushchute/bulrushtask"
@@ -168,7 +169,11 @@
 	// attempts explicitly.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), attempt.Remaining.Duration())
 	ac.cancels[action.Attempt] = cancel
+	// The attempt may go on after the caller has left, with the request in memory.
+	share := bulrushmemory.ShareOf(ctx)
+	share.Hold()
 	ac.runner.tasks.Start(ctx, "attempt", func(ctx context.Context) error {
+		defer share.Release()
 		defer cancel()
 		ac.results <- ac.exchange(ctx, action.Attempt, instance, attempt)
 		return nil
--- /dev/null
+++ b/bulrushnode/caller_limits_test.go
@@ -0,0 +1,54 @@
+package bulrushnode
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushcaller"
+)
+
+// Guards against settings of which a node cannot serve callers.
+func TestCallerMemorySettings(t *testing.T) {
+	cases := map[string]struct {
+		change func(s *Settings)
+		field  string
+	}{
+		"too little memory": {func(s *Settings) { s.CallerMemoryBytes = 1000 }, "caller_memory_bytes"},
+		"negative memory":   {func(s *Settings) { s.CallerMemoryBytes = -1 }, "caller_memory_bytes"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			settings := Settings{
+				DataCentre: "a", StoreURL: "http://127.0.0.1:1", GraceMs: DefaultGraceMs, ClockSkewMs: DefaultClockSkewMs,
+			}
+			c.change(&settings)
+			var fieldErr *bulrushchute.FieldError
+			assert.Assert(t, errors.As(settings.Validate(), &fieldErr))
+			assert.Equal(t, fieldErr.Field, c.field)
+		})
+	}
+}
+
+// Guards against a refusal before the end of a body that does not say that the request has
+// not run, or not when it may be sent again.
+func TestRejectBody(t *testing.T) {
+	cases := map[string]struct {
+		err  *bulrushcaller.BodyError
+		want rejection
+	}{
+		"too slow":  {&bulrushcaller.BodyError{Status: 408, Reason: bulrushchute.ReasonBodyTimeout}, rejection{status: http.StatusRequestTimeout, reason: bulrushchute.ReasonBodyTimeout}},
+		"no memory": {&bulrushcaller.BodyError{Status: 503, Reason: bulrushchute.ReasonNoMemory, RetryAfter: 1000}, rejection{status: http.StatusServiceUnavailable, reason: bulrushchute.ReasonNoMemory, retryAfter: 1000}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := rejectBody(c.err)
+			assert.Equal(t, got.status, c.want.status)
+			assert.Equal(t, got.reason, c.want.reason)
+			assert.Equal(t, got.retryAfter, c.want.retryAfter)
+		})
+	}
+}
--- a/bulrushnode/entry.go
+++ b/bulrushnode/entry.go
@@ -17,7 +17,6 @@
 	"bulrushchute.example/bulrushchute/bulrushcaller"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 	"bulrushchute.example/bulrushchute/bulrushmetric"
-	"bulrushchute.example/bulrushchute/bulrushwire"
 )
 
 // maxTimeoutMs is the longest timeout that a caller may state. nativeProtocol
@@ -55,7 +54,9 @@
 type rejection struct {
 	status int
 	reason bulrushchute.Reason
-	cause  error
+	// retryAfter is when the request may be sent again, 0 for never.
+	retryAfter bulrushchute.Millis
+	cause      error
 }
 
 // ServeHTTP implements http.Handler.
@@ -102,6 +103,30 @@
 	return route == nil || route.Idempotent
 }
 
+// BodyTimeout implements bulrushcaller.Handler. A body that arrives after the deadline of
+// its request is of no use.
+func (eh *entryHandler) BodyTimeout(request *http.Request) bulrushchute.Millis {
+	parsed, err := eh.protocol.ReadRequest(request)
+	if err != nil {
+		return defaultBodyTimeout
+	}
+	now := eh.clock.Now()
+	return max(0, deadlineOf(now, eh.routeTimeout(parsed, request), parsed)-now)
+}
+
+// routeTimeout returns the longest time that a request may take by the catalogue.
+func (eh *entryHandler) routeTimeout(parsed bulrushchute.CallerRequest, request *http.Request) bulrushchute.Millis {
+	catalogue := eh.board.Read().Catalogue
+	if parsed.Service == "" {
+		if route := matchHostRoute(catalogue, request); route != nil {
+			return route.TimeoutMs
+		}
+	} else if entry, exists := catalogue.Service(parsed.Service); exists {
+		return bulrushcatalogue.Resolve(entry, request.Method, requestTarget(request)).TimeoutMs
+	}
+	return defaultBodyTimeout
+}
+
 func (eh *entryHandler) serve(ctx context.Context, view bulrushboard.View, prepared call, key string) callResult {
 	switch {
 	case view.State == bulrushboard.NodeStarting || prepared.unresolved:
@@ -167,11 +192,7 @@
 	if err != nil {
 		return call{}, "", &rejection{status: http.StatusBadRequest, reason: bulrushchute.ReasonMalformed, cause: err}
 	}
-	maxBytes := int64(bulrushwire.MaxBodyBytes)
-	if limit := view.Catalogue.Routing().Callers.BodyBytes; limit > 0 {
-		maxBytes = min(maxBytes, limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, request.Body, maxBytes))
+	body, err := readBody(request, callerLimits(view.Catalogue.Routing()).BodyBytes)
 	if err != nil {
 		return call{}, "", rejectBody(err)
 	}
@@ -201,7 +222,19 @@
 	return "depth " + strconv.Itoa(e.depth) + " is not below " + strconv.Itoa(bulrushchute.MaxDepth)
 }
 
+// readBody returns the body of a request, which bulrushcaller has read already.
+func readBody(request *http.Request, maxBytes int64) ([]byte, error) {
+	if body, err, known := bulrushcaller.BodyOf(request); known {
+		return body, err
+	}
+	return io.ReadAll(http.MaxBytesReader(nil, request.Body, maxBytes))
+}
+
 func rejectBody(err error) *rejection {
+	var notRead *bulrushcaller.BodyError
+	if errors.As(err, &notRead) {
+		return &rejection{status: notRead.Status, reason: notRead.Reason, retryAfter: notRead.RetryAfter, cause: err}
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &rejection{status: http.StatusRequestEntityTooLarge, reason: bulrushchute.ReasonTooLarge, cause: err}
@@ -342,7 +375,7 @@
 func (eh *entryHandler) writeRejection(writer http.ResponseWriter, request *http.Request, view bulrushboard.View, rejection *rejection) {
 	requestRejected.Log("host", request.Host, "method", request.Method, "status", rejection.status, "reason", rejection.reason,
 		"catalogue", view.Catalogue.Routing().Label, "state", view.State, "error", rejection.cause)
-	eh.protocol.WriteOutcome(writer.Header(), bulrushchute.RequestOutcome{Outcome: bulrushchute.OutcomeNotRun, Reason: rejection.reason})
+	eh.protocol.WriteOutcome(writer.Header(), bulrushchute.RequestOutcome{Outcome: bulrushchute.OutcomeNotRun, Reason: rejection.reason, RetryAfter: rejection.retryAfter})
 	http.Error(writer, rejection.cause.Error(), rejection.status)
 }
 
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -17,6 +17,7 @@
 	"bulrushchute.example/bulrushchute/bulrushboard"
 	"bulrushchute.example/bulrushchute/bulrushcaller"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushmemory"
 	"bulrushchute.example/bulrushchute/bulrushmetric"
 	"bulrushchute.example/bulrushchute/bulrushsocket"
 	"bulrushchute.example/bulrushchute/bulrushtask"
@@ -137,6 +138,8 @@
 	}
 	n.client.OnHeldUp = n.heldUp.observe
 	n.server = bulrushwire.NewServer(ctx, n)
+	// Callers and the entry nodes of other callers share one account.
+	n.server.Memory = bulrushmemory.NewAccount(settings.callerMemory(), bulrushchute.NewMonotonicClock())
 	n.server.OnHeldUp = n.heldUp.observe
 	n.server.OnRejected = newConnRefusalLog(clock, "peers").log
 	n.admission = newAdmission(ctx, clock, settings.ClockSkewMs, protocols)
@@ -309,9 +312,8 @@
 
 func (n *Node) newCallerServer() *bulrushcaller.Server {
 	server := bulrushcaller.NewServer(bulrushcaller.Settings{
-		MaxHeaderBytes:    http.DefaultMaxHeaderBytes,
-		MaxBodyBytes:      bulrushwire.MaxBodyBytes,
-		HeaderTimeout:     bulrushchute.MillisOf(readHeaderTimeout),
+		Limits:            func() bulrushcaller.Limits { return callerLimits(n.board.Read().Catalogue.Routing()) },
+		Memory:            n.server.Memory,
 		ReadAheadRequests: cmp.Or(n.settings.ReadAheadRequests, DefaultReadAheadRequests),
 		ReadAheadBytes:    cmp.Or(n.settings.ReadAheadBytes, DefaultReadAheadBytes),
 	}, n.entryHandler, n.clock)
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -68,6 +68,9 @@
 	// number, and the bytes of their bodies. 0 selects the defaults.
 	ReadAheadRequests int `json:"read_ahead_requests,omitempty"`
 	ReadAheadBytes    int `json:"read_ahead_bytes,omitempty"`
+	// CallerMemoryBytes is the memory that requests of callers may take together while they
+	// are read and run, besides 16 KiB for each connection. 0 selects the default.
+	CallerMemoryBytes int64 `json:"caller_memory_bytes,omitempty"`
 	// GraceMs is the maximum time that a node may take to shut down.
 	GraceMs bulrushchute.Millis `json:"grace_ms,omitempty"`
 	// StoreURL is the base URL of the object store.
@@ -157,6 +160,10 @@
 	if err := checkRange("read_ahead_bytes", s.ReadAheadBytes, maxReadAheadBytes); err != nil {
 		return err
 	}
+	if s.CallerMemoryBytes != 0 && (s.CallerMemoryBytes < minCallerMemory || s.CallerMemoryBytes > maxCallerMemory) {
+		value := strconv.FormatInt(s.CallerMemoryBytes, 10)
+		return &bulrushchute.FieldError{Field: "caller_memory_bytes", Value: value, Allowed: "1048576 to 17179869184"}
+	}
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
