Limit the connections of callers, and close idle ones

Callers saw: no answer, as long as connections that send nothing had taken all descriptors of a node. Cause: connections had no limit, and an idle one had no time. Change: max_caller_connections, by default half of the descriptors and 2,048 at most. Idle connections are closed after 5 minutes. TestConnectionsGiveWay, TestIdleTimeout.

--- a/bulrushcaller/connection.go
+++ b/bulrushcaller/connection.go
@@ -49,6 +49,12 @@
 	mutex sync.Mutex
 	// parsing is set from the first byte of a request until it is started.
 	parsing bool
+	// headReadAt is when the head of the request that is being parsed was read, 0 before.
+	headReadAt bulrushchute.Millis
+	// idleSince is when the connection was opened or the last response was sent, and
+	// overdue is set once it has been found idle for too long.
+	idleSince bulrushchute.Millis
+	overdue   bool
 	// started and finished count the requests, and aheadBytes the bytes of the
 	// bodies of those in between.
 	started    int
@@ -68,6 +74,7 @@
 		reader:    bufio.NewReaderSize(in, parserBufferBytes),
 		tasks:     bulrushtask.NewGroup(nil),
 		responses: make(chan *response, server.settings.ReadAheadRequests),
+		idleSince: server.clock.Now(),
 	}
 }
 
@@ -157,6 +164,73 @@
 	_ = c.socket.Close()
 }
 
+// closeIfOverdue closes the connection if it is idle for longer than a time, and was found
+// to be so before: a request may have arrived while this process did not run.
+func (c *connection) closeIfOverdue(now, timeout bulrushchute.Millis) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	overdue := c.idle() && now-c.idleSince > timeout
+	if overdue && c.overdue {
+		c.close()
+	}
+	c.overdue = overdue
+}
+
+// evictionRank orders connections by how little is lost if they are closed in favour of
+// another one.
+type evictionRank int
+
+const (
+	// neverUsed connections have not had a whole head.
+	neverUsed evictionRank = iota
+	// idleAgain connections have had a response.
+	idleAgain
+	// slowBody connections have a request whose body takes longer than slowBodyAge.
+	slowBody
+	notEvictable
+)
+
+// slowBodyAge is how long a body may take when connections are short.
+const slowBodyAge = 2 * bulrushchute.Second
+
+// evictionRank returns the rank of the connection, and the time that orders connections of
+// the same rank.
+func (c *connection) evictionRank(now bulrushchute.Millis) (evictionRank, bulrushchute.Millis) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case c.started != c.sent:
+		return notEvictable, 0
+	case c.headReadAt > 0:
+		if now-c.headReadAt < slowBodyAge {
+			return notEvictable, 0
+		}
+		return slowBody, c.headReadAt
+	case !c.input.empty():
+		return notEvictable, 0
+	case c.sent > 0:
+		return idleAgain, c.idleSince
+	default:
+		return neverUsed, c.idleSince
+	}
+}
+
+// evict closes the connection if it still has the rank. A request whose body is being read
+// is rejected first; evict returns false then.
+func (c *connection) evict(rank evictionRank) bool {
+	if rank == slowBody {
+		c.input.fail(errBodyEvicted)
+		return false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.started != c.sent || c.headReadAt > 0 {
+		return false
+	}
+	c.close()
+	return true
+}
+
 // parse reads requests and starts them, until the connection ends or must not be
 // used further.
 func (c *connection) parse(ctx context.Context) error {
@@ -199,13 +273,14 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.parsing = !c.stopped
+	c.headReadAt = 0
 	return c.parsing
 }
 
 func (c *connection) endParsing() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.parsing = false
+	c.parsing, c.headReadAt = false, 0
 }
 
 // start passes the request to the handler, or returns false if the connection
@@ -232,7 +307,7 @@
 func (c *connection) countStart(next *response) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.parsing = c.reader.Buffered() > 0
+	c.parsing, c.headReadAt = c.reader.Buffered() > 0, 0
 	if c.stopped {
 		return false
 	}
@@ -303,6 +378,9 @@
 	case err != nil:
 		return nil, err
 	}
+	c.mutex.Lock()
+	c.headReadAt = c.server.clock.Now()
+	c.mutex.Unlock()
 	request, err := parseHead(c.head.bytes)
 	if err != nil {
 		return nil, err
@@ -379,6 +457,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.sent++
+	c.idleSince = c.server.clock.Now()
 }
 
 // stop ends the parser.
--- a/bulrushcaller/misuse_test.go
+++ b/bulrushcaller/misuse_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -103,7 +104,7 @@
 // Guards against heads of many lines that are parsed: each line takes much more memory than
 // its bytes.
 func TestManyHeaderLines(t *testing.T) {
-	settings := testSettingsWith(Limits{HeaderBytes: 64 << 10, HeaderTimeout: bulrushchute.Second})
+	settings := testSettingsWith(Limits{HeaderBytes: 64 << 10, HeaderTimeout: bulrushchute.Second, IdleTimeout: bulrushchute.Second})
 	settings.Memory = smallAccount()
 	tc := newTestCaller(t, settings)
 	tc.send("GET /a HTTP/1.1\nHost: a\n" + strings.Repeat("a:\n", 1000) + "\n")
@@ -125,7 +126,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			tc := newTestCaller(t, testSettingsWith(Limits{HeaderBytes: 8 << 10, HeaderTimeout: bulrushchute.Second}))
+			tc := newTestCaller(t, testSettingsWith(Limits{HeaderBytes: 8 << 10, HeaderTimeout: bulrushchute.Second, IdleTimeout: bulrushchute.Minute}))
 			close(tc.handler.gate("/a"))
 			_, err := io.WriteString(tc.socket, c.bytes)
 			assert.NilError(t, err)
@@ -134,3 +135,48 @@
 		})
 	}
 }
+
+// Guards against connections without a request that keep others out, and against closing
+// one that has a request, or one of use while another has never been.
+func TestConnectionsGiveWay(t *testing.T) {
+	settings := testSettings()
+	settings.MaxConnections = 3
+	running := newTestCaller(t, settings)
+	running.get("/running")
+	running.awaitStarted("/running")
+	used := newTestCallerOf(t, running)
+	close(running.handler.gate("/used"))
+	used.get("/used")
+	used.read()
+	silent := newTestCallerOf(t, running)
+	silent.send("G")
+	time.Sleep(50 * time.Millisecond)
+
+	newcomer := newTestCallerOf(t, running)
+	newcomer.get("/used")
+	got, _ := newcomer.read()
+	assert.Equal(t, got, "200 /used")
+	silent.awaitEnd()
+	used.get("/used")
+	got, _ = used.read()
+	assert.Equal(t, got, "200 /used")
+	close(running.handler.gate("/running"))
+	got, _ = running.read()
+	assert.Equal(t, got, "200 /running")
+}
+
+// Guards against idle connections that stay open, and against closing one whose request
+// takes longer than the idle timeout.
+func TestIdleTimeout(t *testing.T) {
+	limits := testLimits()
+	limits.IdleTimeout = 10 * bulrushchute.Millisecond
+	tc := newTestCaller(t, testSettingsWith(limits))
+	tc.get("/slow")
+	tc.awaitStarted("/slow")
+	time.Sleep(3 * idleCheckInterval)
+	close(tc.handler.gate("/slow"))
+	got, closing := tc.read()
+	assert.Equal(t, got, "200 /slow")
+	assert.Assert(t, !closing)
+	tc.awaitEnd()
+}
--- a/bulrushcaller/server.go
+++ b/bulrushcaller/server.go
@@ -1,9 +1,11 @@
 package bulrushcaller
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	maxAcceptDelay = time.Second
 	// closePollInterval is how often Shutdown checks for open connections.
 	closePollInterval = 10 * time.Millisecond
+	// idleCheckInterval is how often connections are checked against the idle timeout.
+	idleCheckInterval = time.Second
 )
 
 // Handler serves requests.
@@ -43,6 +47,9 @@
 	// HeaderTimeout is the time from the first byte of a request after which its
 	// connection is closed if its headers are incomplete.
 	HeaderTimeout bulrushchute.Millis
+	// IdleTimeout is the time after which a connection without a request is closed. It is
+	// exceeded by up to two seconds.
+	IdleTimeout bulrushchute.Millis
 }
 
 // Settings configure a Server.
@@ -51,6 +58,9 @@
 	Limits func() Limits
 	// Memory is charged with what requests take beyond requestAllowance.
 	Memory *bulrushmemory.Account
+	// MaxConnections limits the open connections. A further one takes the place of those
+	// that are without a request for the longest time.
+	MaxConnections int
 	// ReadAheadRequests and ReadAheadBytes limit what is read from a connection
 	// before its oldest response has been sent: the number of requests after the
 	// oldest one, and the bytes of their bodies.
@@ -84,6 +94,9 @@
 // Serve accepts connections until the listener is closed, and returns nil then.
 // The contexts of requests derive from ctx.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	accepting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.tasks.Start(accepting, "idle connections", s.closeOverdue)
 	delay := minAcceptDelay
 	for {
 		socket, err := listener.Accept()
@@ -93,6 +106,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case err != nil:
+			s.evictIdle()
 			bulrushtask.Pause(ctx, delay)
 			delay = min(2*delay, maxAcceptDelay)
 			continue
@@ -102,8 +116,11 @@
 	}
 }
 
-// serveSocket starts to serve a connection.
+// serveSocket starts to serve a connection, if there is room for it.
 func (s *Server) serveSocket(ctx context.Context, socket net.Conn) {
+	if s.isFull() {
+		s.evictIdle()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	c := newConnection(s, socket, cancel)
 	if !s.add(c) {
@@ -119,6 +136,55 @@
 	})
 }
 
+func (s *Server) isFull() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.connections) >= s.settings.MaxConnections
+}
+
+// evictionFraction is the fraction of MaxConnections that is evicted at a time, so that the
+// search for them is rare.
+const evictionFraction = 32
+
+// evictIdle closes the connections that are first in the order of evictionRank.
+func (s *Server) evictIdle() {
+	type candidate struct {
+		connection *connection
+		rank       evictionRank
+		since      bulrushchute.Millis
+	}
+	now := s.clock.Now()
+	var candidates []candidate
+	for _, c := range s.open() {
+		if rank, since := c.evictionRank(now); rank != notEvictable {
+			candidates = append(candidates, candidate{connection: c, rank: rank, since: since})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.since, b.since))
+	})
+	count := min(len(candidates), max(1, s.settings.MaxConnections/evictionFraction))
+	for _, c := range candidates[:count] {
+		if c.connection.evict(c.rank) {
+			s.remove(c.connection)
+		}
+	}
+}
+
+// closeOverdue closes idle connections after the idle timeout.
+func (s *Server) closeOverdue(ctx context.Context) error {
+	for {
+		bulrushtask.Pause(ctx, idleCheckInterval)
+		if ctx.Err() != nil {
+			return nil
+		}
+		timeout := s.settings.Limits().IdleTimeout
+		for _, c := range s.open() {
+			c.closeIfOverdue(s.clock.Now(), timeout)
+		}
+	}
+}
+
 func (s *Server) open() []*connection {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -129,11 +195,11 @@
 	return open
 }
 
-// add registers a connection, and returns false if the server is closing.
+// add registers a connection, and returns false if the server is closing or full.
 func (s *Server) add(c *connection) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.closing {
+	if s.closing || len(s.connections) >= s.settings.MaxConnections {
 		return false
 	}
 	s.connections[c] = struct{}{}
--- a/bulrushcaller/server_test.go
+++ b/bulrushcaller/server_test.go
@@ -124,7 +124,7 @@
 const testBodyTimeout = 300 * bulrushchute.Millisecond
 
 func testLimits() Limits {
-	return Limits{HeaderBytes: 1 << 10, BodyBytes: 32 << 10, HeaderTimeout: 10 * bulrushchute.Second}
+	return Limits{HeaderBytes: 1 << 10, BodyBytes: 32 << 10, HeaderTimeout: 10 * bulrushchute.Second, IdleTimeout: bulrushchute.Minute}
 }
 
 func testSettings() Settings {
@@ -133,7 +133,7 @@
 
 func testSettingsWith(limits Limits) Settings {
 	return Settings{
-		Limits: func() Limits { return limits }, Memory: bulrushmemory.NewAccount(1<<20, bulrushchute.WallClock{}),
+		Limits: func() Limits { return limits }, Memory: bulrushmemory.NewAccount(1<<20, bulrushchute.WallClock{}), MaxConnections: 100,
 		ReadAheadRequests: 4, ReadAheadBytes: 64 << 10,
 	}
 }
--- a/bulrushcaller/slow_reader_test.go
+++ b/bulrushcaller/slow_reader_test.go
@@ -19,7 +19,7 @@
 // slowly: the request has ended, but its response is not sent yet.
 func TestStopSendsWholeResponseToSlowReader(t *testing.T) {
 	const bodyBytes = 8 << 20
-	settings := testSettingsWith(Limits{HeaderBytes: 1 << 12, BodyBytes: bodyBytes, HeaderTimeout: bulrushchute.Second})
+	settings := testSettingsWith(Limits{HeaderBytes: 1 << 12, BodyBytes: bodyBytes, HeaderTimeout: bulrushchute.Second, IdleTimeout: bulrushchute.Minute})
 	settings.Memory = bulrushmemory.NewAccount(2*bodyBytes, bulrushchute.WallClock{})
 	tc := newTestCaller(t, settings)
 	close(tc.handler.gate("/large"))
--- a/bulrushnode/caller_limits.go
+++ b/bulrushnode/caller_limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"syscall"
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushcaller"
@@ -14,6 +15,7 @@
 	defaultHeaderBytes   = 64 << 10
 	maxBodyBytes         = 64 << 20
 	defaultHeaderTimeout = 10 * bulrushchute.Second
+	defaultIdleTimeout   = 5 * bulrushchute.Minute
 	// defaultBodyTimeout applies to requests of unknown services.
 	defaultBodyTimeout = 5 * bulrushchute.Second
 )
@@ -24,6 +26,11 @@
 	DefaultCallerMemory = 88 << 20
 	minCallerMemory     = 1 << 20
 	maxCallerMemory     = 16 << 30
+	// DefaultMaxConnections is used if the settings do not contain max_caller_connections,
+	// unless half of the descriptors are fewer. The others are for servers, nodes and the
+	// store.
+	DefaultMaxConnections = 2048
+	maxMaxConnections     = 1 << 20
 )
 
 func (s Settings) callerMemory() int64 {
@@ -37,5 +44,19 @@
 		HeaderBytes:   defaultHeaderBytes,
 		BodyBytes:     min(cmp.Or(limits.BodyBytes, maxBodyBytes), maxBodyBytes),
 		HeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:   defaultIdleTimeout,
 	}
 }
+
+// maxCallerConnections returns the limit on the connections of callers.
+func (s Settings) maxCallerConnections() int {
+	if s.MaxCallerConnections > 0 {
+		return s.MaxCallerConnections
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		// The default is safe on the machines that are known.
+		return DefaultMaxConnections
+	}
+	return int(min(DefaultMaxConnections, max(1, limit.Cur/2)))
+}
--- a/bulrushnode/caller_limits_test.go
+++ b/bulrushnode/caller_limits_test.go
@@ -11,14 +11,24 @@
 	"bulrushchute.example/bulrushchute/bulrushcaller"
 )
 
+// Guards against limits that leave callers no connection, or servers and nodes no descriptor.
+func TestMaxCallerConnections(t *testing.T) {
+	chosen := Settings{MaxCallerConnections: 7}.maxCallerConnections()
+	assert.Equal(t, chosen, 7)
+	derived := Settings{}.maxCallerConnections()
+	assert.Assert(t, derived >= 1 && derived <= DefaultMaxConnections, "%d connections", derived)
+}
+
 // Guards against settings of which a node cannot serve callers.
 func TestCallerMemorySettings(t *testing.T) {
 	cases := map[string]struct {
 		change func(s *Settings)
 		field  string
 	}{
-		"too little memory": {func(s *Settings) { s.CallerMemoryBytes = 1000 }, "caller_memory_bytes"},
-		"negative memory":   {func(s *Settings) { s.CallerMemoryBytes = -1 }, "caller_memory_bytes"},
+		"too little memory":    {func(s *Settings) { s.CallerMemoryBytes = 1000 }, "caller_memory_bytes"},
+		"negative memory":      {func(s *Settings) { s.CallerMemoryBytes = -1 }, "caller_memory_bytes"},
+		"negative connections": {func(s *Settings) { s.MaxCallerConnections = -1 }, "max_caller_connections"},
+		"too many connections": {func(s *Settings) { s.MaxCallerConnections = 2 << 20 }, "max_caller_connections"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -314,6 +314,7 @@
 	server := bulrushcaller.NewServer(bulrushcaller.Settings{
 		Limits:            func() bulrushcaller.Limits { return callerLimits(n.board.Read().Catalogue.Routing()) },
 		Memory:            n.server.Memory,
+		MaxConnections:    n.settings.maxCallerConnections(),
 		ReadAheadRequests: cmp.Or(n.settings.ReadAheadRequests, DefaultReadAheadRequests),
 		ReadAheadBytes:    cmp.Or(n.settings.ReadAheadBytes, DefaultReadAheadBytes),
 	}, n.entryHandler, n.clock)
--- a/bulrushnode/settings.go
+++ b/bulrushnode/settings.go
@@ -71,6 +71,8 @@
 	// CallerMemoryBytes is the memory that requests of callers may take together while they
 	// are read and run, besides 16 KiB for each connection. 0 selects the default.
 	CallerMemoryBytes int64 `json:"caller_memory_bytes,omitempty"`
+	// MaxCallerConnections limits the open connections of callers. 0 selects the default.
+	MaxCallerConnections int `json:"max_caller_connections,omitempty"`
 	// GraceMs is the maximum time that a node may take to shut down.
 	GraceMs bulrushchute.Millis `json:"grace_ms,omitempty"`
 	// StoreURL is the base URL of the object store.
@@ -164,6 +166,9 @@
 		value := strconv.FormatInt(s.CallerMemoryBytes, 10)
 		return &bulrushchute.FieldError{Field: "caller_memory_bytes", Value: value, Allowed: "1048576 to 17179869184"}
 	}
+	if err := checkRange("max_caller_connections", s.MaxCallerConnections, maxMaxConnections); err != nil {
+		return err
+	}
 	if err := s.checkAddresses(); err != nil {
 		return err
 	}
