Enforce the routing table's limits on headers, header time and idle time

Change: callerLimits reads all four at each request. 1 MiB of headers and 64 MiB of body are the upper limits whatever a table says. Result: TestCallerLimits.

--- a/bulrushnode/caller_limits.go
+++ b/bulrushnode/caller_limits.go
@@ -13,6 +13,7 @@
 // that it has.
 const (
 	defaultHeaderBytes   = 64 << 10
+	maxHeaderBytes       = 1 << 20
 	maxBodyBytes         = 64 << 20
 	defaultHeaderTimeout = 10 * bulrushchute.Second
 	defaultIdleTimeout   = 5 * bulrushchute.Minute
@@ -41,10 +42,10 @@
 func callerLimits(routing bulrushcatalogue.Routing) bulrushcaller.Limits {
 	limits := routing.Callers
 	return bulrushcaller.Limits{
-		HeaderBytes:   defaultHeaderBytes,
+		HeaderBytes:   min(cmp.Or(limits.HeaderBytes, defaultHeaderBytes), maxHeaderBytes),
 		BodyBytes:     min(cmp.Or(limits.BodyBytes, maxBodyBytes), maxBodyBytes),
-		HeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:   defaultIdleTimeout,
+		HeaderTimeout: cmp.Or(limits.HeaderTimeoutMs, defaultHeaderTimeout),
+		IdleTimeout:   cmp.Or(limits.IdleTimeoutMs, defaultIdleTimeout),
 	}
 }
 
--- a/bulrushnode/caller_limits_test.go
+++ b/bulrushnode/caller_limits_test.go
@@ -9,8 +9,38 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushcaller"
+	"bulrushchute.example/bulrushchute/bulrushcatalogue"
 )
 
+// Guards against limits of the routing table that are not in force, and against defaults
+// that a caller within the limits of a deployment meets.
+func TestCallerLimits(t *testing.T) {
+	cases := map[string]struct {
+		table bulrushcatalogue.CallerLimits
+		want  bulrushcaller.Limits
+	}{
+		"no limits": {
+			bulrushcatalogue.CallerLimits{},
+			bulrushcaller.Limits{HeaderBytes: 64 << 10, BodyBytes: 64 << 20, HeaderTimeout: 10000, IdleTimeout: 300000},
+		},
+		"limits of a deployment": {
+			bulrushcatalogue.CallerLimits{HeaderBytes: 16384, BodyBytes: 67108864, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+			bulrushcaller.Limits{HeaderBytes: 16384, BodyBytes: 67108864, HeaderTimeout: 3000, IdleTimeout: 15000},
+		},
+		"over the node's limits": {
+			bulrushcatalogue.CallerLimits{HeaderBytes: 1 << 30, BodyBytes: 1 << 40, HeaderTimeoutMs: 3600000, IdleTimeoutMs: 3600000},
+			bulrushcaller.Limits{HeaderBytes: 1 << 20, BodyBytes: 64 << 20, HeaderTimeout: 3600000, IdleTimeout: 3600000},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := bulrushcatalogue.RoutingTable{Callers: c.table}
+			set := bulrushcatalogue.Set{}.WithRouting(table, bulrushchute.RecordVersion{Epoch: 1, Counter: 1})
+			assert.DeepEqual(t, callerLimits(set.Routing()), c.want)
+		})
+	}
+}
+
 // Guards against limits that leave callers no connection, or servers and nodes no descriptor.
 func TestMaxCallerConnections(t *testing.T) {
 	chosen := Settings{MaxCallerConnections: 7}.maxCallerConnections()
