Set the memory limit of the runtime

Cause: garbage may take as much memory as what is in use, so the account of callers' memory alone does not keep a node under 256 MB. Change: bulrushd sets Go's memory limit to the account and 112 MiB, 200 MiB by default, unless GOMEMLIMIT is set.

--- a/bulrushnode/caller_limits.go
+++ b/bulrushnode/caller_limits.go
@@ -34,6 +34,16 @@
 	maxMaxConnections     = 1 << 20
 )
 
+// otherMemory is what a node may take besides the memory of callers: answers, connections
+// and its own state.
+const otherMemory = 112 << 20
+
+// MemoryLimit returns the memory, in bytes, above which the process should collect garbage at
+// once. Without it, garbage may take as much again as what is in use.
+func (s Settings) MemoryLimit() int64 {
+	return otherMemory + s.callerMemory()
+}
+
 func (s Settings) callerMemory() int64 {
 	return cmp.Or(s.CallerMemoryBytes, DefaultCallerMemory)
 }
--- a/cmd/bulrushd/main.go
+++ b/cmd/bulrushd/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
@@ -70,6 +71,13 @@
 	return command
 }
 
+// limitMemory lets the process collect garbage in time, unless operators have chosen a limit.
+func limitMemory(settings bulrushnode.Settings) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(settings.MemoryLimit())
+	}
+}
+
 func runNode(ctx context.Context, settingsPath string) error {
 	data, err := os.ReadFile(settingsPath)
 	if err != nil {
@@ -79,6 +87,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings)
 	storeTLS, err := settings.StoreTLS()
 	if err != nil {
 		return err
--- a/cmd/bulrushd/platform.go
+++ b/cmd/bulrushd/platform.go
@@ -48,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(settings.NodeSettings())
 	node := platform.NewNode(settings)
 	node.PublishMetrics()
 	operatorServer, err := bulrushoperator.NewServer(string(settings.OperatorAddress), node)
