Limit headers on the listeners for nodes, operators and servers

Cause: net/http accepts 1 MiB of headers there, and waits for ever for a body; a parsed header takes many times its bytes. Connections between nodes are taken over by WebSocket, so they have no time limit on reading.

--- a/bulrushnode/node.go
+++ b/bulrushnode/node.go
@@ -28,6 +28,8 @@
 	// readHeaderTimeout is the time after which a connection that has not sent a
 	// request header is closed.
 	readHeaderTimeout = 10 * time.Second
+	// maxControlHeaderBytes limits the headers of requests of peers.
+	maxControlHeaderBytes = 16 << 10
 	// selfUpdateInterval is how often the node brings its own member record up to
 	// date with the state of its backend server.
 	selfUpdateInterval = 100 * time.Millisecond
@@ -326,6 +328,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    maxControlHeaderBytes,
 		ErrorLog:          newConnRefusalLog(n.clock, listener).logger(),
 	}
 }
--- a/cmd/bulrushd/bulrushoperator/server.go
+++ b/cmd/bulrushd/bulrushoperator/server.go
@@ -16,7 +16,13 @@
 	"bulrushchute.example/bulrushchute/bulrushnode"
 )
 
-const readHeaderTimeout = 10 * time.Second
+// Limits on a request: the time for its header, the time for all of it, and the size of its
+// header.
+const (
+	readHeaderTimeout = 10 * time.Second
+	readTimeout       = 20 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
 
 // Node is the part of a node that the endpoints use.
 type Node interface {
@@ -44,7 +50,10 @@
 	if err := app.Build(); err != nil {
 		return nil, errors.Wrap(err, "build the operator endpoints")
 	}
-	return &http.Server{Addr: address, Handler: app, ReadHeaderTimeout: readHeaderTimeout}, nil
+	return &http.Server{
+		Addr: address, Handler: app,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, nil
 }
 
 // handleAnnounce handles an announcement of the backend server on the same
