--- a/bulrushcaller/server.go
+++ b/bulrushcaller/server.go
@@ -173,16 +173,14 @@
 
 // closeOverdue closes idle connections after the idle timeout.
 func (s *Server) closeOverdue(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		bulrushtask.Pause(ctx, idleCheckInterval)
-		if ctx.Err() != nil {
-			return nil
-		}
 		timeout := s.settings.Limits().IdleTimeout
 		for _, c := range s.open() {
 			c.closeIfOverdue(s.clock.Now(), timeout)
 		}
 	}
+	return nil
 }
 
 func (s *Server) open() []*connection {
