Count descriptors once more at the end of a test

Cause: TestSilentConnectionsLeaveDescriptors may end before the next sample, so the 24 descriptors that the message of the limit on connections states were counted before the connections were opened. Change: one more sample at the end, on all tests.

--- a/cmd/bulrushbench/bulrushmisuse/fleet_test.go
+++ b/cmd/bulrushbench/bulrushmisuse/fleet_test.go
@@ -124,22 +124,26 @@
 // is called, which returns the largest count of each node.
 func (tf *testFleet) watchDescriptors() func() []int {
 	highest := make([]int, len(tf.instances))
+	sample := func() {
+		for i, instance := range tf.instances {
+			count, err := instance.OpenDescriptors()
+			if err == nil {
+				highest[i] = max(highest[i], count)
+			}
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var watch sync.WaitGroup
 	watch.Go(func() {
 		for ctx.Err() == nil {
-			for i, instance := range tf.instances {
-				count, err := instance.OpenDescriptors()
-				if err == nil {
-					highest[i] = max(highest[i], count)
-				}
-			}
+			sample()
 			time.Sleep(sampleInterval)
 		}
 	})
 	return func() []int {
 		cancel()
 		watch.Wait()
+		sample()
 		return highest
 	}
 }
