Answer an attempt whose reply is too large to be sent

Cause: a reply over the size of a message was not encoded, and nothing was sent in its place, so the entry node waited for it until the deadline. Until bodies came in parts, no echo of a request could be that large, and TestExchangeClassifiesFailures sent such a body as its example of a message that is too large.

Change: the node sends a failure, too_large, in place of the reply. The test uses a path over the size of a message; bodies are tested in TestReplyTooLarge.

Result: TestReplyTooLarge fails after 10 s without the change ("no reply") and passes with it, with -race.

--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/coder/websocket"
+	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushmemory"
@@ -289,7 +290,13 @@
 	if session == nil {
 		return nil
 	}
-	return session.connection.write(s.context, Message{Reply: &reply})
+	err := session.connection.write(s.context, Message{Reply: &reply})
+	var malformed *MessageError
+	if errors.As(err, &malformed) {
+		failure := bulrushchute.Reply{ID: reply.ID, Load: reply.Load, Failure: &bulrushchute.Failure{Reason: bulrushchute.ReasonTooLarge}}
+		return session.connection.write(s.context, Message{Reply: &failure})
+	}
+	return err
 }
 
 // resume moves attempts to this connection, and closes those on which they were sent.
--- a/bulrushwire/transport_test.go
+++ b/bulrushwire/transport_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
@@ -105,6 +106,18 @@
 	}
 }
 
+// Guards against an attempt that waits for ever for a reply that is too large to be sent.
+func TestReplyTooLarge(t *testing.T) {
+	address, _ := startNode(t, &fakeNode{attempt: echo})
+	attempt := sampleAttempt()
+	attempt.Body = make([]byte, bulrushwire.MaxMessageBytes)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	reply, err := newClient(t).Exchange(ctx, address, attempt)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply.Failure, &bulrushchute.Failure{Reason: bulrushchute.ReasonTooLarge})
+}
+
 // Guards against confusing errors after which an attempt may have run, and must
 // not be retried, with errors after which it certainly did not run.
 func TestExchangeClassifiesFailures(t *testing.T) {
@@ -122,7 +135,7 @@
 		"message too large": {func(t *testing.T, client *bulrushwire.Client) error {
 			address, _ := startNode(t, &fakeNode{attempt: echo})
 			attempt := sampleAttempt()
-			attempt.Body = make([]byte, bulrushwire.MaxMessageBytes)
+			attempt.Path = strings.Repeat("x", bulrushwire.MaxMessageBytes)
 			_, err := client.Exchange(context.Background(), address, attempt)
 			return err
 		}, false},
