Acknowledge the parts of bodies between nodes

Cause: a body in parts was written as fast as the connection took it. The pings of the connection waited behind several megabytes, so beside load the connection was taken for silent and replaced, and the attempt ended with "lost on a silent connection" (not sent).

Change: the peer acknowledges each part (PartAck), and 1 MiB at most is sent without an acknowledgement. The acknowledgements also show that the peer lives. A peer without memory says so in the first one, and the rest is not sent. A body over 64 MiB is refused before its first part.

Not measured: bodies over a narrow or a distant link.

--- a/bulrushwire/client.go
+++ b/bulrushwire/client.go
@@ -116,7 +116,10 @@
 	defer c.mutex.Unlock()
 	peer, exists := c.dataPeers[address]
 	if !exists {
-		peer = &dataPeer{client: c, address: address, pending: make(map[bulrushchute.AttemptID]pendingAttempt)}
+		peer = &dataPeer{
+			client: c, address: address,
+			pending: make(map[bulrushchute.AttemptID]pendingAttempt), acks: make(map[bulrushchute.AttemptID]chan PartAck),
+		}
 		c.dataPeers[address] = peer
 	}
 	return peer
--- a/bulrushwire/message.go
+++ b/bulrushwire/message.go
@@ -45,7 +45,8 @@
 	// it.
 	SentAt bulrushchute.Millis `cbor:"9,keyasint,omitempty"`
 	// Part is sent only to nodes that accept it.
-	Part *Part `cbor:"10,keyasint,omitempty"`
+	Part    *Part    `cbor:"10,keyasint,omitempty"`
+	PartAck *PartAck `cbor:"11,keyasint,omitempty"`
 }
 
 // Ping has no content.
@@ -164,6 +165,8 @@
 		return "resume"
 	case m.Part != nil:
 		return "part"
+	case m.PartAck != nil:
+		return "part acknowledgement"
 	default:
 		return "resumed"
 	}
@@ -171,7 +174,7 @@
 
 func (m Message) check() error {
 	set := countTrue(m.Attempt != nil, m.Reply != nil, m.Cancel != nil, m.Control != nil,
-		m.Ping != nil, m.Pong != nil, m.Resume != nil, m.Resumed != nil, m.Part != nil)
+		m.Ping != nil, m.Pong != nil, m.Resume != nil, m.Resumed != nil, m.Part != nil, m.PartAck != nil)
 	if set != 1 {
 		return &MessageError{Problem: fmt.Sprintf("%d content fields are set, want 1", set)}
 	}
--- a/bulrushwire/parts.go
+++ b/bulrushwire/parts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushmemory"
@@ -15,6 +17,9 @@
 	// MaxAttemptBodyBytes is the maximum size of the body of an attempt that is sent in
 	// parts.
 	MaxAttemptBodyBytes = 64 << 20
+	// maxUnconfirmedBytes is what is sent of a body before the peer has confirmed what came
+	// before. More would hold up the pings of the connection, which would be replaced.
+	maxUnconfirmedBytes = 4 * partBytes
 	// acceptsParts is the value of headerParts.
 	acceptsParts = "1"
 	// fieldCost is what a header field takes besides its bytes.
@@ -33,6 +38,15 @@
 	Data  []byte `cbor:"3,keyasint"`
 }
 
+// PartAck confirms the parts that a peer has read.
+type PartAck struct {
+	Attempt bulrushchute.AttemptID `cbor:"1,keyasint"`
+	// Bytes is how much of the body the peer has read. With Refused, there is no memory for
+	// it, and no further part is needed.
+	Bytes   int  `cbor:"2,keyasint"`
+	Refused bool `cbor:"3,keyasint,omitempty"`
+}
+
 func checkPart(part Part) error {
 	if part.Total < 1 || part.Total > MaxAttemptBodyBytes || len(part.Data) == 0 {
 		return &MessageError{Problem: "part of a body with a wrong size"}
@@ -41,30 +55,129 @@
 }
 
 // sendParts sends the body of an attempt, and returns the attempt that must follow. Its
-// error is that of send.
-func (p *dataPeer) sendParts(ctx context.Context, connection *dataConnection, attempt bulrushchute.Attempt) (bulrushchute.Attempt, error) {
-	if len(attempt.Body) <= partBytes || !connection.acceptsParts {
+// error is that of send. ended is the channel for the end of the attempt.
+func (p *dataPeer) sendParts(ctx context.Context, connection *dataConnection, attempt bulrushchute.Attempt, ended chan attemptEnd) (bulrushchute.Attempt, error) {
+	body := attempt.Body
+	switch {
+	case len(body) <= partBytes || !connection.acceptsParts:
 		return attempt, nil
+	case len(body) > MaxAttemptBodyBytes:
+		cause := &MessageError{Problem: fmt.Sprintf("a body of %d bytes exceeds the limit of %d", len(body), MaxAttemptBodyBytes)}
+		return attempt, &bulrushchute.NotSentError{Address: p.address, Cause: cause}
 	}
-	body := attempt.Body
-	for start := 0; start < len(body); start += partBytes {
+	acks := p.addAcks(attempt.ID)
+	defer p.removeAcks(attempt.ID)
+	var confirmed PartAck
+	for start := 0; start < len(body) && !confirmed.Refused; start += partBytes {
 		part := Part{Attempt: attempt.ID, Total: len(body), Data: body[start:min(len(body), start+partBytes)]}
 		if err := p.send(ctx, connection, Message{Part: &part}); err != nil {
-			// The peer drops the parts that it has.
 			p.sendCancel(connection, attempt.ID)
 			return attempt, err
 		}
+		for start+len(part.Data)-confirmed.Bytes > maxUnconfirmedBytes && !confirmed.Refused {
+			select {
+			case confirmed = <-acks:
+				continue
+			case <-ctx.Done():
+				p.sendCancel(connection, attempt.ID)
+				return attempt, &bulrushchute.NotSentError{Address: p.address, Cause: ctx.Err()}
+			case end := <-ended:
+				// The connection was replaced, and the peer has not seen the attempt.
+				ended <- end
+			case <-connection.closed:
+			}
+			// What follows cannot be written, or is dropped: exchange awaits the end.
+			confirmed.Bytes = len(body)
+		}
 	}
 	attempt.Body, attempt.BodyBytes = nil, len(body)
 	return attempt, nil
 }
 
+// addAcks returns the channel for the acknowledgements of an attempt's parts.
+func (p *dataPeer) addAcks(id bulrushchute.AttemptID) <-chan PartAck {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	acks := make(chan PartAck, 1)
+	p.acks[id] = acks
+	return acks
+}
+
+func (p *dataPeer) removeAcks(id bulrushchute.AttemptID) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.acks, id)
+}
+
+// deliverAck passes an acknowledgement on, in place of an earlier one that nobody has read.
+func (p *dataPeer) deliverAck(ack PartAck) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	acks, exists := p.acks[ack.Attempt]
+	if !exists {
+		return
+	}
+	select {
+	case <-acks:
+	default:
+	}
+	acks <- ack
+}
+
+// ackQueue holds the acknowledgements that have to be written, the latest of each attempt.
+type ackQueue struct {
+	mutex  sync.Mutex
+	latest map[bulrushchute.AttemptID]PartAck
+	// due has an element while the queue is not empty.
+	due chan struct{}
+}
+
+func newAckQueue() *ackQueue {
+	return &ackQueue{latest: make(map[bulrushchute.AttemptID]PartAck), due: make(chan struct{}, 1)}
+}
+
+func (aq *ackQueue) add(ack PartAck) {
+	aq.mutex.Lock()
+	defer aq.mutex.Unlock()
+	aq.latest[ack.Attempt] = ack
+	select {
+	case aq.due <- struct{}{}:
+	default:
+	}
+}
+
+func (aq *ackQueue) take() map[bulrushchute.AttemptID]PartAck {
+	aq.mutex.Lock()
+	defer aq.mutex.Unlock()
+	taken := aq.latest
+	aq.latest = make(map[bulrushchute.AttemptID]PartAck)
+	return taken
+}
+
+// sendAcks writes acknowledgements until the connection ends.
+func (s *session) sendAcks(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.acks.due:
+		}
+		for _, ack := range s.acks.take() {
+			if err := s.connection.write(ctx, Message{PartAck: &ack}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // assembly is a body of which a part has not arrived, and its memory. Without memory, the
 // parts are dropped and the attempt is refused.
 type assembly struct {
 	data  []byte
 	total int
 	share *bulrushmemory.Share
+	// read counts the bytes of all parts, also of those that were dropped.
+	read int
 }
 
 // addPart adds a part to the body of its attempt. It does not block.
@@ -80,6 +193,8 @@
 	if body.share != nil && len(body.data)+len(part.Data) <= body.total {
 		body.data = append(body.data, part.Data...)
 	}
+	body.read += len(part.Data)
+	s.acks.add(PartAck{Attempt: part.Attempt, Bytes: body.read, Refused: body.share == nil})
 }
 
 // dropParts drops the body of an attempt that will not follow.
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -93,6 +93,8 @@
 	mutex   sync.Mutex
 	current *dataConnection
 	pending map[bulrushchute.AttemptID]pendingAttempt
+	// acks pass the acknowledgements of parts to the attempts that send them.
+	acks map[bulrushchute.AttemptID]chan PartAck
 }
 
 func (p *dataPeer) connect(ctx context.Context) (*dataConnection, error) {
@@ -166,6 +168,8 @@
 		if !p.end(message.Reply.ID, attemptEnd{reply: *message.Reply}) {
 			p.client.lateReplies.Add(1)
 		}
+	case message.PartAck != nil:
+		p.deliverAck(*message.PartAck)
 	case message.Resumed != nil:
 		p.mutex.Lock()
 		connection.former = nil
@@ -205,7 +209,7 @@
 	if err != nil {
 		return bulrushchute.Reply{}, &bulrushchute.NotSentError{Address: p.address, Cause: err}
 	}
-	attempt, err = p.sendParts(ctx, connection, attempt)
+	attempt, err = p.sendParts(ctx, connection, attempt, end)
 	if err != nil {
 		p.removePending(attempt.ID)
 		return bulrushchute.Reply{}, err
--- a/bulrushwire/server.go
+++ b/bulrushwire/server.go
@@ -113,7 +113,7 @@
 	defer cancel()
 	session := &session{
 		server: s, peer: bulrushchute.Address(peer), pongDue: make(chan struct{}, 1),
-		assemblies: make(map[bulrushchute.AttemptID]*assembly),
+		assemblies: make(map[bulrushchute.AttemptID]*assembly), acks: newAckQueue(),
 	}
 	defer session.dropAllParts()
 	session.connection = newConnection(s.context, socket, id, session.peer, s.OnHeldUp)
@@ -124,6 +124,7 @@
 	defer s.removeSession(session)
 	writers := bulrushtask.NewGroup(nil)
 	writers.Start(ctx, "pongs", session.sendPongs)
+	writers.Start(ctx, "acknowledgements", session.sendAcks)
 	_ = session.connection.read(ctx, func() {}, session.handle)
 	cancel()
 	writers.Wait()
@@ -187,6 +188,7 @@
 	// assemblies are the bodies whose attempts have not arrived. They belong to the
 	// goroutine that reads the connection.
 	assemblies map[bulrushchute.AttemptID]*assembly
+	acks       *ackQueue
 }
 
 // handle must not block: attempts and cancels of the peer are read only after it.
--- a/bulrushwire/transport_test.go
+++ b/bulrushwire/transport_test.go
@@ -139,6 +139,13 @@
 			_, err := client.Exchange(context.Background(), address, attempt)
 			return err
 		}, false},
+		"body too large": {func(t *testing.T, client *bulrushwire.Client) error {
+			address, _ := startNode(t, &fakeNode{attempt: echo})
+			attempt := sampleAttempt()
+			attempt.Body = make([]byte, bulrushwire.MaxAttemptBodyBytes+1)
+			_, err := client.Exchange(context.Background(), address, attempt)
+			return err
+		}, false},
 		"connection closed before the answer": {func(t *testing.T, client *bulrushwire.Client) error {
 			node := &fakeNode{}
 			listeners := make(chan net.Listener, 1)
