Keep the reply of a cancelled attempt until its exchange has returned

Cause: TestExchangeClassifiesFailures/context_cancelled failed once beside load ("got <nil>"). The peer of the test replies as soon as it gets the cancel, and a reply that arrives before the exchange returns is returned, as it should be. The test took that for a failure.

Change: the peer replies after the exchange has returned. What the test demands of the error is the same.

--- a/bulrushwire/transport_test.go
+++ b/bulrushwire/transport_test.go
@@ -172,11 +172,15 @@
 		}, true},
 		"context cancelled": {func(t *testing.T, client *bulrushwire.Client) error {
 			ctx, cancel := context.WithCancel(context.Background())
+			returned := make(chan struct{})
 			address, _ := startNode(t, &fakeNode{attempt: func(attemptContext context.Context, _ bulrushchute.Attempt) bulrushchute.Reply {
 				cancel()
 				<-attemptContext.Done()
+				// A reply that arrives first would be returned.
+				<-returned
 				return bulrushchute.Reply{Refusal: &bulrushchute.Refusal{}}
 			}})
+			defer close(returned)
 			_, err := client.Exchange(ctx, address, sampleAttempt())
 			return err
 		}, true},
