Reserve memory for headers before parsing them

A body over the limit of its route reserved memory before it was refused. A request that waits behind the response before it, or for bodies that were read ahead, counted as stalled after a second, since nothing of it was read meanwhile. Connections that were closed in favour of another one, or for a malformed request, left no line in the log.

Change: readHeader reserves the cost before parsing, readBody after the check of the size; without memory for a body, the answer has the reason no_memory and Bulrush-Outcome. A reservation is paused while nothing is read for it. OnRejected is told of the connections above (log line "connection refused", limited as before).

--- a/bulrushcaller/body.go
+++ b/bulrushcaller/body.go
@@ -89,18 +89,28 @@
 	return size + min(size, maxCopiedBodyBytes)
 }
 
-// readBody reads the body of a request, for which memory is reserved if its size is known.
+// readBody reads the body of a request, once there is memory for it if its size is known.
 // The error is a *BodyError if the handler must reject the request, and a *requestError if
 // the body is malformed.
-func (c *connection) readBody(ctx context.Context, request *http.Request, memory *reservation, limit int64) ([]byte, error) {
+func (c *connection) readBody(ctx context.Context, request *http.Request, limit int64, memory *reservation, previous *response) ([]byte, error) {
 	size := request.ContentLength
 	if size > limit {
 		return nil, errBodyTooLarge
 	}
+	if err := c.reserve(ctx, c.head.cost()+bodyCost(max(0, size)), memory, previous); err != nil {
+		return nil, classifyBodyError(err)
+	}
+	if expectsContinue(request) {
+		if err := c.sendContinue(ctx, previous); err != nil {
+			return nil, err
+		}
+	}
+	c.awaitBytes(ctx, previous)
 	if size < 0 || int64(c.reader.Buffered()) < size {
 		timer := time.AfterFunc(c.server.handler.BodyTimeout(request).Duration(), func() { c.input.fail(errBodyTimeout) })
 		defer timer.Stop()
 	}
+	memory.resume()
 	if size < 0 {
 		data, err := c.readChunks(ctx, memory, limit)
 		return data, classifyBodyError(err)
--- a/bulrushcaller/connection.go
+++ b/bulrushcaller/connection.go
@@ -84,9 +84,7 @@
 	defer func() { _ = c.socket.Close() }()
 	if err := c.handshake(ctx); err != nil {
 		rejectPlainText(err)
-		if c.server.OnRejected != nil {
-			c.server.OnRejected(c.socket.RemoteAddr().String(), err.Error())
-		}
+		c.report(err.Error())
 		return
 	}
 	pumpEnded := make(chan struct{})
@@ -219,6 +217,7 @@
 // is rejected first; evict returns false then.
 func (c *connection) evict(rank evictionRank) bool {
 	if rank == slowBody {
+		c.report("the body of its request is slow, and the connections are used up")
 		c.input.fail(errBodyEvicted)
 		return false
 	}
@@ -227,10 +226,18 @@
 	if c.started != c.sent || c.headReadAt > 0 {
 		return false
 	}
+	c.report("it has no request, and the connections are used up")
 	c.close()
 	return true
 }
 
+// report reports a connection that was closed, or will be, because of its caller.
+func (c *connection) report(reason string) {
+	if c.server.OnRejected != nil {
+		c.server.OnRejected(c.socket.RemoteAddr().String(), reason)
+	}
+}
+
 // parse reads requests and starts them, until the connection ends or must not be
 // used further.
 func (c *connection) parse(ctx context.Context) error {
@@ -247,6 +254,7 @@
 		var rejected *requestError
 		switch {
 		case errors.As(err, &rejected):
+			c.report(rejected.Error())
 			next = rejected.response()
 		case err != nil:
 			c.endParsing()
@@ -331,27 +339,15 @@
 }
 
 func (c *connection) readWithin(ctx context.Context, limits Limits, memory *reservation, previous *response) (*response, error) {
-	request, err := c.readHeader(ctx, limits, memory)
+	request, err := c.readHeader(ctx, limits, memory, previous)
 	if err != nil {
 		return nil, err
 	}
-	if err := c.reserve(ctx, c.head.cost()+bodyCost(max(0, min(request.ContentLength, limits.BodyBytes))), memory, previous); err != nil {
-		return nil, err
-	}
 	arrivedAt := c.server.clock.Now()
-	hasBody := request.Body != http.NoBody && request.Body != nil
-	if hasBody {
-		if expectsContinue(request) && request.ContentLength <= limits.BodyBytes {
-			if err := c.sendContinue(ctx, previous); err != nil {
-				return nil, err
-			}
-		}
-		c.awaitBytes(ctx, previous)
-	}
 	var body []byte
 	var rejected *BodyError
-	if hasBody {
-		body, err = c.readBody(ctx, request, memory, limits.BodyBytes)
+	if request.Body != http.NoBody && request.Body != nil {
+		body, err = c.readBody(ctx, request, limits.BodyBytes, memory, previous)
 		if err != nil && !errors.As(err, &rejected) {
 			return nil, err
 		}
@@ -366,11 +362,13 @@
 	return next, nil
 }
 
-// readHeader reads and parses the request line and the headers of a request.
-func (c *connection) readHeader(ctx context.Context, limits Limits, memory *reservation) (*http.Request, error) {
+// readHeader reads the request line and the headers of a request, and parses them once there
+// is memory for that.
+func (c *connection) readHeader(ctx context.Context, limits Limits, memory *reservation, previous *response) (*http.Request, error) {
 	timeout := time.AfterFunc(limits.HeaderTimeout.Duration(), func() { _ = c.socket.Close() })
 	err := c.readHead(ctx, limits.HeaderBytes, memory)
 	timeout.Stop()
+	memory.pause()
 	var evicted *BodyError
 	switch {
 	case errors.As(err, &evicted):
@@ -381,6 +379,9 @@
 	c.mutex.Lock()
 	c.headReadAt = c.server.clock.Now()
 	c.mutex.Unlock()
+	if err := c.reserve(ctx, c.head.cost(), memory, previous); err != nil {
+		return nil, rejectForMemory(err)
+	}
 	request, err := parseHead(c.head.bytes)
 	if err != nil {
 		return nil, err
@@ -397,7 +398,7 @@
 	if previous != nil && !previous.isSent() && !memory.tryWithoutAllowance(bytes) {
 		previous.wait(ctx)
 	}
-	return rejectForMemory(memory.ensure(ctx, bytes))
+	return memory.ensure(ctx, bytes)
 }
 
 // awaitBytes waits until the bodies that were read ahead are within their limit.
--- a/bulrushcaller/reservation.go
+++ b/bulrushcaller/reservation.go
@@ -17,12 +17,14 @@
 	account   *bulrushmemory.Account
 	allowance int64
 	share     *bulrushmemory.Share
-	// evict ends the reading of the request when it makes no progress.
-	evict func()
+	// evict ends the reading of the request when it makes no progress. It is in force while
+	// reading is set: a request that waits for others is not the slow one.
+	evict   func()
+	reading bool
 }
 
 func newReservation(account *bulrushmemory.Account, evict func()) *reservation {
-	return &reservation{account: account, allowance: requestAllowance, evict: evict}
+	return &reservation{account: account, allowance: requestAllowance, evict: evict, reading: true}
 }
 
 // ensure enlarges the reservation to a number of bytes. It waits for a short time if there
@@ -62,7 +64,21 @@
 
 func (r *reservation) use(share *bulrushmemory.Share) {
 	r.share = share
-	share.BeginArrival(r.evict)
+	if r.reading {
+		share.BeginArrival(r.evict)
+	}
+}
+
+// pause states that nothing is read for the request.
+func (r *reservation) pause() {
+	r.reading = false
+	r.share.EndArrival()
+}
+
+// resume states that the request is read again.
+func (r *reservation) resume() {
+	r.reading = true
+	r.share.BeginArrival(r.evict)
 }
 
 // arrived states that bytes of the request have arrived.
@@ -77,7 +93,7 @@
 
 // finish ends the reading of the request, and returns the share that it keeps, or nil.
 func (r *reservation) finish() *bulrushmemory.Share {
-	r.share.EndArrival()
+	r.pause()
 	return r.share
 }
 
--- a/bulrushcaller/server.go
+++ b/bulrushcaller/server.go
@@ -74,8 +74,9 @@
 	handler  Handler
 	clock    bulrushchute.Clock
 	tasks    *bulrushtask.Group
-	// OnRejected is called for each connection whose TLS handshake failed. It must
-	// be set before Serve and may be nil.
+	// OnRejected is called for each connection whose TLS handshake failed, that sent no
+	// request in the protocol or one over the limits, or that was closed in favour of
+	// another one. It must be set before Serve, must not block and may be nil.
 	OnRejected func(remote, reason string)
 
 	mutex       sync.Mutex
--- a/bulrushmemory/account.go
+++ b/bulrushmemory/account.go
@@ -199,6 +199,9 @@
 // the message makes no progress, evict is called once, which must not block and must make
 // the holders release the share.
 func (s *Share) BeginArrival(evict func()) {
+	if s == nil {
+		return
+	}
 	s.account.mutex.Lock()
 	defer s.account.mutex.Unlock()
 	s.evict = evict
