Send bodies between nodes in parts of 64 KiB

Callers saw: a body of 3 MB, or four of 700 KB at a time, were refused as not sent where the link to the other node carries 17 Mbit/s. Cause: nothing is heard of the peer while a large message or part is on its way, and after about 110 ms the connection is taken for silent and replaced. A part of 256 KiB takes 120 ms on such a link. Change: parts of 64 KiB, each of which is acknowledged. What is sent without an acknowledgement stays 1 MiB. The limit of copies in bulrushcaller stays, and is an upper limit now.

--- a/bulrushcaller/body.go
+++ b/bulrushcaller/body.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxCopiedBodyBytes is the part of a body that exists twice while it is encoded for
-	// another node.
+	// maxCopiedBodyBytes is an upper limit of what exists twice of a body, while it is
+	// encoded for another node.
 	maxCopiedBodyBytes = 256 << 10
 	// maxTrailerBytes limits the lines after a body in chunks, which are dropped.
 	maxTrailerBytes = 4 << 10
--- a/bulrushwire/full_link_test.go
+++ b/bulrushwire/full_link_test.go
@@ -387,6 +387,36 @@
 	}
 }
 
+// Guards against a connection that is taken for silent, and replaced, while large bodies
+// leave on it: their attempts are refused or sent again from the beginning.
+func TestLargeBodyIsTakenForSilence(t *testing.T) {
+	const narrow = 17_000_000 / 8
+	cases := map[string]struct {
+		attempts, bytes int
+	}{
+		"one of 200 KB":  {1, 200_000},
+		"one of 3 MB":    {1, 3_000_000},
+		"four of 700 KB": {4, 700_000},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			fixture := newLinkFixture(t, 0, 0)
+			fixture.proxy.fromClient.setRate(narrow)
+			ends := make(chan error, tc.attempts)
+			for i := range tc.attempts {
+				go func() {
+					_, err := fixture.exchangeWithID(context.Background(), [2]byte{largeAttempt, byte(i)}, make([]byte, tc.bytes))
+					ends <- err
+				}()
+			}
+			for range tc.attempts {
+				assert.NilError(t, receive(t, ends, 5*time.Second, "answer"))
+			}
+			assert.Equal(t, fixture.client.Resumptions().Replaced, int64(0))
+		})
+	}
+}
+
 // Guards against the loss of the reply to a non-idempotent attempt whose caller has left:
 // it may have begun, so that the peer alone knows whether it runs to its end.
 func TestCancelledAttemptReplyIsLost(t *testing.T) {
--- a/bulrushwire/parts.go
+++ b/bulrushwire/parts.go
@@ -12,14 +12,15 @@
 const (
 	// partBytes is the size up to which the body of an attempt is sent in the attempt
 	// itself. A larger one is sent before it, in parts of this size: messages of other
-	// attempts are written between them, and only a part at a time is copied.
-	partBytes = 256 << 10
+	// attempts are written between them, and only a part at a time is copied. On a link of
+	// 17 Mbit/s its acknowledgement comes before the connection is taken for silent.
+	partBytes = 64 << 10
 	// MaxAttemptBodyBytes is the maximum size of the body of an attempt that is sent in
 	// parts.
 	MaxAttemptBodyBytes = 64 << 20
 	// maxUnconfirmedBytes is what is sent of a body before the peer has confirmed what came
 	// before. More would hold up the pings of the connection, which would be replaced.
-	maxUnconfirmedBytes = 4 * partBytes
+	maxUnconfirmedBytes = 16 * partBytes
 	// acceptsParts is the value of headerParts.
 	acceptsParts = "1"
 	// fieldCost is what a header field takes besides its bytes.
