Give the body in the test of a slow reader more time

The test handler allows 300 ms for a body since bodies have a time, and 8 MiB took longer there with -race. Change: the test allows 20 s. What it checks is the same.

--- a/bulrushcaller/slow_reader_test.go
+++ b/bulrushcaller/slow_reader_test.go
@@ -21,7 +21,7 @@
 	const bodyBytes = 8 << 20
 	settings := testSettingsWith(Limits{HeaderBytes: 1 << 12, BodyBytes: bodyBytes, HeaderTimeout: bulrushchute.Second, IdleTimeout: bulrushchute.Minute})
 	settings.Memory = bulrushmemory.NewAccount(2*bodyBytes, bulrushchute.WallClock{})
-	tc := newTestCaller(t, settings)
+	tc := newTestCallerWith(t, settings, 20*bulrushchute.Second)
 	close(tc.handler.gate("/large"))
 	go func() {
 		_, _ = fmt.Fprintf(tc.socket, "POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bodyBytes)
