--- /dev/null
+++ b/review/standin-3/leave.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// leaveAfter sends a request and closes its connection after a time, if the answer has not
+// come before.
+func (c *client) leaveAfter(id string, stay time.Duration) (left time.Time, status int) {
+	ctx, cancel := context.WithTimeout(context.Background(), stay)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.node.caller+c.path, nil)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = c.host
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	response, err := c.http.Do(request)
+	if err != nil {
+		return time.Now(), 0
+	}
+	_ = response.Body.Close()
+	return time.Now(), response.StatusCode
+}
+
+// playLeave lets the clients of a route of kind "download" leave before their deadline, and
+// checks GONE. A route of kind "idempotent" gets the same for comparison.
+func playLeave(w *world) (string, error) {
+	const requests, stay, settled = 40, 400 * time.Millisecond, 500 * time.Millisecond
+	w.configure(1, []string{"vault"},
+		route{Name: "fetch", Host: "vault.example", Prefix: "/fetch/", Kind: "download", TimeoutMs: 4000, Objective: 1200, Rank: 2, Service: "vault", Attempts: 2},
+		route{Name: "look", Host: "vault.example", Prefix: "/look/", Kind: "idempotent", TimeoutMs: 4000, Objective: 1200, Rank: 2, Service: "vault", Attempts: 2})
+	entry := w.newNode("node-1", "north", "board")
+	w.newNode("node-2", "north", "vault")
+	var servers []*server
+	for _, n := range w.nodes {
+		n.start()
+		s := newServer(n, "i-"+n.name)
+		s.work = 1500 * time.Millisecond
+		s.start(false)
+		servers = append(servers, s)
+	}
+	for _, n := range w.nodes {
+		if err := n.awaitReady(10 * time.Second); err != nil {
+			return "", err
+		}
+	}
+	vault := servers[1]
+	// contactS, and the first heartbeats.
+	time.Sleep(4 * time.Second)
+	broken := ""
+	for _, path := range []string{"/look/1", "/fetch/1"} {
+		c := w.newClient(entry, "GET", "vault.example", path, 4*time.Second)
+		reached, worked, answered := 0, 0, 0
+		for range requests / 8 {
+			var clients sync.WaitGroup
+			var mutex sync.Mutex
+			for range 8 {
+				clients.Go(func() {
+					id, until := newID(), stay
+					if !w.trouble {
+						until = c.deadline
+					}
+					left, status := c.leaveAfter(id, until)
+					time.Sleep(2 * time.Second)
+					end, ran := vault.endOf(id)
+					w.record("client: GET %s %s, status %d (0: none), leaves; server: ran %t, ended %+.3f s after that", path, id, status, ran, end.Sub(left).Seconds())
+					mutex.Lock()
+					defer mutex.Unlock()
+					switch {
+					case status == http.StatusOK:
+						answered++
+					case status == 0 && ran:
+						reached++
+						if end.Sub(left) > settled {
+							worked++
+						}
+					}
+				})
+			}
+			clients.Wait()
+		}
+		w.record("%s: %d answered; of %d runs whose clients had left, %d were worked on over %v later", path, answered, reached, worked, settled)
+		if worked*4 > reached && worked > 3 {
+			broken += fmt.Sprintf("GONE: %s: servers worked on for %d of %d runs %v after their clients had left; ", path, worked, reached, settled)
+		}
+		if reached < requests/2 && w.trouble || answered < requests/2 && !w.trouble {
+			return "", fmt.Errorf("too few requests reached the server")
+		}
+	}
+	return broken, nil
+}
+
+// endOf returns when the server ended its work on a request, and whether it ran it.
+func (s *server) endOf(id string) (time.Time, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, a := range s.arrivals {
+		if a.id == id {
+			return a.endedAt, a.ran
+		}
+	}
+	return time.Time{}, false
+}
