--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,8 @@
 	began   time.Time
 	// healthPaths are the health paths of services, where they are not /health.
 	healthPaths map[string]string
+	// region is the region of all zones.
+	region string
 
 	mutex sync.Mutex
 	lines []string
@@ -38,6 +40,7 @@
 // empty if nothing did, or an error if it could not run.
 var cases = map[string]func(w *world) (string, error){
 	"cold":        playCold,
+	"evacuate":    playEvacuate,
 	"health_path": playHealthPath,
 	"leave":       playLeave,
 	"pipeline":    playPipeline,
@@ -63,7 +66,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	w := &world{program: program, folder: folder, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), healthPaths: make(map[string]string)}
+	w := &world{program: program, folder: folder, trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), healthPaths: make(map[string]string), region: "mn-central"}
 	if w.store, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin-3/node.go
+++ b/review/standin-3/node.go
@@ -60,7 +60,7 @@
 		settings: filepath.Join(w.folder, name+".json"),
 	}
 	settings := map[string]any{
-		"instance": name, "data_centre": zone, "region": "region", "service": service,
+		"instance": name, "data_centre": zone, "region": w.region, "service": service,
 		"caller_address": n.caller, "ready_address": n.ready, "announce_address": n.announce,
 		"peer_address": freeAddress(), "operator_address": freeAddress(), "backend_address": n.backend,
 		"store_address": w.store.address(), "first_start": true, "bounds": bounds,
