--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -98,14 +98,3 @@
 		}
 	}
 }
-
-// summary returns the number of answers by status, 0 for none.
-func (c *client) summary() map[int]int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	counts := make(map[int]int)
-	for _, a := range c.attempts {
-		counts[a.status]++
-	}
-	return counts
-}
--- a/review/standin-3/evacuate.go
+++ b/review/standin-3/evacuate.go
@@ -19,7 +19,7 @@
 		n.start()
 		s := newServer(n, "i-"+n.name)
 		servers = append(servers, s)
-		s.start(false)
+		s.start()
 	}
 	for _, n := range w.nodes {
 		if err := n.awaitReady(10 * time.Second); err != nil {
--- a/review/standin-3/health_path.go
+++ b/review/standin-3/health_path.go
@@ -18,7 +18,7 @@
 		n.start()
 		s := newServer(n, "i-"+n.name)
 		servers[n.service] = s
-		s.start(false)
+		s.start()
 	}
 	for _, n := range w.nodes {
 		if err := n.awaitReady(10 * time.Second); err != nil {
--- a/review/standin-3/leave.go
+++ b/review/standin-3/leave.go
@@ -43,7 +43,7 @@
 		n.start()
 		s := newServer(n, "i-"+n.name)
 		s.work = 1500 * time.Millisecond
-		s.start(false)
+		s.start()
 		servers = append(servers, s)
 	}
 	for _, n := range w.nodes {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,9 +6,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -36,10 +38,9 @@
 	w.lines = append(w.lines, fmt.Sprintf("%8.3f ", time.Since(w.began).Seconds())+fmt.Sprintf(format, values...))
 }
 
-// cases are the plays by the number of their folder. Each returns what broke the rule,
+// cases are the plays by name. Each returns what broke the rule,
 // empty if nothing did, or an error if it could not run.
 var cases = map[string]func(w *world) (string, error){
-	"cold":        playCold,
 	"evacuate":    playEvacuate,
 	"health_path": playHealthPath,
 	"leave":       playLeave,
@@ -71,6 +72,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		for _, n := range w.nodes {
+			n.stop()
+		}
+		os.Exit(2)
+	}()
 	broken, err := play(w)
 	for _, n := range w.nodes {
 		n.stop()
--- a/review/standin-3/node.go
+++ b/review/standin-3/node.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,15 +28,27 @@
 	ended    chan struct{}
 }
 
-// freeAddress returns a free loopback address. It stays free unless another process takes
-// it meanwhile.
+const (
+	// Ports below those that the system gives to outgoing connections, which could take the
+	// address of a node before it starts.
+	firstPort, lastPort = 15000, 30000
+)
+
+var takenPorts = make(map[int]bool)
+
+// freeAddress returns a free loopback address that no other call has returned.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		listener, err := net.Listen("tcp", address)
+		if err != nil || takenPorts[port] {
+			continue
+		}
+		_ = listener.Close()
+		takenPorts[port] = true
+		return address
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // bounds are those of the site towpath-ub, under the names and in the units of deploy/wire.toml.
--- a/review/standin-3/pipeline.go
+++ b/review/standin-3/pipeline.go
@@ -90,7 +90,7 @@
 		n.start()
 		s := newServer(n, "i-"+n.name)
 		servers[n.service] = s
-		s.start(false)
+		s.start()
 	}
 	servers["ledger"].work = 1200 * time.Millisecond
 	for _, n := range w.nodes {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -31,90 +31,45 @@
 
 // server is a stand-in of a backend server that follows PROTOCOL.md.
 type server struct {
-	node     *node
-	id       string
-	version  string
-	slots    int
-	queue    int
-	work     time.Duration
-	coldX    float64
-	coldTime time.Duration
-	// crashAt is the number of requests in a second that the server does not survive while it
-	// is cold, 0 for none.
-	crashAt int
-	// reportsLoad is set if answers have X-Server-Load.
-	reportsLoad bool
+	node    *node
+	id      string
+	version string
+	slots   int
+	queue   int
+	work    time.Duration
 
-	mutex     sync.Mutex
-	listener  net.Listener
-	http      *http.Server
-	born      time.Time
-	sequence  int
-	coldUntil time.Time
-	state     string
-	running   int
-	waiting   int
-	arrivals  []arrival
-	crashed   bool
-	stopBeats chan struct{}
+	mutex    sync.Mutex
+	listener net.Listener
+	http     *http.Server
+	born     time.Time
+	sequence int
+	running  int
+	waiting  int
+	arrivals []arrival
 }
 
 func newServer(n *node, id string) *server {
-	s := &server{node: n, id: id, version: "v1", slots: 9, queue: 18, work: 160 * time.Millisecond, coldX: 2, coldTime: 3 * time.Second, reportsLoad: true, state: "ready"}
-	return s
+	return &server{node: n, id: id, version: "v1", slots: 9, queue: 18, work: 160 * time.Millisecond}
 }
 
-// start listens and announces the server, which is cold at first if cold is set.
-func (s *server) start(cold bool) {
+// start listens and announces the server, which started long ago and is not cold.
+func (s *server) start() {
 	listener, err := net.Listen("tcp", s.node.backend)
 	if err != nil {
 		panic(err)
 	}
 	s.mutex.Lock()
-	s.listener, s.born, s.crashed = listener, time.Now(), false
-	if cold {
-		s.coldUntil = s.born.Add(s.coldTime)
-	}
+	s.listener, s.born = listener, time.Now()
 	s.http = &http.Server{Handler: s}
-	s.stopBeats = make(chan struct{})
 	s.mutex.Unlock()
 	go func() { _ = s.http.Serve(listener) }()
-	go s.beats(s.stopBeats)
-}
-
-// crash closes the listener and resets the connections.
-func (s *server) crash() {
-	s.mutex.Lock()
-	if s.crashed {
-		s.mutex.Unlock()
-		return
-	}
-	s.crashed = true
-	close(s.stopBeats)
-	s.mutex.Unlock()
-	s.node.world.record("%s: server %s crashes", s.node.name, s.id)
-	_ = s.http.Close()
-}
-
-func (s *server) turnCold() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.coldUntil = time.Now().Add(s.coldTime)
-	s.node.world.record("%s: server %s is cold for %v from now on", s.node.name, s.id, s.coldTime)
-}
-
-func (s *server) coldLeft(now time.Time) time.Duration {
-	return max(0, s.coldUntil.Sub(now))
+	go s.beats()
 }
 
-func (s *server) beats(stop <-chan struct{}) {
+func (s *server) beats() {
 	for {
 		s.beat()
-		select {
-		case <-stop:
-			return
-		case <-time.After(heartbeatInterval):
-		}
+		time.Sleep(heartbeatInterval)
 	}
 }
 
@@ -125,7 +80,7 @@
 	s.sequence++
 	data, err := json.Marshal(map[string]any{
 		"service": s.node.service, "address": s.node.backend, "zone": s.node.zone, "version": s.version, "slots": s.slots,
-		"state": s.state, "cold_ms": s.coldLeft(time.Now()).Milliseconds(), "sequence": s.sequence, "born": s.born.UnixMilli(),
+		"state": "ready", "cold_ms": 0, "sequence": s.sequence, "born": s.born.UnixMilli(),
 	})
 	if err != nil {
 		panic(err)
@@ -149,9 +104,7 @@
 }
 
 func (s *server) setLoad(header http.Header) {
-	if s.reportsLoad {
-		header.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running, s.waiting, s.slots))
-	}
+	header.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,100", s.running, s.waiting, s.slots))
 }
 
 // ServeHTTP implements http.Handler.
@@ -187,29 +140,14 @@
 	defer s.mutex.Unlock()
 	writer.Header().Set("X-Instance-Id", s.id)
 	s.setLoad(writer.Header())
-	if left := s.coldLeft(time.Now()); left > 0 {
-		writer.Header().Set("X-Cold-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	}
-	if s.state != "ready" {
-		writer.WriteHeader(http.StatusServiceUnavailable)
-	}
 }
 
-// arrived records a request, and ends the server if it is cold and gets too many.
+// arrived records a request that was handed a deadline, and returns its index.
 func (s *server) arrived(id string, deadline time.Duration) int {
 	s.mutex.Lock()
-	now := time.Now()
-	cold := s.coldLeft(now) > 0
-	s.arrivals = append(s.arrivals, arrival{at: now, id: id, cold: cold, deadline: deadline})
-	index, recent := len(s.arrivals)-1, 0
-	for i := index; i >= 0 && s.arrivals[i].cold && now.Sub(s.arrivals[i].at) < time.Second; i-- {
-		recent++
-	}
-	s.mutex.Unlock()
-	if cold && s.crashAt > 0 && recent > s.crashAt {
-		go s.crash()
-	}
-	return index
+	defer s.mutex.Unlock()
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, deadline: deadline})
+	return len(s.arrivals) - 1
 }
 
 func (s *server) serve(writer http.ResponseWriter, request *http.Request, body []byte, deadline time.Time, index int) string {
@@ -240,14 +178,10 @@
 	}
 	s.running++
 	s.arrivals[index].ran = true
-	work := s.work
-	if s.coldLeft(time.Now()) > 0 {
-		work = time.Duration(float64(work) * s.coldX)
-	}
 	s.mutex.Unlock()
 	end := ""
 	select {
-	case <-time.After(min(work, time.Until(deadline))):
+	case <-time.After(min(s.work, time.Until(deadline))):
 	case <-request.Context().Done():
 		end = "dropped"
 	}
