Fail answers that a reset cuts off while their request is written

Callers got a 200 whose body was a part of the backend server's: the server answered a long upload without a length, and reset the connection, or closed it with a part of the upload unread, while the node still wrote.

Cause: an upload is written and its answer read concurrently. Linux reports a reset once, to whichever of the two calls comes first. If the write got ECONNRESET, the read returned the end of the stream, which ends a body without a length, and roundTrip used the error of the write only to close the connection. Requests of one write had the same fault where the reset came before them.

Change: an answer whose body ended with the connection fails if the write of its request failed, unless with EPIPE. Linux reports a reset as EPIPE to a writer whose connection the server had closed orderly before, so such an answer is whole. Bodies with a length and in chunks have an end of their own and are as before.

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,6 +57,8 @@
 	Header http.Header
 	Body   []byte
 	Report bulrushchute.BackendReport
+	// closeDelimited is set if the body ended with the connection.
+	closeDelimited bool
 }
 
 // Error reports a request for which no whole answer was received.
@@ -262,7 +265,7 @@
 			// The server may have answered before it closed the connection, so
 			// its answer takes precedence over the write error.
 			answer, _, readErr := c.readAnswer(ctx, conn, request)
-			if readErr != nil {
+			if readErr != nil || answer.mayBeCutOff(err) {
 				return Answer{}, false, errors.Wrap(err, "write request")
 			}
 			return answer, false, nil
@@ -277,10 +280,22 @@
 	}
 	if writeErr := <-writeDone; writeErr != nil {
 		reusable = false
+		if err == nil && answer.mayBeCutOff(writeErr) {
+			return Answer{}, false, errors.Wrap(writeErr, "write request")
+		}
 	}
 	return answer, reusable, err
 }
 
+// mayBeCutOff reports whether the connection may have been reset before the end of an
+// answer that was read without an error while a write of its request failed. The operating
+// system reports a reset only once. If the write gets the error, a read returns io.EOF, as
+// at the end of a body without a length. A reset after the server's orderly close fails the
+// write with EPIPE instead.
+func (a Answer) mayBeCutOff(writeErr error) bool {
+	return a.closeDelimited && !errors.Is(writeErr, syscall.EPIPE) && !errors.Is(writeErr, net.ErrClosed)
+}
+
 // writeRequest writes a request and sends the result on done. Closing the
 // connection unblocks it.
 func writeRequest(conn *connection, data [][]byte, done chan<- error) {
@@ -331,7 +346,9 @@
 		return Answer{}, false, err
 	}
 	report := c.settings.Protocol.ReadReport(request.Attempt, response.StatusCode, response.Header)
-	return Answer{Status: response.StatusCode, Header: response.Header, Body: body, Report: report}, response.Close, nil
+	return Answer{
+		Status: response.StatusCode, Header: response.Header, Body: body, Report: report, closeDelimited: isCloseDelimited(response),
+	}, response.Close, nil
 }
 
 func (c *Client) maxBodyBytes(request Request) int64 {
