Reject responses with a status that does not exist

Callers of a server that answered with status 000 or 099 heard nothing until their deadline (504). If a 200 followed, they got that as the answer, whatever it answered.

Cause: net/http takes any three characters for a status that strconv.Atoi reads as a number that isn't negative: 000, 042, +99, -00. readFinalResponse took each status under 200 for an interim one and read on. Elsewhere each status under 300, or 500, was a success: the platform's store with status 000 acknowledged writes and had no objects, a health check with 000 passed, and a node passed on what another one had read.

Change: the new package bulrushresponse accepts statuses from 100 to 599, the ones that exist (RFC 9110, section 15), and no 101, as no request asks for another protocol. It is used where each head is parsed: bulrushbackend (requests, health checks, readings of the load), the HTTP clients of the stores and of the usage service, and the prober; and for the replies of other nodes, of which those of earlier releases have not checked theirs. An error there is that of a response that was lost: the request or the write may have taken effect.

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -15,6 +15,7 @@
 
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushmemory"
+	"bulrushchute.example/bulrushchute/bulrushresponse"
 )
 
 const (
@@ -154,7 +155,8 @@
 func errorReason(ctx context.Context, err error) bulrushchute.Reason {
 	var tooLarge *http.MaxBytesError
 	var headerTooLarge *HeaderTooLargeError
-	var malformed *answerError
+	var incomplete *answerError
+	var malformed *bulrushresponse.MalformedError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return bulrushchute.ReasonDeadline
@@ -162,7 +164,7 @@
 		return bulrushchute.ReasonCancelled
 	case errors.As(err, &tooLarge), errors.As(err, &headerTooLarge):
 		return bulrushchute.ReasonTooLarge
-	case errors.As(err, &malformed):
+	case errors.As(err, &incomplete), errors.As(err, &malformed):
 		return bulrushchute.ReasonTruncated
 	default:
 		return bulrushchute.ReasonConnectionLost
--- a/bulrushbackend/message.go
+++ b/bulrushbackend/message.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+
+	"bulrushchute.example/bulrushchute/bulrushresponse"
 )
 
 // maxSyncWriteBytes is the size up to which a request is fully written before
@@ -60,6 +62,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := bulrushresponse.CheckHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/bulrushnode/prober.go
+++ b/bulrushnode/prober.go
@@ -12,6 +12,7 @@
 	"bulrushchute.example/bulrushchute"
 	"bulrushchute.example/bulrushchute/bulrushadmission"
 	"bulrushchute.example/bulrushchute/bulrushcatalogue"
+	"bulrushchute.example/bulrushchute/bulrushresponse"
 )
 
 const (
@@ -48,7 +49,8 @@
 func newProber(admission *admission, settings func(bulrushchute.Service) bulrushcatalogue.Probe) *prober {
 	// Probes use a separate connection, so that they do not wait behind requests.
 	transport := &http.Transport{Proxy: nil, MaxConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxProbeHeaderBytes}
-	return &prober{admission: admission, settings: settings, client: &http.Client{Transport: transport, Timeout: probeTimeout}}
+	client := &http.Client{Transport: bulrushresponse.NewTransport(transport), Timeout: probeTimeout}
+	return &prober{admission: admission, settings: settings, client: client}
 }
 
 func (p *prober) run(ctx context.Context) error {
--- a/bulrushstore/operation.go
+++ b/bulrushstore/operation.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushresponse"
 )
 
 // Operation describes one call over HTTP to a store or a similar system. Its methods separate
@@ -20,11 +21,11 @@
 	System string
 }
 
-// NewHTTPClient returns a client that does not follow redirects, because
-// following one would send a write a second time.
+// NewHTTPClient returns a client that rejects malformed responses and does not follow
+// redirects, because following one would send a write a second time.
 func NewHTTPClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport:     transport,
+		Transport:     bulrushresponse.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"bulrushchute.example/bulrushchute"
+	"bulrushchute.example/bulrushchute/bulrushresponse"
 	"bulrushchute.example/bulrushchute/bulrushresume"
 )
 
@@ -289,7 +290,12 @@
 	if ended.err != nil || ended.reply.Answer == nil {
 		return ended.reply, ended.err
 	}
-	if err := VerifyChecksum(*ended.reply.Answer); err != nil {
+	err := VerifyChecksum(*ended.reply.Answer)
+	if err == nil {
+		// Nodes of earlier releases pass on malformed answers of their backend servers.
+		err = bulrushresponse.CheckFinalStatus(ended.reply.Answer.Status)
+	}
+	if err != nil {
 		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: err}
 	}
 	return ended.reply, nil
