Reject responses with a field name that is not a token

Callers got the answer of a server in trouble in whose head, interim head or trailer the name of a field held a blank, with that line passed on. With "Content-Length : 4" they got what came until the end of the connection as the body, or waited for it until their deadline.

Cause: net/http reads names with blanks in or at the end, and keeps them apart from the fields that it knows, so that such a length or encoding does not count. Other bytes that no name may hold fail there already.

Change: bulrushresponse also checks the names of a parsed head, and those of a trailer at the end of the body, by httpguts, in all places that check the status. Names that a Trailer field announces are no fields and are not checked.

--- a/bulrushbackend/client.go
+++ b/bulrushbackend/client.go
@@ -347,6 +347,9 @@
 		_ = conn.Close()
 		return Answer{}, false, err
 	}
+	if err := bulrushresponse.CheckFields(response.Trailer); err != nil {
+		return Answer{}, false, err
+	}
 	report := c.settings.Protocol.ReadReport(request.Attempt, response.StatusCode, response.Header)
 	return Answer{
 		Status: response.StatusCode, Header: response.Header, Body: body, Report: report, closeDelimited: isCloseDelimited(response),
--- a/bulrushnode/malformed_health_test.go
+++ b/bulrushnode/malformed_health_test.go
@@ -20,6 +20,10 @@
 		"whole":                {"HTTP/1.1 200 OK" + rest + "\r\n", true},
 		"status zero":          {"HTTP/1.1 000 X" + rest + "\r\n", false},
 		"status of two digits": {"HTTP/1.1 042 X" + rest + "\r\n", false},
+		"blank in a name":      {"HTTP/1.1 200 OK\r\nX A: 1" + rest + "\r\n", false},
+		"blank in a late name": {"HTTP/1.1 200 OK" + rest + "X-A : 1\r\n\r\n", false},
+		"blank, interim":       {"HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK" + rest + "\r\n", false},
+		"control byte":         {"HTTP/1.1 200 OK\r\nX\x01A: 1" + rest + "\r\n", false},
 		"zero, then whole":     {"HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200 OK" + rest + "\r\n", false},
 	}
 	for name, tc := range cases {
--- a/bulrushresponse/check.go
+++ b/bulrushresponse/check.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -23,8 +25,8 @@
 	return "malformed response: " + e.Problem
 }
 
-// CheckHead checks the status line of a response, interim (1xx) or final. It returns a
-// *MalformedError if the response violates HTTP. The request must not ask for a change of
+// CheckHead checks the status and the field names of a response, interim (1xx) or final. It
+// returns a *MalformedError if they violate HTTP. The request must not ask for a change of
 // the protocol.
 func CheckHead(response *http.Response) error {
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
@@ -33,6 +35,31 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{Problem: "change of the protocol that was not asked for"}
 	}
+	return CheckFields(response.Header)
+}
+
+// CheckFields returns a *MalformedError if the name of a field in a header or trailer is not
+// a token. net/http accepts names with blanks, which it does not recognise: the length in
+// "Content-Length : 4" does not count.
+func CheckFields(header http.Header) error {
+	for name, values := range header {
+		// The names that a Trailer field announces are in the trailer without values.
+		if len(values) == 0 {
+			continue
+		}
+		if err := CheckFieldName(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CheckFieldName returns a *MalformedError if the name of a field is not a token (RFC 9110,
+// section 5.1).
+func CheckFieldName(name string) error {
+	if !httpguts.ValidHeaderFieldName(name) {
+		return &MalformedError{Problem: fmt.Sprintf("field name %q", name)}
+	}
 	return nil
 }
 
--- a/bulrushresponse/check_test.go
+++ b/bulrushresponse/check_test.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -70,3 +72,41 @@
 		})
 	}
 }
+
+// Guards against a response with a field whose name is none, which net/http reads although
+// another reader may see another end of the body.
+func TestTransportChecksFieldNames(t *testing.T) {
+	const (
+		whole   = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+	)
+	cases := map[string]struct {
+		raw       string
+		wantWhole bool
+	}{
+		"ordinary":              {"HTTP/1.1 200 OK\r\nX-A: 1 2\r\nContent-Length: 0\r\n\r\n", true},
+		"blank":                 {"HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n", false},
+		"blank at the end":      {"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n", false},
+		"interim":               {"HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n" + whole, true},
+		"blank, interim":        {"HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + whole, false},
+		"trailer":               {chunked + "X-A: 1\r\n\r\n", true},
+		"blank, trailer":        {chunked + "X A: 1\r\n\r\n", false},
+		"many interim":          {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 16) + whole, true},
+		"interim without end":   {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 17) + whole, false},
+		"announced, with blank": {strings.Replace(chunked, "\r\n\r\n", "\r\nTrailer: X A\r\n\r\n", 1) + "\r\n", true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			response, err := respond(t, tc.raw)
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			if tc.wantWhole {
+				assert.NilError(t, err)
+				return
+			}
+			var malformed *bulrushresponse.MalformedError
+			assert.Assert(t, errors.As(err, &malformed), "%v", err)
+		})
+	}
+}
--- a/bulrushwire/malformed_reply_test.go
+++ b/bulrushwire/malformed_reply_test.go
@@ -23,6 +23,9 @@
 		"status zero":          {bulrushchute.Answer{Status: 0}, false},
 		"status of two digits": {bulrushchute.Answer{Status: 42}, false},
 		"interim":              {bulrushchute.Answer{Status: 103}, false},
+		"blank in a name":      {bulrushchute.Answer{Status: 200, Header: []bulrushchute.HeaderField{{Name: "X A", Value: "1"}}}, false},
+		"control byte":         {bulrushchute.Answer{Status: 200, Header: []bulrushchute.HeaderField{{Name: "X\x01A", Value: "1"}}}, false},
+		"no name":              {bulrushchute.Answer{Status: 200, Header: []bulrushchute.HeaderField{{Value: "1"}}}, false},
 		"above the highest":    {bulrushchute.Answer{Status: 600}, false},
 	}
 	for name, tc := range cases {
--- a/bulrushwire/peer.go
+++ b/bulrushwire/peer.go
@@ -290,17 +290,26 @@
 	if ended.err != nil || ended.reply.Answer == nil {
 		return ended.reply, ended.err
 	}
-	err := VerifyChecksum(*ended.reply.Answer)
-	if err == nil {
-		// Nodes of earlier releases pass on malformed answers of their backend servers.
-		err = bulrushresponse.CheckFinalStatus(ended.reply.Answer.Status)
-	}
-	if err != nil {
+	if err := verifyAnswer(*ended.reply.Answer); err != nil {
 		return bulrushchute.Reply{}, &bulrushchute.NoReplyError{Address: p.address, Cause: err}
 	}
 	return ended.reply, nil
 }
 
+// verifyAnswer checks the body of an answer, and what nodes of earlier releases pass on
+// unchecked from their backend servers.
+func verifyAnswer(answer bulrushchute.Answer) error {
+	if err := VerifyChecksum(answer); err != nil {
+		return err
+	}
+	for _, field := range answer.Header {
+		if err := bulrushresponse.CheckFieldName(field.Name); err != nil {
+			return err
+		}
+	}
+	return bulrushresponse.CheckFinalStatus(answer.Status)
+}
+
 func (p *dataPeer) removePending(id bulrushchute.AttemptID) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
