Wait for unread bytes before the close in the tests of cut off answers

A server that closes a connection while nothing is unread ends it orderly, and its answer without a length is whole. The stand-ins closed 5 ms after their answer, when the upload may not have arrived yet. They read a byte of it first now, which leaves the rest unread.

--- a/bulrushbackend/reset_test.go
+++ b/bulrushbackend/reset_test.go
@@ -50,9 +50,12 @@
 	}
 }
 
-func closeAfter(delay time.Duration) func(*net.TCPConn) {
+// closeUnread closes a connection with a part of the request unread, which resets it. It waits
+// for that part: a close with nothing to read is an orderly end.
+func closeUnread(delay time.Duration) func(*net.TCPConn) {
 	return func(socket *net.TCPConn) {
 		time.Sleep(delay)
+		_, _ = socket.Read(make([]byte, 1))
 		_ = socket.Close()
 	}
 }
@@ -95,9 +98,9 @@
 		"reset later":                     {readHead, noLength + "body", resetAfter(delay), ""},
 		"reset in the middle":             {readHalf, noLength + "body", resetAfter(delay), ""},
 		"reset before the body":           {readHead, noLength, resetAfter(delay), ""},
-		"closed unread":                   {readHead, noLength + "body", closeAfter(0), ""},
-		"closed unread later":             {readHead, noLength + "body", closeAfter(delay), ""},
-		"closed unread in the middle":     {readHalf, noLength + "body", closeAfter(delay), ""},
+		"closed unread":                   {readHead, noLength + "body", closeUnread(0), ""},
+		"closed unread later":             {readHead, noLength + "body", closeUnread(delay), ""},
+		"closed unread in the middle":     {readHalf, noLength + "body", closeUnread(delay), ""},
 		"chunked, reset":                  {readHead, chunked, resetAfter(delay), ""},
 		"orderly end":                     {readHead, noLength + "body", readToEnd, "body"},
 		"orderly end in the middle":       {readHalf, noLength + "body", readToEnd, "body"},
@@ -106,7 +109,7 @@
 		"with a length, reset":            {readHead, length, resetAfter(delay), "body"},
 		"chunked and whole, reset":        {readHead, chunked + "0\r\n\r\n", resetAfter(delay), "body"},
 		"chunked and whole, orderly end":  {readHead, chunked + "0\r\n\r\n", readToEnd, "body"},
-		"with a length, closed unread":    {readHead, length, closeAfter(delay), "body"},
+		"with a length, closed unread":    {readHead, length, closeUnread(delay), "body"},
 		"chunked, reset before its end":   {readHead, chunked + "0\r\n", resetAfter(delay), ""},
 		"with a length, reset in between": {readHead, length[:len(length)-1], resetAfter(delay), ""},
 	}
@@ -144,7 +147,7 @@
 	}{
 		"reset":                {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", resetAfter(0), ""},
 		"with a length, reset": {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody", resetAfter(0), "body"},
-		"orderly end":          {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", closeAfter(0), "body"},
+		"orderly end":          {"HTTP/1.1 200 OK\r\nId: a\r\n\r\nbody", func(socket *net.TCPConn) { _ = socket.Close() }, "body"},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
