--- a/bulrushbackend/reset_test.go
+++ b/bulrushbackend/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -179,3 +180,29 @@
 		})
 	}
 }
+
+// Guards against a whole answer that its caller does not get in time, because the server has
+// stopped to read the upload and keeps the connection open.
+func TestAnswerOfServerThatStopsReading(t *testing.T) {
+	const (
+		deadline = 3 * time.Second
+		soon     = time.Second
+	)
+	ended := make(chan struct{})
+	defer close(ended)
+	address := startEarlyServer(t, 64, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\nbody", func(socket *net.TCPConn) {
+		<-ended
+		_ = socket.Close()
+	})
+	client := NewClient(Settings{Address: address, Connections: 2, MaxBodyBytes: 1 << 20, Protocol: idHeaderProtocol{}})
+	defer client.Close()
+	request := newTestRequest("a", false)
+	request.Body = bytes.Repeat([]byte("x"), 4*resetUploadBytes)
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	begin := time.Now()
+	answer, err := client.Do(ctx, request)
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "body")
+	assert.Assert(t, time.Since(begin) < soon, "after %s", time.Since(begin))
+}
